--- /dev/null
+++ b/pomelograde/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/pomelograde/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output; time and randomness are arguments."""
--- /dev/null
+++ b/pomelograde/core/accounts/__init__.py
@@ -0,0 +1,20 @@
+"""Client account keys and their verifiers."""
+
+from pomelograde.core.accounts import _verifier
+
+ITERATIONS = _verifier.ITERATIONS
+Verifier = _verifier.Verifier
+make_key = _verifier.make_key
+make_server = _verifier.make_server
+make_verifier = _verifier.make_verifier
+read_client_first = _verifier.read_client_first
+
+__all__ = [
+    "ITERATIONS",
+    "MECHANISM",
+    "Verifier",
+    "make_key",
+    "make_server",
+    "make_verifier",
+    "read_client_first",
+]
--- /dev/null
+++ b/pomelograde/core/limits/_bucket.py
@@ -0,0 +1,53 @@
+"""Token buckets."""
+
+import attrs
+
+
+@attrs.define
+class TokenBucket:
+    """Admits at most ``burst + rate * t`` requests in any `t` seconds.
+
+    Attributes
+    ----------
+    rate_per_s : float
+        Tokens added a second.
+    burst : float
+        Most tokens held.
+    tokens : float
+        Tokens held at `updated_at`.
+    updated_at : float
+        Monotonic seconds.
+    """
+
+    rate_per_s: float
+    burst: float
+    tokens: float
+    updated_at: float
+
+    def refill(self, now):
+        """Add the tokens that have accrued until `now`."""
+        elapsed = now - self.updated_at
+        if elapsed > 0.0:
+            self.tokens = min(self.burst, self.tokens + elapsed * self.rate_per_s)
+            self.updated_at = now
+
+    def take(self, now):
+        """Take one token.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        float
+            0.0 if a token was taken, else the seconds until one is there.
+        """
+        self.refill(now)
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        if self.rate_per_s <= 0.0:
+            return float("inf")
+        return (1.0 - self.tokens) / self.rate_per_s
--- /dev/null
+++ b/pomelograde/core/retries/_errors.py
@@ -0,0 +1,200 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+import enum
+
+import attrs
+
+
+class Execution(enum.Enum):
+    """What is known about a statement that was answered with an error."""
+
+    NOT_RUN = "not run"
+    RUN = "run"
+    UNKNOWN = "outcome unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Every error that the proxy itself can answer."""
+
+    MALFORMED_FRAME = "malformed_frame"
+    FRAME_TOO_LARGE = "frame_too_large"
+    STARTUP_TIMEOUT = "startup_timeout"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    TLS_REQUIRED = "tls_required"
+    AUTHENTICATION_FAILED = "authentication_failed"
+    UNKNOWN_DATABASE = "unknown_database"
+    KEY_WITHDRAWN = "key_withdrawn"
+    ROUTE_FORBIDDEN = "route_forbidden"
+    INVALID_SETTING = "invalid_setting"
+    UNSUPPORTED = "unsupported"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    RATE_EXCEEDED = "rate_exceeded"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_BEFORE_RUN = "deadline_before_run"
+    DEADLINE_AFTER_SEND = "deadline_after_send"
+    NO_PRIMARY = "no_primary"
+    SESSION_BEHIND = "session_behind"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_LOST = "upstream_lost"
+    TRANSACTION_LOST = "transaction_lost"
+    ACKNOWLEDGEMENT_LOST = "acknowledgement_lost"
+    CONFIGURATION_STALE = "configuration_stale"
+    DRAINING = "draining"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Answer:
+    """How one error kind is answered to a caller.
+
+    Attributes
+    ----------
+    sqlstate : str
+        Five-character SQLSTATE.
+    execution : Execution
+        Whether the statement ran; sent in the DETAIL field.
+    message : str
+        Primary message.
+    hint : str
+        What the caller can do; sent in the HINT field.
+    fatal : bool
+        Whether the connection is closed after the answer.
+    """
+
+    sqlstate: str
+    execution: Execution
+    message: str
+    hint: str = ""
+    fatal: bool = False
+
+
+@attrs.frozen
+class Failure:
+    """An error kind with the particulars of one occurrence.
+
+    Attributes
+    ----------
+    kind : ErrorKind
+        Which error this is.
+    detail : str
+        Particulars for the message, without secrets.
+    retry_after_s : float
+        Seconds after which a retry is useful, or 0 where unknown.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+
+_NOT_RUN = Execution.NOT_RUN
+_UNKNOWN = Execution.UNKNOWN
+
+ANSWERS = {
+    ErrorKind.MALFORMED_FRAME: Answer(
+        "08P01", _NOT_RUN, "malformed protocol frame", fatal=True
+    ),
+    ErrorKind.FRAME_TOO_LARGE: Answer(
+        "08P01", _NOT_RUN, "protocol frame exceeds the size limit", fatal=True
+    ),
+    ErrorKind.STARTUP_TIMEOUT: Answer(
+        "08006", _NOT_RUN, "start-up was not finished in time", fatal=True
+    ),
+    ErrorKind.TOO_MANY_CONNECTIONS: Answer(
+        "53300",
+        _NOT_RUN,
+        "too many connections on this instance",
+        "Connect again; the balancer picks another instance.",
+        fatal=True,
+    ),
+    ErrorKind.TLS_REQUIRED: Answer(
+        "28000", _NOT_RUN, "this instance accepts only TLS connections", fatal=True
+    ),
+    ErrorKind.AUTHENTICATION_FAILED: Answer(
+        "28P01", _NOT_RUN, "client account key was not accepted", fatal=True
+    ),
+    ErrorKind.UNKNOWN_DATABASE: Answer(
+        "3D000", _NOT_RUN, "database service does not exist", fatal=True
+    ),
+    ErrorKind.KEY_WITHDRAWN: Answer(
+        "28000", _NOT_RUN, "client account key has been withdrawn", fatal=True
+    ),
+    ErrorKind.ROUTE_FORBIDDEN: Answer(
+        "42501", _NOT_RUN, "no route allows this statement for the client account"
+    ),
+    ErrorKind.INVALID_SETTING: Answer(
+        "22023", _NOT_RUN, "invalid value for a proxy setting"
+    ),
+    ErrorKind.UNSUPPORTED: Answer(
+        "0A000", _NOT_RUN, "statement is not supported through the proxy"
+    ),
+    ErrorKind.UNKNOWN_STATEMENT: Answer(
+        "26000", _NOT_RUN, "prepared statement does not exist"
+    ),
+    ErrorKind.RATE_EXCEEDED: Answer(
+        "53400",
+        _NOT_RUN,
+        "client account is over its rate",
+        "Retry after the stated time.",
+    ),
+    ErrorKind.QUEUE_FULL: Answer(
+        "53000",
+        _NOT_RUN,
+        "too many statements are waiting for an upstream connection",
+        "Retry later.",
+    ),
+    ErrorKind.DEADLINE_BEFORE_RUN: Answer(
+        "57014", _NOT_RUN, "deadline passed before the statement was sent"
+    ),
+    ErrorKind.DEADLINE_AFTER_SEND: Answer(
+        "57014",
+        _UNKNOWN,
+        "deadline passed before the upstream answered",
+        "Check whether the statement took effect, or use an idempotency key.",
+    ),
+    ErrorKind.NO_PRIMARY: Answer(
+        "57P03", _NOT_RUN, "database service has no primary at present", "Retry later."
+    ),
+    ErrorKind.SESSION_BEHIND: Answer(
+        "57P03",
+        _NOT_RUN,
+        "no upstream holds the session's own writes yet",
+        "Retry later.",
+    ),
+    ErrorKind.UPSTREAM_UNREACHABLE: Answer(
+        "08001", _NOT_RUN, "no upstream connection could be opened", "Retry later."
+    ),
+    ErrorKind.UPSTREAM_LOST: Answer(
+        "08007",
+        _UNKNOWN,
+        "upstream connection was lost before the answer was complete",
+        "Check whether the statement took effect, or use an idempotency key.",
+    ),
+    ErrorKind.TRANSACTION_LOST: Answer(
+        "40000",
+        _NOT_RUN,
+        "upstream connection was lost; the transaction was rolled back",
+        "Run the whole transaction again.",
+    ),
+    ErrorKind.ACKNOWLEDGEMENT_LOST: Answer(
+        "08007",
+        _UNKNOWN,
+        "the write was not confirmed by a majority of members",
+        "Check whether the statement took effect, or use an idempotency key.",
+    ),
+    ErrorKind.CONFIGURATION_STALE: Answer(
+        "57P03",
+        _NOT_RUN,
+        "instance cannot confirm that its configuration is current",
+        "Connect again; the balancer picks another instance.",
+        fatal=True,
+    ),
+    ErrorKind.DRAINING: Answer(
+        "57P01",
+        _NOT_RUN,
+        "instance is stopping",
+        "Connect again; the balancer picks another instance.",
+        fatal=True,
+    ),
+    ErrorKind.INTERNAL: Answer("XX000", _UNKNOWN, "internal error", fatal=True),
+}
--- /dev/null
+++ b/pomelograde/core/routing/_choose.py
@@ -0,0 +1,91 @@
+"""Choice of the upstream member for a read."""
+
+import attrs
+
+FAR_COST_FACTOR = 3.0  # outstanding reads that another data centre counts as
+MAX_HINT_AGE_S = 2.0
+
+
+@attrs.define
+class MemberView:
+    """What an instance knows of one upstream member.
+
+    Attributes
+    ----------
+    name : str
+        Name of the member.
+    data_centre : str
+        Data centre of the member.
+    position : Position or None
+        Last position that the member reported; a hint, never a proof.
+    position_at : float
+        When the position was reported, in monotonic seconds.
+    reachable : bool
+        Whether connections to the member work.
+    leaving : bool
+        Whether the member is being taken out.
+    outstanding : int
+        Statements that this instance has sent and not seen answered.
+    """
+
+    name: str
+    data_centre: str
+    position: object = None
+    position_at: float = 0.0
+    reachable: bool = True
+    leaving: bool = False
+    outstanding: int = 0
+
+
+def covers(position, required):
+    """Return whether a member at `position` may serve a session.
+
+    Parameters
+    ----------
+    position : Position or None
+        Position of the member.
+    required : Position or None
+        Lowest position that the session may read from.
+    """
+    if required is None:
+        return True
+    return position is not None and position >= required
+
+
+def choose_replicas(members, primary, required, data_centre, now, lag_s=0.0):
+    """Order the replicas for a read, best first.
+
+    Parameters
+    ----------
+    members : list of MemberView
+        Members of the group.
+    primary : str or None
+        Name of the primary, which is left out.
+    required : Position or None
+        Lowest position that the session may read from.
+    data_centre : str
+        Data centre of this instance.
+    now : float
+        Monotonic seconds.
+    lag_s : float
+        How old a position hint may be before it says nothing, in seconds.
+
+    Returns
+    -------
+    list of MemberView
+        Replicas that may serve the read. One whose fresh hint is behind is
+        left out.
+    """
+    fresh_s = lag_s or MAX_HINT_AGE_S
+    scored = []
+    for member in members:
+        if member.name == primary or member.leaving or not member.reachable:
+            continue
+        hint_is_fresh = now - member.position_at <= fresh_s
+        if hint_is_fresh and not covers(member.position, required):
+            continue
+        near = member.data_centre == data_centre
+        cost = (member.outstanding + 1) * (1.0 if near else FAR_COST_FACTOR)
+        scored.append((cost, member.name, member))
+    scored.sort(key=lambda entry: entry[:2])
+    return [entry[2] for entry in scored]
--- /dev/null
+++ b/pomelograde/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, composition root and entry point."""
--- /dev/null
+++ b/pomelograde/daemon/root.py
@@ -0,0 +1,163 @@
+"""The composition root: builds the parts of a daemon and joins them."""
+
+import random
+import time
+
+import attrs
+from twisted.internet import defer, ssl, task
+from twisted.web import server
+
+from pomelograde.core import membership
+from pomelograde.net import (
+    callers,
+    configuration,
+    context,
+    events,
+    gateway,
+    metrics,
+    operators,
+    peer_messages,
+    peers,
+    platform,
+    upstream,
+)
+from pomelograde.net import (
+    membership as membership_task,
+)
+
+DRAIN_CHECK_INTERVAL_S = 0.05
+
+
+@attrs.define(eq=False)
+class Daemon:
+    """All parts of one daemon.
+
+    Attributes
+    ----------
+    context : InstanceContext
+        What all tasks share.
+    configuration : ConfigurationTask
+        Configuration in force.
+    gateway : Gateway
+        Groups and sessions.
+    listener : CallerListener
+        Accepts callers.
+    membership : MembershipTask
+        Live instances.
+    ports : dict of str to IListeningPort
+        Listening ports by name.
+    """
+
+    context: context.InstanceContext
+    configuration: configuration.ConfigurationTask
+    gateway: gateway.Gateway
+    listener: callers.CallerListener
+    membership: membership_task.MembershipTask
+    ports: dict = attrs.field(factory=dict)
+
+    async def start(self):
+        """Listen, and fetch the configuration."""
+        await self.configuration.start()
+        self.gateway.start()
+        if self.context.peers.tls is not None:
+            addresses = self.context.settings.addresses
+            self.ports["peer"] = self.context.peers.listen(
+                addresses.host, addresses.peer_port
+            )
+            self.membership.start()
+        self._listen("caller", self.listener)
+        site = operators.OperatorSite(self.context, self.gateway, self.configuration)
+        self._listen("operator", server.Site(site))
+        metrics_site = operators.MetricsSite(self.context.metrics)
+        self._listen("metrics", server.Site(metrics_site))
+        self.context.log.write(events.Event.DAEMON_READY, **self.port_numbers())
+
+    async def stop(self):
+        """Stop without cutting a request in flight."""
+        self.context.log.write(events.Event.DAEMON_STOPPING)
+        await defer.maybeDeferred(self.ports["caller"].stopListening)
+        self.membership.leave()
+        self.gateway.drain()
+        deadline = self.context.now() + self.context.settings.drain_timeout_s
+        while self.gateway.sessions and self.context.now() < deadline:
+            await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
+        self.configuration.stop()
+        self.gateway.stop()
+        self.membership.stop()
+        self.context.peers.stop()
+        for name in ("operator", "metrics", "peer"):
+            if name not in self.ports:
+                continue
+            await defer.maybeDeferred(self.ports[name].stopListening)
+        self.context.log.write(events.Event.DAEMON_STOPPED)
+
+    def port_numbers(self):
+        """Return the ports in use, by name."""
+        return {
+            f"{name}_port": port.getHost().port for name, port in self.ports.items()
+        }
+
+    def _listen(self, name, factory):
+        addresses = self.context.settings.addresses
+        number = getattr(addresses, f"{name}_port")
+        factory.noisy = False
+        self.ports[name] = self.context.reactor.listenTCP(
+            number, factory, interface=addresses.host, backlog=1024
+        )
+
+
+def build(reactor, settings):
+    """Build a daemon.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Reactor.
+    settings : Settings
+        Checked settings.
+
+    Returns
+    -------
+    Daemon
+        Not started yet.
+    """
+    own = membership.Instance(
+        name=settings.instance,
+        data_centre=settings.data_centre,
+        incarnation=int(time.time() * 1000),
+        host=settings.addresses.host,
+        peer_port=settings.addresses.peer_port,
+        region=settings.region,
+    )
+    shared = context.InstanceContext(
+        reactor=reactor,
+        settings=settings,
+        log=events.Log(settings.instance, settings.logging.format == "json"),
+        metrics=metrics.Metrics(),
+        credential=upstream.Credential(settings.upstream.password),
+        members=membership.Membership(own),
+        random=random.SystemRandom(),
+    )
+    shared.peers = peers.PeerTask(shared, _peer_tls(settings.peers))
+    client = platform.PlatformClient(
+        reactor, settings.platform.url, settings.platform.timeout_s
+    )
+    configuration_task = configuration.ConfigurationTask(shared, client)
+    gate = gateway.Gateway(shared, configuration_task)
+    listener = callers.CallerListener(shared, gate, _tls_contexts(settings.tls))
+    members = membership_task.MembershipTask(shared, client, configuration_task)
+    members.listeners.append(gate.on_instances_changed)
+    shared.peers.handlers[peer_messages.PrimaryNews] = gate.on_primary_news
+    return Daemon(shared, configuration_task, gate, listener, members)
+
+
+def _tls_contexts(tls):
+    if not tls.certificate_file:
+        return None
+    return ssl.DefaultOpenSSLContextFactory(tls.key_file, tls.certificate_file)
+
+
+def _peer_tls(settings):
+    if not settings.certificate_file:
+        return None
+    return peers.PeerTls.load(settings)
--- /dev/null
+++ b/pomelograde/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and timers round the core."""
--- /dev/null
+++ b/pomelograde/net/callers.py
@@ -0,0 +1,330 @@
+"""Connections of callers: start-up, TLS and authentication."""
+
+import hashlib
+import struct
+
+import scramp
+from twisted.internet import protocol
+
+from pomelograde.core import accounts, retries
+from pomelograde.net import _frames, _proxy_settings, events
+from pomelograde.net import sessions as session_tasks
+
+SERVER_VERSION = "15.0 (pomelograde)"
+SALT_BYTES = 16
+PROCESS_BITS = 31
+
+PARAMETERS = {
+    "server_version": SERVER_VERSION,
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "is_superuser": "off",
+    "in_hot_standby": "off",
+    "default_transaction_read_only": "off",
+}
+
+
+class CallerProtocol(protocol.Protocol):
+    """One caller's connection.
+
+    Parameters
+    ----------
+    listener : CallerListener
+        What accepted the connection.
+    """
+
+    def __init__(self, listener):
+        self.listener = listener
+        self.context = listener.context
+        self.buffer = b""
+        self.reader = None
+        self.parameters = None
+        self.session = None
+        self.timer = None
+        self.scram = None
+        self.key = None
+        self.secure = False
+        self.process_id = 0
+        self.secret = 0
+
+    def connectionMade(self):  # noqa: N802
+        """Bound the time and the number of callers that start up."""
+        self.transport.setTcpNoDelay(True)
+        limits = self.context.settings.limits
+        if self.listener.is_full():
+            self._refuse(retries.ErrorKind.TOO_MANY_CONNECTIONS)
+            return
+        self.listener.starting.add(self)
+        self.timer = self.context.reactor.callLater(
+            limits.startup_timeout_s, self._on_startup_timeout
+        )
+
+    def dataReceived(self, data):  # noqa: N802
+        """Take bytes from the caller."""
+        if self.session is not None:
+            frames = self.reader.feed(data)
+            if frames:
+                self.session.receive(frames)
+            if self.reader.failure is not None and not self.session.closed:
+                self.session.fail(retries.Failure(self.reader.failure))
+            return
+        if self.parameters is None:
+            self.buffer += data
+            self._read_startup()
+        elif self.reader is not None:
+            self._read_authentication(data)
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        """Let go of everything."""
+        self._end_startup()
+        self.listener.cancel_keys.pop(self.process_id, None)
+        if self.session is not None:
+            self.context.log.write(events.Event.CALLER_CLOSED)
+            self.session.on_closed()
+
+    def _read_startup(self):
+        while len(self.buffer) >= 8 and self.parameters is None:
+            length, code = struct.unpack_from(">II", self.buffer)
+            if not 8 <= length <= _frames.MAX_STARTUP_BYTES:
+                self._refuse(retries.ErrorKind.MALFORMED_FRAME)
+                return
+            if len(self.buffer) < length:
+                return
+            payload = self.buffer[4:length]
+            self.buffer = self.buffer[length:]
+            if code in (_frames.TLS_CODE, _frames.GSS_CODE):
+                self._answer_encryption(code)
+            elif code == _frames.CANCEL_CODE:
+                self._cancel(payload)
+                return
+            else:
+                self._start(payload)
+
+    def _answer_encryption(self, code):
+        contexts = self.listener.tls_contexts
+        if code == _frames.GSS_CODE or contexts is None:
+            self.transport.write(b"N")
+            return
+        if self.buffer:
+            self._refuse(retries.ErrorKind.MALFORMED_FRAME)
+            return
+        self.transport.write(b"S")
+        self.transport.startTLS(contexts)
+        self.secure = True
+
+    def _cancel(self, payload):
+        message = _frames.CANCEL.parse(payload.ljust(12, b"\0"))
+        self.listener.on_cancel(message.process_id, message.secret)
+        self.transport.loseConnection()
+
+    def _start(self, payload):
+        outcome = _frames.read_startup(payload)
+        if outcome.is_err():
+            self._refuse(outcome.err_value)
+            return
+        if self.context.settings.tls.required and not self.secure:
+            self._refuse(retries.ErrorKind.TLS_REQUIRED)
+            return
+        self.parameters = outcome.ok_value
+        self.reader = _frames.FrameReader(_frames.MAX_STARTUP_BYTES)
+        self.transport.write(
+            _frames.frame(b"R", struct.pack(">I", 10) + b"SCRAM-SHA-256\0\0")
+        )
+        if self.buffer:
+            data, self.buffer = self.buffer, b""
+            self._read_authentication(data)
+
+    def _read_authentication(self, data):
+        for kind, frame in self.reader.feed(data):
+            if kind != ord("p") or self.session is not None:
+                self._refuse(retries.ErrorKind.MALFORMED_FRAME)
+                return
+            try:
+                self._authenticate(frame[5:])
+            except (scramp.ScramException, ValueError):
+                self._refuse(retries.ErrorKind.AUTHENTICATION_FAILED)
+                return
+        if self.reader.failure is not None:
+            self._refuse(self.reader.failure)
+
+    def _authenticate(self, payload):
+        if self.scram is None:
+            message = _frames.SASL_INITIAL.parse(payload)
+            if message.mechanism != "SCRAM-SHA-256":
+                raise ValueError("unknown mechanism")
+            self.key = self._find_key()
+            info = self._auth_info()
+            self.scram = accounts.make_server(info)
+            accounts.read_client_first(self.scram, message.response.decode("utf-8"))
+            first = self.scram.get_server_first().encode("utf-8")
+            body = struct.pack(">I", 11) + first
+            self.transport.write(_frames.frame(b"R", body))
+            return
+        self.scram.set_client_final(payload.decode("utf-8"))
+        final = self.scram.get_server_final().encode("utf-8")
+        if self.key is None:
+            raise ValueError("unknown key")
+        self.transport.write(_frames.frame(b"R", struct.pack(">I", 12) + final))
+        self._finish_startup()
+
+    def _find_key(self):
+        name = self.parameters.get("user", "")
+        return self.listener.gateway.configuration.current.get("keys", name)
+
+    def _auth_info(self):
+        """Return what the proof is checked against.
+
+        Notes
+        -----
+        An unknown key gets a verifier made from its name, so that a caller
+        can't tell it from a wrong password.
+        """
+        if self.key is not None:
+            return self.key.verifier.auth_info()
+        name = self.parameters.get("user", "").encode("utf-8")
+        seed = self.listener.decoy_seed + name
+        salt = hashlib.sha256(seed).digest()[:SALT_BYTES]
+        stored = hashlib.sha256(b"stored" + seed).digest()
+        server = hashlib.sha256(b"server" + seed).digest()
+        return salt, stored, server, accounts.ITERATIONS
+
+    def _finish_startup(self):
+        current = self.listener.gateway.configuration.current
+        service = self.parameters.get("database") or self.parameters.get("user", "")
+        if self.key.withdrawn:
+            self._refuse(retries.ErrorKind.KEY_WITHDRAWN)
+            return
+        if self.listener.gateway.draining:
+            self._refuse(retries.ErrorKind.DRAINING)
+            return
+        if service not in self.listener.gateway.groups:
+            self._refuse(retries.ErrorKind.UNKNOWN_DATABASE)
+            return
+        account = current.get("accounts", self.key.account)
+        session = session_tasks.Session(
+            self.context,
+            self.listener.gateway,
+            self,
+            service,
+            self.key.account,
+            self.parameters.get("user", ""),
+            current.role_of(self.key.account),
+            account.weight if account is not None else 1.0,
+        )
+        if not self._set_options(session):
+            return
+        self._end_startup()
+        self.session = session
+        self.listener.gateway.add(session)
+        self.reader = _frames.FrameReader(self.context.settings.limits.frame_bytes)
+        self.process_id, self.secret = self.listener.new_cancel_key(session)
+        self.transport.write(self._welcome())
+        self.context.log.write(
+            events.Event.CALLER_AUTHENTICATED,
+            key=session.key_name,
+            account=session.account,
+            service=service,
+        )
+
+    def _set_options(self, session):
+        options = _proxy_settings.read_options(self.parameters.get("options", ""))
+        options.update(self.parameters)
+        for name, value in options.items():
+            if not name.startswith(_proxy_settings.PREFIX):
+                continue
+            outcome = session.set_option(name, value)
+            if outcome.is_err():
+                kind = retries.ErrorKind.INVALID_SETTING
+                self._refuse(kind, outcome.err_value)
+                return False
+        return True
+
+    def _welcome(self):
+        out = [_frames.frame(b"R", struct.pack(">I", 0))]
+        for name, value in PARAMETERS.items():
+            out.append(_frames.parameter_status(name, value))
+        user = self.parameters.get("user", "")
+        out.append(_frames.parameter_status("session_authorization", user))
+        application = self.parameters.get("application_name", "")
+        out.append(_frames.parameter_status("application_name", application))
+        key = struct.pack(">II", self.process_id, self.secret)
+        out.append(_frames.frame(b"K", key))
+        out.append(_frames.ready_for_query())
+        return b"".join(out)
+
+    def _on_startup_timeout(self):
+        self._refuse(retries.ErrorKind.STARTUP_TIMEOUT)
+        self.transport.abortConnection()
+
+    def _refuse(self, kind, detail=""):
+        self._end_startup()
+        self.context.metrics.count(self.context.metrics.refusals, kind.value)
+        self.context.log.write(events.Event.CALLER_REFUSED, reason=kind.value)
+        self.transport.write(_frames.error_response(retries.Failure(kind, detail)))
+        self.transport.loseConnection()
+
+    def _end_startup(self):
+        self.listener.starting.discard(self)
+        timer, self.timer = self.timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+class CallerListener(protocol.Factory):
+    """Accepts callers.
+
+    Parameters
+    ----------
+    context : InstanceContext
+        Parts of the daemon that all tasks share.
+    gateway : Gateway
+        Groups, configuration and admission.
+    tls_contexts : IOpenSSLServerConnectionCreator or None
+        TLS towards callers.
+    """
+
+    noisy = False
+
+    def __init__(self, context, gateway, tls_contexts=None):
+        self.context = context
+        self.gateway = gateway
+        self.tls_contexts = tls_contexts
+        self.starting = set()
+        self.cancel_keys = {}
+        self.decoy_seed = context.random.randbytes(SALT_BYTES)
+
+    def buildProtocol(self, addr):  # noqa: N802
+        """Return the protocol of a new connection."""
+        return CallerProtocol(self)
+
+    def is_full(self):
+        """Return whether no more callers are accepted."""
+        limits = self.context.settings.limits
+        return (
+            len(self.starting) >= limits.starting_connections
+            or len(self.gateway.sessions) >= limits.caller_connections
+        )
+
+    def new_cancel_key(self, session):
+        """Return a process id and a secret for a session."""
+        process_id = self.context.random.getrandbits(PROCESS_BITS)
+        while process_id in self.cancel_keys or process_id == 0:
+            process_id = self.context.random.getrandbits(PROCESS_BITS)
+        secret = self.context.random.getrandbits(32)
+        self.cancel_keys[process_id] = (secret, session)
+        return process_id, secret
+
+    def on_cancel(self, process_id, secret):
+        """Cancel the statement of a session whose secret is known."""
+        known = self.cancel_keys.get(process_id)
+        if known is None or known[0] != secret:
+            return
+        exchange = known[1].exchange
+        connection = getattr(exchange, "connection", None)
+        if connection is not None:
+            self.gateway.cancel_upstream(connection)
--- /dev/null
+++ b/pomelograde/net/context.py
@@ -0,0 +1,49 @@
+"""What all tasks of one daemon share."""
+
+import random
+
+import attrs
+
+from pomelograde.core import membership, routing
+from pomelograde.net import events, metrics, upstream
+
+
+@attrs.define(eq=False)
+class InstanceContext:
+    """Parts of one daemon that all its tasks use.
+
+    Attributes
+    ----------
+    reactor : IReactorTime
+        Reactor.
+    settings : Settings
+        Settings of the daemon.
+    log : Log
+        Event log.
+    metrics : Metrics
+        Counters and histograms.
+    credential : Credential
+        How the proxy authenticates to members.
+    members : Membership
+        Instances of the fleet.
+    random : random.Random
+        Source of randomness.
+    peers : PeerTask
+        Messages to and from other instances.
+    classifier : Classifier
+        Statement classes.
+    """
+
+    reactor: object
+    settings: object
+    log: events.Log
+    metrics: metrics.Metrics
+    credential: upstream.Credential
+    members: membership.Membership
+    random: random.Random
+    peers: object = None
+    classifier: routing.Classifier = attrs.field(factory=routing.Classifier)
+
+    def now(self):
+        """Return monotonic seconds."""
+        return self.reactor.seconds()
--- /dev/null
+++ b/pomelograde/net/events.py
@@ -0,0 +1,89 @@
+"""Numbered, structured log events and the counters of refusals and retries."""
+
+import enum
+import json
+
+from absl import logging
+
+
+class Event(enum.Enum):
+    """Every event that is logged; the numbers never change their meaning."""
+
+    DAEMON_STARTED = 100
+    DAEMON_READY = 101
+    DAEMON_STOPPING = 102
+    DAEMON_STOPPED = 103
+    CALLER_REFUSED = 200
+    CALLER_AUTHENTICATED = 201
+    CALLER_CLOSED = 202
+    STATEMENT_REFUSED = 210
+    STATEMENT_RETRIED = 211
+    UPSTREAM_OPENED = 300
+    UPSTREAM_OPEN_FAILED = 301
+    UPSTREAM_LOST = 302
+    PRIMARY_CHANGED = 310
+    CONFIGURATION_APPLIED = 400
+    CONFIGURATION_REJECTED = 401
+    PLATFORM_UNAVAILABLE = 410
+    PLATFORM_AVAILABLE = 411
+    KEY_CONNECTIONS_CLOSED = 420
+    PEER_REFUSED = 500
+    INSTANCE_JOINED = 501
+    INSTANCE_LOST = 502
+    INSTANCE_LEAVING = 503
+    OPERATOR_REFUSED = 430
+    OPERATOR_CHANGE = 431
+
+
+LEVELS = {
+    Event.CALLER_AUTHENTICATED: logging.DEBUG,
+    Event.CALLER_CLOSED: logging.DEBUG,
+    Event.STATEMENT_REFUSED: logging.DEBUG,
+    Event.STATEMENT_RETRIED: logging.DEBUG,
+    Event.UPSTREAM_OPENED: logging.DEBUG,
+    Event.UPSTREAM_OPEN_FAILED: logging.WARNING,
+    Event.UPSTREAM_LOST: logging.WARNING,
+    Event.PLATFORM_UNAVAILABLE: logging.WARNING,
+    Event.CONFIGURATION_REJECTED: logging.ERROR,
+}
+
+
+class Log:
+    """Writes events through absl.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    as_json : bool
+        Whether each event is one line of JSON.
+    """
+
+    def __init__(self, instance, as_json=False):
+        self.instance = instance
+        self.as_json = as_json
+
+    def write(self, event, **fields):
+        """Log an event.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        **fields : str, int, float or bool
+            Particulars; never a key, a verifier or a password.
+        """
+        level = LEVELS.get(event, logging.INFO)
+        if not logging.level_debug() and level == logging.DEBUG:
+            return
+        if self.as_json:
+            record = {
+                "event": event.value,
+                "name": event.name,
+                "instance": self.instance,
+            }
+            record.update(fields)
+            logging.log(level, "%s", json.dumps(record, default=str))
+            return
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        logging.log(level, "%d %s %s", event.value, event.name, text)
--- /dev/null
+++ b/pomelograde/net/peer_messages.py
@@ -0,0 +1,245 @@
+"""Typed messages between instances and their Cap'n Proto form."""
+
+import functools
+import pathlib
+
+import attrs
+import capnp
+
+SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
+
+
+@attrs.frozen
+class InstanceNews:
+    """What a peer knows of an instance.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time since the instance itself was last heard, in milliseconds.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    incarnation: int
+    host: str
+    peer_port: int
+    leaving: bool = False
+    age_ms: int = 0
+
+
+@attrs.frozen
+class Heartbeat:
+    """Sign of life, with what the sender knows.
+
+    Attributes
+    ----------
+    revision : int
+        Configuration revision in force.
+    confirmed_age_ms : int
+        Time since that revision was confirmed to be current.
+    instances : list of InstanceNews
+        Instances that the sender speaks for.
+    """
+
+    revision: int
+    confirmed_age_ms: int
+    instances: list[InstanceNews]
+
+
+@attrs.frozen
+class PrimaryNews:
+    """A member leads a group in a term."""
+
+    group: str
+    term: int
+    primary: str
+
+
+@attrs.frozen
+class WitnessRequest:
+    """Asks whether the receiver can reach a member."""
+
+    group: str
+    member: str
+
+
+@attrs.frozen
+class WitnessAnswer:
+    """Whether a member can be reached, and what it said of itself."""
+
+    reachable: bool
+    role: str = ""
+    term: int = 0
+
+
+@attrs.frozen
+class ConfigurationNews:
+    """Configuration rows, as JSON, up to a revision."""
+
+    revision: int
+    rows: str
+
+
+@attrs.frozen
+class ConfigurationRequest:
+    """Asks for the rows after a revision."""
+
+    after_revision: int
+
+
+@attrs.frozen
+class BorrowRequest:
+    """Asks for a part of an allotment.
+
+    Attributes
+    ----------
+    resource : str
+        What is borrowed, such as a client account's rate.
+    amount : float
+        Units a second, or units.
+    burst : float
+        Burst that goes with it.
+    for_ms : int
+        How long, in milliseconds.
+    """
+
+    resource: str
+    amount: float
+    burst: float
+    for_ms: int
+
+
+@attrs.frozen
+class BorrowAnswer:
+    """What was lent; an amount of 0 is a refusal."""
+
+    resource: str
+    amount: float
+    burst: float
+    for_ms: int
+
+
+@attrs.frozen
+class CancelStatement:
+    """A CancelRequest that reached another instance."""
+
+    process_id: int
+    secret: int
+
+
+@attrs.frozen
+class Empty:
+    """A reply without contents."""
+
+
+@attrs.frozen
+class Envelope:
+    """A message with its sender.
+
+    Attributes
+    ----------
+    sender : str
+        Name of the sending instance.
+    incarnation : int
+        Incarnation of the sender.
+    request_id : int
+        Number of the request that this is or answers; 0 for neither.
+    is_reply : bool
+        Whether this is an answer.
+    message : object
+        One of the message classes.
+    """
+
+    sender: str
+    incarnation: int
+    request_id: int
+    is_reply: bool
+    message: object
+
+
+CLASSES = (
+    Heartbeat,
+    PrimaryNews,
+    WitnessRequest,
+    WitnessAnswer,
+    ConfigurationNews,
+    ConfigurationRequest,
+    BorrowRequest,
+    BorrowAnswer,
+    CancelStatement,
+)
+
+
+def _camel(name):
+    head, *rest = name.split("_")
+    return head + "".join(word.capitalize() for word in rest)
+
+
+def _field_name(cls):
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+BY_FIELD = {_field_name(cls): cls for cls in CLASSES}
+
+
+@functools.cache
+def _names(cls):
+    return [(field.name, _camel(field.name)) for field in attrs.fields(cls)]
+
+
+def encode(envelope):
+    """Return the bytes of an envelope."""
+    built = SCHEMA.Envelope.new_message(
+        sender=envelope.sender,
+        incarnation=envelope.incarnation,
+        requestId=envelope.request_id,
+        isReply=envelope.is_reply,
+    )
+    message = envelope.message
+    if isinstance(message, Empty):
+        built.body.empty = None
+    else:
+        target = built.body.init(_field_name(type(message)))
+        _fill(target, message)
+    return built.to_bytes_packed()
+
+
+def decode(data):
+    """Read the bytes of an envelope.
+
+    Raises
+    ------
+    capnp.KjException
+        If they are malformed.
+    """
+    built = SCHEMA.Envelope.from_bytes_packed(data)
+    which = built.body.which()
+    message = Empty()
+    if which != "empty":
+        message = _read(BY_FIELD[which], getattr(built.body, which))
+    return Envelope(
+        built.sender, built.incarnation, built.requestId, built.isReply, message
+    )
+
+
+def _fill(target, message):
+    for name, camel in _names(type(message)):
+        value = getattr(message, name)
+        if not isinstance(value, list):
+            setattr(target, camel, value)
+            continue
+        items = target.init(camel, len(value))
+        for index, item in enumerate(value):
+            _fill(items[index], item)
+
+
+def _read(cls, source):
+    values = {}
+    for name, camel in _names(cls):
+        value = getattr(source, camel)
+        if name == "instances":
+            value = [_read(InstanceNews, item) for item in value]
+        values[name] = value
+    return cls(**values)
--- /dev/null
+++ b/pomelograde/net/peers.capnp
@@ -0,0 +1,82 @@
+@0xd3c1a5b2f4e69780;
+
+struct Envelope {
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  requestId @2 :UInt64;
+  isReply @3 :Bool;
+  body :union {
+    empty @4 :Void;
+    heartbeat @5 :Heartbeat;
+    primaryNews @6 :PrimaryNews;
+    witnessRequest @7 :WitnessRequest;
+    witnessAnswer @8 :WitnessAnswer;
+    configurationNews @9 :ConfigurationNews;
+    configurationRequest @10 :ConfigurationRequest;
+    borrowRequest @11 :BorrowRequest;
+    borrowAnswer @12 :BorrowAnswer;
+    cancelStatement @13 :CancelStatement;
+  }
+}
+
+struct InstanceNews {
+  name @0 :Text;
+  dataCentre @1 :Text;
+  region @2 :Text;
+  incarnation @3 :UInt64;
+  host @4 :Text;
+  peerPort @5 :UInt16;
+  leaving @6 :Bool;
+  ageMs @7 :UInt32;
+}
+
+struct Heartbeat {
+  revision @0 :UInt64;
+  confirmedAgeMs @1 :UInt32;
+  instances @2 :List(InstanceNews);
+}
+
+struct PrimaryNews {
+  group @0 :Text;
+  term @1 :UInt64;
+  primary @2 :Text;
+}
+
+struct WitnessRequest {
+  group @0 :Text;
+  member @1 :Text;
+}
+
+struct WitnessAnswer {
+  reachable @0 :Bool;
+  role @1 :Text;
+  term @2 :UInt64;
+}
+
+struct ConfigurationNews {
+  revision @0 :UInt64;
+  rows @1 :Text;
+}
+
+struct ConfigurationRequest {
+  afterRevision @0 :UInt64;
+}
+
+struct BorrowRequest {
+  resource @0 :Text;
+  amount @1 :Float64;
+  burst @2 :Float64;
+  forMs @3 :UInt32;
+}
+
+struct BorrowAnswer {
+  resource @0 :Text;
+  amount @1 :Float64;
+  burst @2 :Float64;
+  forMs @3 :UInt32;
+}
+
+struct CancelStatement {
+  processId @0 :UInt32;
+  secret @1 :UInt32;
+}
--- /dev/null
+++ b/pomelograde/net/peers.py
@@ -0,0 +1,259 @@
+"""Authenticated connections between instances."""
+
+import itertools
+
+import attrs
+import capnp
+from twisted.internet import defer, endpoints, protocol, ssl
+from twisted.internet import error as net_error
+from twisted.protocols import basic
+
+from pomelograde.net import events, peer_messages
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 1.0
+
+
+class PeerUnreachableError(Exception):
+    """A peer did not answer in time, or can't be reached."""
+
+
+@attrs.frozen
+class PeerTls:
+    """Certificates that instances authenticate each other with.
+
+    Attributes
+    ----------
+    own : twisted.internet.ssl.PrivateCertificate
+        Certificate and key of this instance; its DNS name is the instance's.
+    authority : twisted.internet.ssl.Certificate
+        Certificate authority of the fleet.
+    """
+
+    own: ssl.PrivateCertificate = attrs.field(repr=False)
+    authority: ssl.Certificate
+
+    @classmethod
+    def load(cls, settings):
+        """Read the files that `PeerSettings` name."""
+        with open(settings.certificate_file, "rb") as file:
+            certificate = file.read()
+        with open(settings.key_file, "rb") as file:
+            own = ssl.PrivateCertificate.loadPEM(certificate + file.read())
+        with open(settings.authority_file, "rb") as file:
+            authority = ssl.Certificate.loadPEM(file.read())
+        return cls(own, authority)
+
+    def server_options(self):
+        """Return the options of the listening side."""
+        return self.own.options(self.authority)
+
+    def client_options(self, name):
+        """Return the options for connecting to the instance of a name."""
+        return ssl.optionsForClientTLS(
+            name, trustRoot=self.authority, clientCertificate=self.own
+        )
+
+
+class PeerProtocol(basic.Int32StringReceiver):
+    """One connection between two instances.
+
+    Parameters
+    ----------
+    task : PeerTask
+        What sends and receives.
+    expected : str
+        Name of the peer where this side connected; empty where it accepted.
+    """
+
+    MAX_LENGTH = MAX_MESSAGE_BYTES
+
+    def __init__(self, task, expected=""):
+        self.task = task
+        self.expected = expected
+
+    def stringReceived(self, data):  # noqa: N802
+        """Take one message."""
+        try:
+            envelope = peer_messages.decode(data)
+        except (capnp.KjException, KeyError, ValueError):
+            self.transport.abortConnection()
+            return
+        if envelope.sender != self._peer_name():
+            self.task.on_impostor(envelope.sender)
+            self.transport.abortConnection()
+            return
+        self.task.receive(envelope, self)
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        """Tell the task."""
+        self.task.on_connection_lost(self)
+
+    def lengthLimitExceeded(self, length):  # noqa: N802
+        """Drop a peer that sends too much."""
+        self.transport.abortConnection()
+
+    def _peer_name(self):
+        if not self.expected:
+            certificate = ssl.Certificate.peerFromTransport(self.transport)
+            name = certificate.getSubject().commonName
+            self.expected = name.decode() if isinstance(name, bytes) else name
+        return self.expected
+
+
+class PeerTask(protocol.Factory):
+    """Sends and receives typed messages.
+
+    Parameters
+    ----------
+    context : InstanceContext
+        Parts of the daemon that all tasks share.
+    tls : PeerTls or None
+        Certificates; None for an instance without peers.
+
+    Attributes
+    ----------
+    handlers : dict of type to callable
+        For each message class, a function of message and `Envelope` that
+        returns the reply, a Deferred of it, or None.
+    """
+
+    noisy = False
+
+    def __init__(self, context, tls):
+        self.context = context
+        self.tls = tls
+        self.handlers = {}
+        self.connections = {}
+        self.connecting = {}
+        self.waiting = {}
+        self.request_ids = itertools.count(1)
+
+    def buildProtocol(self, addr):  # noqa: N802
+        """Return the protocol of an accepted connection."""
+        return PeerProtocol(self)
+
+    def listen(self, host, port):
+        """Listen for peers; returns the port."""
+        return self.context.reactor.listenSSL(
+            port, self, self.tls.server_options(), interface=host
+        )
+
+    def stop(self):
+        """Close all connections."""
+        for connection in list(self.connections.values()):
+            connection.transport.abortConnection()
+
+    def send(self, instance, message):
+        """Send a message without waiting for anything.
+
+        Parameters
+        ----------
+        instance : Instance
+            Receiver.
+        message : object
+            One of the message classes.
+        """
+        sent = defer.ensureDeferred(self._send(instance, message, 0))
+        sent.addErrback(lambda reason: reason.trap(PeerUnreachableError) and None)
+
+    async def request(self, instance, message, timeout_s=REQUEST_TIMEOUT_S):
+        """Send a request and return the reply.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If there is no reply within the time limit.
+        """
+        request_id = next(self.request_ids)
+        answer = defer.Deferred()
+        self.waiting[request_id] = answer
+        answer.addTimeout(timeout_s, self.context.reactor)
+        try:
+            await self._send(instance, message, request_id)
+            return await answer
+        except defer.TimeoutError as error:
+            raise PeerUnreachableError(instance.name) from error
+        finally:
+            self.waiting.pop(request_id, None)
+
+    def receive(self, envelope, connection):
+        """Take a message from a peer."""
+        if envelope.is_reply:
+            answer = self.waiting.pop(envelope.request_id, None)
+            if answer is not None:
+                answer.callback(envelope.message)
+            return
+        handler = self.handlers.get(type(envelope.message))
+        if handler is None:
+            return
+        done = defer.maybeDeferred(handler, envelope.message, envelope)
+        if envelope.request_id:
+            done.addCallback(self._reply, envelope.request_id, connection)
+
+    def on_connection_lost(self, connection):
+        """Forget a connection."""
+        if self.connections.get(connection.expected) is connection:
+            del self.connections[connection.expected]
+
+    def on_impostor(self, name):
+        """Note a peer whose certificate is not its own."""
+        self.context.log.write(events.Event.PEER_REFUSED, sender=name)
+
+    def _reply(self, message, request_id, connection):
+        reply = self._envelope(message or peer_messages.Empty(), request_id, True)
+        connection.sendString(peer_messages.encode(reply))
+
+    async def _send(self, instance, message, request_id):
+        connection = await self._connect(instance)
+        envelope = self._envelope(message, request_id, False)
+        connection.sendString(peer_messages.encode(envelope))
+
+    def _envelope(self, message, request_id, is_reply):
+        own = self.context.members.own
+        return peer_messages.Envelope(
+            own.name, own.incarnation, request_id, is_reply, message
+        )
+
+    async def _connect(self, instance):
+        connection = self.connections.get(instance.name)
+        if connection is not None:
+            return connection
+        waiters = self.connecting.get(instance.name)
+        if waiters is not None:
+            waiter = defer.Deferred()
+            waiters.append(waiter)
+            return await waiter
+        self.connecting[instance.name] = []
+        try:
+            connection = await self._open(instance)
+        except PeerUnreachableError as error:
+            for waiter in self.connecting.pop(instance.name):
+                waiter.errback(error)
+            raise
+        self.connections[instance.name] = connection
+        for waiter in self.connecting.pop(instance.name):
+            waiter.callback(connection)
+        return connection
+
+    async def _open(self, instance):
+        if self.tls is None:
+            raise PeerUnreachableError("no peer certificates are set")
+        bind_host = self.context.settings.addresses.bind_host
+        endpoint = endpoints.wrapClientTLS(
+            self.tls.client_options(instance.name),
+            endpoints.TCP4ClientEndpoint(
+                self.context.reactor,
+                instance.host,
+                instance.peer_port,
+                timeout=CONNECT_TIMEOUT_S,
+                bindAddress=(bind_host, 0) if bind_host else None,
+            ),
+        )
+        connection = PeerProtocol(self, instance.name)
+        try:
+            await endpoints.connectProtocol(endpoint, connection)
+        except (net_error.ConnectError, defer.CancelledError) as error:
+            raise PeerUnreachableError(instance.name) from error
+        return connection
--- /dev/null
+++ b/pomelograde/net/platform.py
@@ -0,0 +1,202 @@
+"""The platform's table service, object store and instance list.
+
+This is the one module that knows the platform's HTTP interface; the assumed
+contract is described in docs/PLATFORM.md.
+"""
+
+import json
+import urllib.parse
+
+import attrs
+import result
+import treq
+from twisted.internet import defer
+from twisted.internet import error as net_error
+from twisted.web import client as web_client
+
+REQUEST_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class Row:
+    """A row of the table.
+
+    Attributes
+    ----------
+    key : str
+        Key of the row.
+    value : object
+        JSON value.
+    version : int
+        Number of the commit that wrote it.
+    """
+
+    key: str
+    value: object
+    version: int
+
+
+@attrs.frozen
+class Condition:
+    """A row must have this version for a commit to happen; 0 for no row."""
+
+    key: str
+    version: int
+
+
+@attrs.frozen
+class Write:
+    """A row to write; a value of None deletes it."""
+
+    key: str
+    value: object
+
+
+@attrs.frozen
+class Conflict:
+    """A condition of a commit did not hold; nothing was written.
+
+    Attributes
+    ----------
+    rows : list of Row
+        The rows of the conditions, as they are now.
+    """
+
+    rows: list[Row]
+
+
+@attrs.frozen
+class Unavailable:
+    """The platform did not answer; a commit may have taken effect.
+
+    Attributes
+    ----------
+    reason : str
+        What went wrong.
+    """
+
+    reason: str
+
+
+class PlatformClient:
+    """Speaks with the platform.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Reactor.
+    base_url : str
+        Address of the platform, without a slash at the end.
+    timeout_s : float
+        Time limit for a request.
+    """
+
+    def __init__(self, reactor, base_url, timeout_s=REQUEST_TIMEOUT_S):
+        self.reactor = reactor
+        self.base_url = base_url
+        self.timeout_s = timeout_s
+        self.pool = web_client.HTTPConnectionPool(reactor, persistent=True)
+        self.client = treq.client.HTTPClient(
+            web_client.Agent(reactor, connectTimeout=timeout_s, pool=self.pool)
+        )
+
+    async def commit(self, conditions, writes):
+        """Write rows if all conditions hold.
+
+        Parameters
+        ----------
+        conditions : list of Condition
+            Versions that rows must have.
+        writes : list of Write
+            Rows to write.
+
+        Returns
+        -------
+        Result of int or Conflict or Unavailable
+            Version of the rows written.
+        """
+        body = {
+            "conditions": [attrs.asdict(condition) for condition in conditions],
+            "writes": [attrs.asdict(write) for write in writes],
+        }
+        answer = await self._request("POST", "/v1/table/commit", body)
+        if answer.is_err():
+            return answer
+        status, value = answer.ok_value
+        if status == 409:
+            return result.Err(Conflict([Row(**row) for row in value["rows"]]))
+        return result.Ok(value["version"])
+
+    async def rows(self, prefix, after_version=0):
+        """Read the rows whose keys start with `prefix`.
+
+        Parameters
+        ----------
+        prefix : str
+            Start of the keys.
+        after_version : int
+            Only rows written after this version; deleted ones have the value
+            None then.
+
+        Returns
+        -------
+        Result of (int, list of Row) or Unavailable
+            Version of the whole table, and the rows in the order of versions.
+        """
+        query = urllib.parse.urlencode({"prefix": prefix, "after": after_version})
+        answer = await self._request("GET", f"/v1/table/rows?{query}")
+        if answer.is_err():
+            return answer
+        _, value = answer.ok_value
+        return result.Ok((value["version"], [Row(**row) for row in value["rows"]]))
+
+    async def put_object(self, name, value):
+        """Store an object; returns a Result of None or Unavailable."""
+        answer = await self._request("PUT", f"/v1/objects/{name}", value)
+        return answer.map(lambda _: None)
+
+    async def get_object(self, name):
+        """Read an object; returns a Result of its value or Unavailable.
+
+        Notes
+        -----
+        The value is None if there is no such object.
+        """
+        answer = await self._request("GET", f"/v1/objects/{name}")
+        return answer.map(lambda pair: None if pair[0] == 404 else pair[1])
+
+    async def instances(self):
+        """Read the lagging list of instances.
+
+        Returns
+        -------
+        Result of list of dict or Unavailable
+            Name, data_centre, host, peer_port and leaving of each.
+        """
+        answer = await self._request("GET", "/v1/instances")
+        return answer.map(lambda pair: pair[1]["instances"])
+
+    async def _request(self, method, path, body=None):
+        data = None if body is None else json.dumps(body).encode("utf-8")
+        try:
+            response = await self.client.request(
+                method,
+                self.base_url + path,
+                data=data,
+                headers={"Content-Type": "application/json"},
+                timeout=self.timeout_s,
+            )
+            content = await treq.content(response)
+        except (
+            net_error.ConnectError,
+            net_error.ConnectionClosed,
+            defer.CancelledError,
+            defer.TimeoutError,
+            web_client.ResponseFailed,
+            web_client.ResponseNeverReceived,
+            web_client.RequestTransmissionFailed,
+        ) as error:
+            return result.Err(Unavailable(type(error).__name__))
+        if response.code >= 500:
+            return result.Err(Unavailable(f"status {response.code}"))
+        return result.Ok((response.code, json.loads(content) if content else None))
--- /dev/null
+++ b/pomelograde/net/upstream.py
@@ -0,0 +1,318 @@
+"""Connections to upstream members."""
+
+import collections
+import struct
+
+import attrs
+import scramp
+from twisted.internet import defer, endpoints, protocol
+from twisted.internet import error as net_error
+
+from pomelograde.core import retries, sessions
+from pomelograde.net import _frames
+
+OPEN_TIMEOUT_S = 2.0
+AUTH_OK = 0
+AUTH_SASL = 10
+AUTH_SASL_CONTINUE = 11
+AUTH_SASL_FINAL = 12
+READY = ord("Z")
+ERROR = ord("E")
+DATA_ROW = ord("D")
+AUTHENTICATION = ord("R")
+PARAMETER_STATUS = ord("S")
+BACKEND_KEY = ord("K")
+
+POSITION_QUERY = _frames.query("SELECT * FROM pomelograde.position()")
+
+
+@attrs.frozen
+class Credential:
+    """How the proxy authenticates to members.
+
+    Attributes
+    ----------
+    password : str
+        Password for every database role that the proxy opens connections as.
+    """
+
+    password: str = attrs.field(repr=False)
+
+
+class UpstreamConnection(protocol.Protocol):
+    """One authenticated connection to a member.
+
+    Parameters
+    ----------
+    member : str
+        Name of the member.
+    role : str
+        Database role.
+    database : str
+        Name of the database on the member.
+    credential : Credential
+        How to authenticate.
+
+    Notes
+    -----
+    Work is sent as parts, each of which ends with one ReadyForQuery. The
+    answers come in the order of the parts. A part is told of each frame by
+    `on_frame(kind, frame)`, of its end by `on_ready(status)` and of a lost
+    connection by `on_lost()`.
+    """
+
+    def __init__(self, member, role, database, credential):
+        self.member = member
+        self.role = role
+        self.database = database
+        self.credential = credential
+        self.reader = _frames.FrameReader()
+        self.parts = collections.deque()
+        self.ready = defer.Deferred()
+        self.is_ready = False
+        self.is_lost = False
+        self.on_closed = None
+        self.parameters = {}
+        self.process_id = 0
+        self.secret = 0
+        self.prepared = set()
+        self.settings = {}
+        self._scram = None
+
+    def connectionMade(self):  # noqa: N802
+        """Start authentication."""
+        self.transport.setTcpNoDelay(True)
+        parameters = {"user": self.role, "database": self.database}
+        self.transport.write(_frames.startup(parameters))
+
+    def send(self, part, data):
+        """Send a part's frames."""
+        self.parts.append(part)
+        self.transport.write(data)
+
+    def close(self):
+        """Drop the connection at once; its answers reach nobody."""
+        self.transport.abortConnection()
+
+    def dataReceived(self, data):  # noqa: N802
+        """Hand the frames to the parts that they belong to."""
+        frames = self.reader.feed(data)
+        if not self.is_ready:
+            self._start(frames)
+            return
+        parts = self.parts
+        for kind, frame in frames:
+            if self.is_lost:
+                return
+            if not parts:
+                self._on_unasked(kind)
+            elif kind == READY:
+                parts.popleft().on_ready(frame[5:6])
+            else:
+                parts[0].on_frame(kind, frame)
+        if self.reader.failure is not None:
+            self.close()
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        """Tell the parts that no more answers come."""
+        self.is_lost = True
+        if not self.is_ready:
+            self._fail(f"connection to {self.member} was closed")
+            return
+        parts = list(self.parts)
+        self.parts.clear()
+        if self.on_closed is not None:
+            self.on_closed(self)
+        for part in parts:
+            part.on_lost()
+
+    def _on_unasked(self, kind):
+        if kind not in (PARAMETER_STATUS, ord("N")):
+            self.close()
+
+    def _start(self, frames):
+        for kind, frame in frames:
+            if kind == AUTHENTICATION:
+                self._authenticate(frame)
+            elif kind == PARAMETER_STATUS:
+                name, start = _frames.read_cstring(frame, 5)
+                value, _ = _frames.read_cstring(frame, start)
+                self.parameters[name.decode()] = value.decode()
+            elif kind == BACKEND_KEY:
+                self.process_id, self.secret = struct.unpack_from(">II", frame, 5)
+            elif kind == ERROR:
+                fields = _frames.read_error(frame)
+                self._fail(f"{self.member}: {fields.get('M', '')}")
+                self.close()
+            elif kind == READY:
+                self.is_ready = True
+                ready, self.ready = self.ready, None
+                ready.callback(self)
+
+    def _authenticate(self, frame):
+        (code,) = struct.unpack_from(">I", frame, 5)
+        body = frame[9:]
+        if code == AUTH_SASL:
+            self._scram = scramp.ScramClient(
+                ["SCRAM-SHA-256"], self.role, self.credential.password
+            )
+            first = self._scram.get_client_first().encode("utf-8")
+            payload = _frames.cstring("SCRAM-SHA-256")
+            payload += _frames.LENGTH.pack(len(first)) + first
+            self.transport.write(_frames.frame(b"p", payload))
+        elif code == AUTH_SASL_CONTINUE:
+            self._scram.set_server_first(body.decode("utf-8"))
+            final = self._scram.get_client_final().encode("utf-8")
+            self.transport.write(_frames.frame(b"p", final))
+        elif code == AUTH_SASL_FINAL:
+            self._scram.set_server_final(body.decode("utf-8"))
+        elif code != AUTH_OK:
+            self._fail(f"{self.member} asks for an unknown authentication")
+            self.close()
+
+    def _fail(self, text):
+        ready, self.ready = self.ready, None
+        if ready is not None:
+            ready.errback(UpstreamOpenError(text))
+
+
+class UpstreamOpenError(Exception):
+    """An upstream connection could not be opened."""
+
+
+class FunctionPart:
+    """A call of one of the members' functions; fires with its first row.
+
+    Attributes
+    ----------
+    answer : Deferred
+        Fires with the row as a list of str or None, or fails with
+        `UpstreamCallError`.
+    """
+
+    def __init__(self):
+        self.answer = defer.Deferred()
+        self.row = None
+        self.error = None
+
+    def on_frame(self, kind, frame):
+        """Keep the row or the error."""
+        if kind == DATA_ROW:
+            self.row = [
+                None if value is None else value.decode("utf-8")
+                for value in _frames.read_row(frame)
+            ]
+        elif kind == ERROR:
+            self.error = _frames.read_error(frame)
+
+    def on_ready(self, status):
+        """Fire the answer."""
+        if self.error is not None or self.row is None:
+            error = self.error or {"C": "XX000", "M": "no row"}
+            self.answer.errback(UpstreamCallError(error["C"], error["M"]))
+        else:
+            self.answer.callback(self.row)
+
+    def on_lost(self):
+        """Fail the answer."""
+        self.answer.errback(UpstreamCallError("08006", "connection lost"))
+
+
+class UpstreamCallError(Exception):
+    """A member refused a function call, or was lost during it.
+
+    Attributes
+    ----------
+    sqlstate : str
+        SQLSTATE.
+    """
+
+    def __init__(self, sqlstate, message):
+        super().__init__(message)
+        self.sqlstate = sqlstate
+
+
+def call(connection, sql):
+    """Call a member's function; returns a Deferred of its first row."""
+    part = FunctionPart()
+    connection.send(part, _frames.query(sql))
+    return part.answer
+
+
+def read_position(row):
+    """Return the `Position` in a row of two columns, term and index."""
+    return sessions.Position(int(row[0]), int(row[1]))
+
+
+async def open_connection(
+    reactor, spec, role, database, credential, bind_host="", timeout_s=OPEN_TIMEOUT_S
+):
+    """Open and authenticate a connection to a member.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Reactor.
+    spec : MemberSpec
+        Where the member is.
+    role, database : str
+        Database role and database.
+    credential : Credential
+        How to authenticate.
+    bind_host : str
+        Local address to connect from; empty for any.
+    timeout_s : float
+        Time limit for connecting and authenticating together.
+
+    Returns
+    -------
+    UpstreamConnection
+        Ready for work.
+
+    Raises
+    ------
+    UpstreamOpenError
+        If it could not be opened within the time limit.
+    """
+    connection = UpstreamConnection(spec.name, role, database, credential)
+    ready = connection.ready
+    endpoint = endpoints.TCP4ClientEndpoint(
+        reactor,
+        spec.host,
+        spec.port,
+        timeout=timeout_s,
+        bindAddress=(bind_host, 0) if bind_host else None,
+    )
+    try:
+        await endpoints.connectProtocol(endpoint, connection)
+        ready.addTimeout(timeout_s, reactor)
+        return await ready
+    except (net_error.ConnectError, defer.TimeoutError, defer.CancelledError) as error:
+        connection.ready = None
+        if connection.transport is not None:
+            connection.close()
+        text = f"{spec.name}: {type(error).__name__}"
+        raise UpstreamOpenError(text) from error
+
+
+class _CancelProtocol(protocol.Protocol):
+    """Sends one CancelRequest and closes."""
+
+    def __init__(self, message):
+        self.message = message
+
+    def connectionMade(self):  # noqa: N802
+        self.transport.write(self.message)
+        self.transport.loseConnection()
+
+
+def send_cancel(reactor, spec, connection):
+    """Ask a member to cancel the statement that runs on a connection."""
+    message = _frames.cancel_request(connection.process_id, connection.secret)
+    endpoint = endpoints.TCP4ClientEndpoint(reactor, spec.host, spec.port, timeout=2)
+    sent = endpoints.connectProtocol(endpoint, _CancelProtocol(message))
+    sent.addErrback(lambda reason: reason.trap(net_error.ConnectError) and None)
+    return sent
+
+
+OPEN_FAILURE = retries.ErrorKind.UPSTREAM_UNREACHABLE
--- /dev/null
+++ b/pomelograde/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for upstream members."""
--- /dev/null
+++ b/pomelograde/standins/_store.py
@@ -0,0 +1,71 @@
+"""The sqlite database of one stand-in member."""
+
+import pathlib
+import sqlite3
+
+from pomelograde.standins import _sql
+
+
+class Store:
+    """A database file that several connections share.
+
+    Parameters
+    ----------
+    directory : str
+        Folder for the file.
+    name : str
+        Name of the member.
+    """
+
+    def __init__(self, directory, name):
+        self.path = pathlib.Path(directory) / f"{name}.sqlite"
+        self.writer = self.connect()
+        self.writer.execute("PRAGMA journal_mode=WAL")
+        self.version = 0
+        self.known_types = None
+
+    def connect(self, user="replication"):
+        """Open a connection for a database role."""
+        connection = sqlite3.connect(
+            self.path, isolation_level=None, check_same_thread=False, timeout=0.0
+        )
+        connection.execute("PRAGMA synchronous=OFF")
+        connection.create_function("pg_current_user", 0, lambda: user)
+        connection.create_function("version", 0, lambda: "PostgreSQL 15.0 stand-in")
+        return connection
+
+    def replay(self, statements):
+        """Apply the statements of one log entry."""
+        if not statements:
+            return
+        self.writer.execute("BEGIN IMMEDIATE")
+        for sql, parameters, user in statements:
+            self.writer.create_function("pg_current_user", 0, lambda user=user: user)
+            self.writer.execute(sql, parameters).fetchall()
+        self.writer.execute("COMMIT")
+        self.known_types = None
+
+    def copy_from(self, other):
+        """Replace the contents by another member's."""
+        other.writer.backup(self.writer)
+        self.known_types = None
+
+    def types(self):
+        """Return the type oid by column name, over all tables."""
+        if self.known_types is None:
+            self.known_types = self._read_types()
+        return self.known_types
+
+    def close(self):
+        """Close the file."""
+        self.writer.close()
+
+    def _read_types(self):
+        found = {}
+        rows = self.writer.execute(
+            "SELECT name FROM sqlite_master WHERE type = 'table'"
+        ).fetchall()
+        for (table,) in rows:
+            for row in self.writer.execute(f'PRAGMA table_info("{table}")').fetchall():
+                found.setdefault(row[1], _sql.declared_oid(row[2]))
+        return found
--- /dev/null
+++ b/pomelograde/standins/main.py
@@ -0,0 +1,72 @@
+"""Command line of the stand-ins and of the demo."""
+
+import json
+import pathlib
+import sys
+
+import click
+from twisted.internet import reactor
+from twisted.web import server
+
+from pomelograde.standins import demo, host, platform
+
+
+@click.group()
+def main():
+    """Run stand-ins for the platform and for upstream members."""
+
+
+@main.command("platform")
+@click.option("--port", default=0, help="Port; 0 lets the kernel choose.")
+def run_platform(port):
+    r"""Run the platform stand-in.
+
+    \b
+    Example:
+      python -m pomelograde.standins platform --port 8080
+    """
+    site = server.Site(platform.PlatformSite(reactor, platform.Platform()))
+    site.noisy = False
+    listening = reactor.listenTCP(port, site, interface="127.0.0.1")
+    _announce({"port": listening.getHost().port})
+    reactor.run()
+
+
+@main.command("members")
+@click.option("--config", required=True, help="JSON file, or - for standard input.")
+def run_members(config):
+    r"""Run groups of stand-in members.
+
+    \b
+    Example:
+      python -m pomelograde.standins members --config groups.json
+    """
+    text = sys.stdin.read() if config == "-" else pathlib.Path(config).read_text()
+    parsed = host.parse(json.loads(text))
+    if parsed.is_err():
+        raise click.ClickException("; ".join(parsed.err_value))
+    running = host.Host(reactor, parsed.ok_value)
+    running.start()
+    reactor.addSystemEventTrigger("after", "shutdown", running.stop)
+    _announce(running.describe())
+    reactor.run()
+
+
+@main.command("demo")
+@click.option("--check", is_flag=True, help="Do a scripted round and exit.")
+@click.option("--port", default=0, help="Caller port of the first instance.")
+def run_demo(check, port):
+    r"""Run both deployments with three instances.
+
+    \b
+    Examples:
+      make demo
+      make demo ARGS=--check
+      make demo ARGS="--port 6432"
+    """
+    sys.exit(demo.run(check, port))
+
+
+def _announce(value):
+    click.echo(json.dumps(value))
+    sys.stdout.flush()
--- /dev/null
+++ b/pomelograde/standins/processes.py
@@ -0,0 +1,180 @@
+"""Starts and stops stand-ins and daemons for the demo and for experiments."""
+
+import contextlib
+import hashlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from pomelograde.standins import certificates, http
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+UPSTREAM_PASSWORD = "stand-in-upstream"
+OPERATOR_TOKEN = "demo-operator-token"
+
+
+class Processes:
+    """Child processes of one experiment, stopped together.
+
+    Notes
+    -----
+    Used as a context manager. All children belong to the process group of the
+    program that starts them.
+    """
+
+    def __init__(self):
+        self.children = []
+        self.directory = None
+        self.authority = None
+        self.exits = contextlib.ExitStack()
+
+    def __enter__(self):
+        """Make the folder for settings and logs."""
+        made = tempfile.TemporaryDirectory(prefix="pomelograde-run-")
+        self.directory = pathlib.Path(self.exits.enter_context(made))
+        self.authority = certificates.make_authority(self.directory)
+        return self
+
+    def __exit__(self, *exc_info):
+        """Stop all children, daemons first."""
+        for child in reversed(self.children):
+            stop(child)
+        self.exits.close()
+
+    def start_platform(self, port=0):
+        """Start the platform stand-in; returns its base address."""
+        child = self.spawn(["-m", "pomelograde.standins", "platform", f"--port={port}"])
+        return f"http://127.0.0.1:{read_announcement(child)['port']}"
+
+    def start_members(self, groups):
+        """Start a process with groups; returns what it says of itself."""
+        path = self.directory / f"groups-{len(self.children)}.json"
+        value = {"groups": groups, "password": UPSTREAM_PASSWORD}
+        path.write_text(json.dumps(value))
+        arguments = ["-m", "pomelograde.standins", "members", f"--config={path}"]
+        return read_announcement(self.spawn(arguments))
+
+    def start_daemon(self, settings):
+        """Start a daemon; returns the child and its settings file."""
+        name = settings["instance"]
+        host = settings["addresses"]["host"]
+        if "peers" not in settings:
+            settings["peers"] = self.authority.peer_settings(name, host)
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        log = (self.directory / f"{settings['instance']}.log").open("ab")
+        self.exits.callback(log.close)
+        child = subprocess.Popen(
+            [sys.executable, "-m", "pomelograde.daemon.main", f"--settings={path}"],
+            stderr=log,
+        )
+        self.children.append(child)
+        return child
+
+    def spawn(self, arguments):
+        """Start a Python program whose first line of output announces it."""
+        child = subprocess.Popen([sys.executable, *arguments], stdout=subprocess.PIPE)
+        self.children.append(child)
+        return child
+
+
+def stop(child):
+    """Ask a child to stop, and end it if it does not."""
+    if child.poll() is not None:
+        return
+    child.send_signal(signal.SIGTERM)
+    try:
+        child.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        child.kill()
+        child.wait()
+
+
+def read_announcement(child):
+    """Return the JSON line that a stand-in prints when it is ready."""
+    line = child.stdout.readline()
+    if not line:
+        raise RuntimeError(f"stand-in ended with code {child.wait()}")
+    return json.loads(line)
+
+
+def free_ports(count, host="127.0.0.1"):
+    """Return ports that the kernel says are free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind((host, 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+def wait_for_port(host, port, timeout_s=START_TIMEOUT_S):
+    """Wait until something listens.
+
+    Raises
+    ------
+    TimeoutError
+        If nothing does within the time limit.
+    """
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        try:
+            socket.create_connection((host, port), timeout=1.0).close()
+            return
+        except OSError:
+            time.sleep(0.05)
+    raise TimeoutError(f"nothing listens on {host}:{port}")
+
+
+def daemon_settings(name, data_centre, platform_url, ports, host="127.0.0.1"):
+    """Return the settings of a daemon as a JSON value.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        Who and where it is.
+    platform_url : str
+        Address of the platform.
+    ports : list of int
+        Caller, operator, metrics and peer port.
+    host : str
+        Address that it listens on.
+    """
+    caller, operator, metrics, peer = ports
+    digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return {
+        "instance": name,
+        "data_centre": data_centre,
+        "platform": {"url": platform_url, "poll_interval_s": 0.25},
+        "upstream": {"password": UPSTREAM_PASSWORD},
+        "addresses": {
+            "host": host,
+            "caller_port": caller,
+            "operator_port": operator,
+            "metrics_port": metrics,
+            "peer_port": peer,
+        },
+        "operators": [{"name": "demo", "token_sha256": digest}],
+    }
+
+
+def list_instances(platform_url, all_settings):
+    """Tell the platform stand-in which instances there are."""
+    entries = [
+        {
+            "name": settings["instance"],
+            "data_centre": settings["data_centre"],
+            "host": settings["addresses"]["host"],
+            "peer_port": settings["addresses"]["peer_port"],
+            "leaving": False,
+        }
+        for settings in all_settings
+    ]
+    http.post(f"{platform_url}/control/instances", entries)
--- /dev/null
+++ b/tests/core/routing/test_classify.py
@@ -0,0 +1,45 @@
+"""Tests of statement classes."""
+
+import testtools
+
+from pomelograde.core import routing
+
+CLASS = routing.StatementClass
+
+
+class ClassifierTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.classifier = routing.Classifier()
+
+    def check(self, expected, text):
+        found = self.classifier.classify(text.encode("utf-8"))
+        self.assertEqual(expected, found.statement_class, text)
+
+    def test_reads(self):
+        self.check(CLASS.READ, "SELECT 1")
+        self.check(CLASS.READ, "WITH a AS (SELECT 1) SELECT * FROM a")
+        self.check(CLASS.READ, "SHOW server_version")
+
+    def test_writes_inside_selects(self):
+        self.check(CLASS.WRITE, "SELECT nextval('s')")
+        self.check(CLASS.WRITE, "SELECT * FROM t FOR UPDATE")
+        self.check(CLASS.WRITE, "WITH a AS (DELETE FROM t RETURNING 1) SELECT 1")
+        self.check(CLASS.WRITE, "EXPLAIN ANALYZE INSERT INTO t VALUES (1)")
+
+    def test_set_config_is_a_write_whatever_it_sets(self):
+        self.check(CLASS.WRITE, "SELECT set_config('a.b', 'x', false)")
+        self.check(CLASS.WRITE, "SELECT set_config('pomelograde.x', 'x', false)")
+
+    def test_set_values_are_not_shared_by_fingerprint(self):
+        first = self.classifier.classify(b"SET pomelograde.session = 'a'")
+        second = self.classifier.classify(b"SET pomelograde.session = 'b'")
+        self.assertEqual(("a", "b"), (first.value, second.value))
+
+    def test_unsupported(self):
+        self.check(CLASS.UNSUPPORTED, "COPY t FROM STDIN")
+        self.check(CLASS.UNSUPPORTED, "LISTEN a")
+        self.check(CLASS.UNSUPPORTED, "SELECT 1; SET pomelograde.session = 'a'")
+
+    def test_text_that_is_not_sql_goes_to_the_primary(self):
+        self.check(CLASS.WRITE, "SELEC 1")
--- /dev/null
+++ b/tests/core/sessions/test_bookmark.py
@@ -0,0 +1,27 @@
+"""Tests of bookmarks."""
+
+import hypothesis
+import hypothesis.strategies as st
+import testtools
+
+from pomelograde.core import sessions
+
+
+class BookmarkTests(testtools.TestCase):
+    @hypothesis.settings(derandomize=True)
+    @hypothesis.given(
+        st.text(min_size=1, max_size=50),
+        st.integers(min_value=0, max_value=2**63),
+        st.integers(min_value=0, max_value=2**63),
+    )
+    def test_token_round_trip(self, group, term, index):
+        bookmark = sessions.Bookmark(group, sessions.Position(term, index))
+        decoded = sessions.decode(sessions.encode(bookmark))
+        self.assertEqual(bookmark, decoded.ok_value)
+
+    def test_faulty_tokens_are_refused(self):
+        for token in ("", "a", "a:b:c", ":1:2", "a:-1:2", "x" * 600):
+            self.assertTrue(sessions.decode(token).is_err(), token)
+
+    def test_later_term_covers_earlier_positions(self):
+        self.assertTrue(sessions.Position(2, 5) > sessions.Position(1, 5))
--- /dev/null
+++ b/tests/test_house_style.py
@@ -0,0 +1,70 @@
+"""Checks of the house style that the linter does not know."""
+
+import ast
+import importlib.util
+import pathlib
+import re
+
+import testtools
+
+from pomelograde.net import events
+
+ROOT = pathlib.Path(__file__).parent.parent
+PACKAGES = ("pomelograde", "tests", "measure")
+
+
+def _sources():
+    for package in PACKAGES:
+        yield from sorted((ROOT / package).rglob("*.py"))
+
+
+def _is_module(module, name):
+    try:
+        return importlib.util.find_spec(f"{module}.{name}") is not None
+    except ModuleNotFoundError:
+        return False
+    except ValueError:
+        # An imported module that hides its spec.
+        return True
+
+
+class HouseStyleTests(testtools.TestCase):
+    def test_modules_are_imported_and_not_names(self):
+        faults = []
+        for path in _sources():
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                if not isinstance(node, ast.ImportFrom):
+                    continue
+                for alias in node.names:
+                    # The reactor is an object that stands where a module does.
+                    if (node.module, alias.name) == ("twisted.internet", "reactor"):
+                        continue
+                    if not _is_module(node.module, alias.name):
+                        faults.append(f"{path.name}: {node.module}.{alias.name}")
+        self.assertEqual([], faults)
+
+    def test_core_has_no_input_or_output(self):
+        banned = re.compile(
+            r"^\s*(?:import|from) (?:socket|time|random|twisted|os|threading)\b",
+            re.MULTILINE,
+        )
+        faults = [
+            path.name
+            for path in sorted((ROOT / "pomelograde" / "core").rglob("*.py"))
+            if banned.search(path.read_text("utf-8"))
+        ]
+        self.assertEqual([], faults)
+
+    def test_every_event_is_in_the_catalogue(self):
+        text = (ROOT / "docs" / "EVENTS.md").read_text("utf-8")
+        catalogue = dict(re.findall(r"^\| (\d+) \| `(\w+)`", text, re.MULTILINE))
+        expected = {str(event.value): event.name for event in events.Event}
+        self.assertEqual(expected, catalogue)
+
+    def test_every_module_says_what_it_is(self):
+        faults = [
+            str(path)
+            for path in _sources()
+            if not ast.get_docstring(ast.parse(path.read_text("utf-8")))
+        ]
+        self.assertEqual([], faults)
