--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -9,6 +9,7 @@
 
 from pomelograde.core import membership
 from pomelograde.net import (
+    admission,
     callers,
     configuration,
     context,
@@ -121,12 +122,13 @@
     Daemon
         Not started yet.
     """
+    addresses = settings.addresses
     own = membership.Instance(
         name=settings.instance,
         data_centre=settings.data_centre,
         incarnation=int(time.time() * 1000),
-        host=settings.addresses.host,
-        peer_port=settings.addresses.peer_port,
+        host=addresses.advertised_host or addresses.host,
+        peer_port=addresses.advertised_peer_port or addresses.peer_port,
         region=settings.region,
     )
     shared = context.InstanceContext(
@@ -143,10 +145,12 @@
         reactor, settings.platform.url, settings.platform.timeout_s
     )
     configuration_task = configuration.ConfigurationTask(shared, client)
-    gate = gateway.Gateway(shared, configuration_task)
+    admission_task = admission.AdmissionTask(shared, configuration_task)
+    gate = gateway.Gateway(shared, configuration_task, admission_task)
     listener = callers.CallerListener(shared, gate, _tls_contexts(settings.tls))
     members = membership_task.MembershipTask(shared, client, configuration_task)
     members.listeners.append(gate.on_instances_changed)
+    members.listeners.append(admission_task.update)
     shared.peers.handlers[peer_messages.PrimaryNews] = gate.on_primary_news
     return Daemon(shared, configuration_task, gate, listener, members)
 
--- a/pomelograde/daemon/settings.py
+++ b/pomelograde/daemon/settings.py
@@ -21,6 +21,10 @@
         IP address to connect from; empty for any.
     caller_port, operator_port, metrics_port, peer_port : int
         TCP ports; 0 for one that the kernel picks.
+    advertised_host : str
+        IP address that peers are told to connect to; empty for `host`.
+    advertised_peer_port : int
+        Port that peers are told to connect to; 0 for `peer_port`.
     """
 
     host: str = attrs.field(default="127.0.0.1", validator=checks.not_empty)
@@ -29,6 +33,8 @@
     operator_port: int = attrs.field(default=8432, validator=checks.port)
     metrics_port: int = attrs.field(default=9432, validator=checks.port)
     peer_port: int = attrs.field(default=7432, validator=checks.port)
+    advertised_host: str = ""
+    advertised_peer_port: int = attrs.field(default=0, validator=checks.port)
 
 
 @attrs.frozen
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -2,14 +2,14 @@
 
 from twisted.internet import task
 
-from pomelograde.core import limits, retries
+from pomelograde.core import retries
 from pomelograde.net import events, groups, upstream
 
 SWEEP_INTERVAL_S = 0.05
 
 
 class Gateway:
-    """Owns the sessions, the groups and the rate buckets.
+    """Owns the sessions and the groups.
 
     Parameters
     ----------
@@ -17,6 +17,8 @@
         Parts of the daemon that all tasks share.
     configuration : ConfigurationTask
         Configuration in force.
+    admission : AdmissionTask
+        Rates of client accounts.
 
     Attributes
     ----------
@@ -28,14 +30,14 @@
         Statements under way.
     """
 
-    def __init__(self, context, configuration):
+    def __init__(self, context, configuration, admission):
         self.context = context
         self.configuration = configuration
+        self.admission = admission
         self.groups = {}
         self.sessions = set()
         self.by_key = {}
         self.exchanges = set()
-        self.buckets = {}
         self.draining = False
         self.sweep = task.LoopingCall(self._sweep)
 
@@ -43,12 +45,13 @@
         """Take in the configuration and follow its changes."""
         self.configuration.listeners.append(self._on_changed)
         self._update_services(self.configuration.current)
-        self._update_accounts(self.configuration.current)
+        self.admission.start()
         self.sweep.clock = self.context.reactor
         self.sweep.start(SWEEP_INTERVAL_S)
 
     def stop(self):
         """Close all groups."""
+        self.admission.stop()
         if self.sweep.running:
             self.sweep.stop()
         for group in self.groups.values():
@@ -71,19 +74,6 @@
                 del self.by_key[session.key_name]
         self.context.metrics.connections.set(len(self.sessions))
 
-    def admit(self, account, now):
-        """Take one request of a client account's rate.
-
-        Returns
-        -------
-        float
-            0.0 if it may run now, else the seconds to wait.
-        """
-        bucket = self.buckets.get(account)
-        if bucket is None:
-            return 0.0
-        return bucket.take(now)
-
     def cancel_upstream(self, connection):
         """Ask a member to cancel what runs on a connection."""
         for group in self.groups.values():
@@ -102,7 +92,6 @@
         """Adapt shares to the number of live instances."""
         for group in self.groups.values():
             group.resize()
-        self._update_accounts(self.configuration.current)
 
     def on_primary_news(self, message, envelope):
         """Take a peer's word that a member leads a group."""
@@ -112,7 +101,6 @@
 
     def _on_changed(self, changed):
         self._update_services(changed.new)
-        self._update_accounts(changed.new)
         self._close_withdrawn(changed.new)
 
     def _update_services(self, configuration):
@@ -128,24 +116,6 @@
             elif group.spec != resource.spec:
                 group.update(resource.spec)
 
-    def _update_accounts(self, configuration):
-        instances = max(1, len(self.context.members.live()))
-        now = self.context.now()
-        accounts = configuration.of_kind("accounts")
-        for name in [name for name in self.buckets if name not in accounts]:
-            del self.buckets[name]
-        for name, resource in accounts.items():
-            rate = resource.spec.rate_per_s / instances
-            burst = resource.spec.burst / instances
-            bucket = self.buckets.get(name)
-            if bucket is None:
-                self.buckets[name] = limits.TokenBucket(rate, burst, burst, now)
-            elif (bucket.rate_per_s, bucket.burst) != (rate, burst):
-                bucket.refill(now)
-                bucket.rate_per_s = rate
-                bucket.burst = burst
-                bucket.tokens = min(bucket.tokens, burst)
-
     def _close_withdrawn(self, configuration):
         for key_name in list(self.by_key):
             key = configuration.get("keys", key_name)
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -57,7 +57,6 @@
         self.needs_floor = True
         self.closing = None
         self.closed = False
-        self.admission_call = None
         self.write = caller.transport.write
 
     def set_option(self, name, value):
@@ -84,7 +83,6 @@
 
     def on_written(self, position):
         """Take the position of an acknowledged write of this session."""
-        self.needs_floor = self.needs_floor and False
         if self.position is None or position > self.position:
             self.position = position
 
@@ -133,8 +131,6 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.abandon()
-        if self.admission_call is not None and self.admission_call.active():
-            self.admission_call.cancel()
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.close()
@@ -191,7 +187,7 @@
     def _enqueue(self, batch, size):
         self.batches.append(batch)
         self.waiting_bytes += size
-        if self.exchange is None and self.admission_call is None:
+        if self.exchange is None:
             self._next()
         else:
             self._check_backlog()
@@ -215,32 +211,30 @@
             self._admit(batch, self._deadline())
 
     def _admit(self, batch, deadline):
-        self.admission_call = None
-        if self.closed:
+        admission = self.gateway.admission
+        admitted = self.connection is not None or admission.try_admit(
+            self.account, self.context.now()
+        )
+        if admitted:
+            self._start_exchange(batch, deadline)
             return
-        if self.connection is None:
-            now = self.context.now()
-            wait_s = self.gateway.admit(self.account, now)
-            if wait_s > 0.0:
-                self._wait_for_admission(batch, deadline, now, wait_s)
-                return
-        exchange = self.exchange = exchanges.Exchange(self, batch, deadline)
-        self.gateway.exchanges.add(exchange)
-        exchange.start()
+        self.exchange = _Admission()
+        waiting = admission.wait(self.account, deadline)
+        waiting.addCallback(self._on_admission, self.exchange, batch, deadline)
 
-    def _wait_for_admission(self, batch, deadline, now, wait_s):
-        if now + wait_s >= deadline:
-            kind = retries.ErrorKind.RATE_EXCEEDED
-            self.refuse(retries.Failure(kind, self.account, retry_after_s=wait_s))
+    def _on_admission(self, failure, admission, batch, deadline):
+        if self.closed or self.exchange is not admission:
             return
-        self.exchange = _Admission(self)
-        self.admission_call = self.context.reactor.callLater(
-            wait_s, self._admit_again, batch, deadline
-        )
-
-    def _admit_again(self, batch, deadline):
         self.exchange = None
-        self._admit(batch, deadline)
+        if failure is not None:
+            self.refuse(failure)
+            return
+        self._start_exchange(batch, deadline)
+
+    def _start_exchange(self, batch, deadline):
+        exchange = self.exchange = exchanges.Exchange(self, batch, deadline)
+        self.gateway.exchanges.add(exchange)
+        exchange.start()
 
     def _deadline(self):
         limit_s = self.proxy_settings.deadline_s
@@ -288,8 +282,5 @@
 class _Admission:
     """Stands for a batch that waits for its client account's rate."""
 
-    def __init__(self, session):
-        self.session = session
-
     def abandon(self):
-        """Drop the wait; the session cancels its own timer."""
+        """Do nothing; the session ignores the answer."""
