Cut the processor time of a statement on the hot path

Cause: a profile of 6,340 reads showed the time in the reactor's poll set (two changes and one more turn for each write), in attrs' generated comparisons of positions (18 us each), in histogram and counter updates, and in waiters made although a connection was idle. Change: sockets are written to directly when nothing is buffered, check and read leave in one write, positions compare as pairs, latencies are counted and recorded in lots, counters are plain, an idle connection is taken at once.

--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -70,12 +70,17 @@
         """Connections held, those being opened included."""
         return self.idle_count + self.opening_count + self.busy_count
 
+    def take_at_once(self, role):
+        """Return an idle connection if nobody waits for one, else None."""
+        if self.queue.length:
+            return None
+        return self._take_idle(role)
+
     def request(self, waiter, now):
         """Ask for a connection; returns the actions to carry out."""
-        if self.queue.length == 0:
-            connection = self._take_idle(waiter.role)
-            if connection is not None:
-                return [Assign(waiter, connection)]
+        connection = self.take_at_once(waiter.role)
+        if connection is not None:
+            return [Assign(waiter, connection)]
         if self.queue.length >= self.max_queue:
             return [Refuse(waiter, _errors.Failure(_errors.ErrorKind.QUEUE_FULL))]
         self.queue.push(waiter)
--- a/pomelograde/core/routing/_choose.py
+++ b/pomelograde/core/routing/_choose.py
@@ -87,5 +87,6 @@
         near = member.data_centre == data_centre
         cost = (member.outstanding + 1) * (1.0 if near else FAR_COST_FACTOR)
         scored.append((cost, member.name, member))
-    scored.sort(key=lambda entry: entry[:2])
+    if len(scored) > 1:
+        scored.sort()
     return [entry[2] for entry in scored]
--- a/pomelograde/core/sessions/_bookmark.py
+++ b/pomelograde/core/sessions/_bookmark.py
@@ -6,7 +6,7 @@
 MAX_TOKEN_LENGTH = 512  # characters
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class Position:
     """A place in the log of a database group.
 
@@ -27,6 +27,18 @@
     term: int
     index: int
 
+    def __lt__(self, other):
+        return (self.term, self.index) < (other.term, other.index)
+
+    def __le__(self, other):
+        return (self.term, self.index) <= (other.term, other.index)
+
+    def __gt__(self, other):
+        return (self.term, self.index) > (other.term, other.index)
+
+    def __ge__(self, other):
+        return (self.term, self.index) >= (other.term, other.index)
+
 
 @attrs.frozen
 class Bookmark:
--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -17,6 +17,7 @@
 _EMPTY_RESPONSE = ord("I")
 _PARAMETER_STATUS = ord("S")
 
+_READY = {status: _frames.ready_for_query(status) for status in (b"I", b"T", b"E")}
 _UNACKNOWLEDGED = frozenset(
     (_CLASS.READ, _CLASS.SET, _CLASS.BEGIN, _CLASS.BEGIN_READ_ONLY, _CLASS.EMPTY)
 )
@@ -192,6 +193,10 @@
             self._retry_later(retries.Failure(upstream.OPEN_FAILURE))
             return
         session = self.session
+        connection = pool.take_at_once(session.role)
+        if connection is not None:
+            self._send(connection)
+            return
         pool.request(
             groups.make_waiter(
                 session.account, session.role, session.weight, self.deadline, self
@@ -217,17 +222,18 @@
         if checked and self.required is not None:
             check = _CheckPart(self)
             self.part = _AnswerPart(self, translation, Gate.WAITING, hold=False)
-            connection.send(check, upstream.POSITION_QUERY)
-            connection.send(self.part, data)
+            connection.send_two(check, self.part, upstream.POSITION_QUERY + data)
             return
         acknowledged = batch.statement.statement_class not in _UNACKNOWLEDGED
         self.part = _AnswerPart(self, translation, Gate.OPEN, hold=acknowledged)
-        connection.send(self.part, data)
         ends_here = not self.was_in_transaction or (
             batch.statement.statement_class is _CLASS.COMMIT
         )
         if acknowledged and ends_here:
-            connection.send(_PositionPart(self), upstream.POSITION_QUERY)
+            position = _PositionPart(self)
+            connection.send_two(self.part, position, data + upstream.POSITION_QUERY)
+            return
+        connection.send(self.part, data)
 
     def on_checked(self, position):
         """Take the position of the member that the read was sent to."""
@@ -295,10 +301,9 @@
 
     def _finish(self):
         session = self.session
-        if self.held:
-            session.write(b"".join(self.held))
-            self.held = []
-        session.write(_frames.ready_for_query(self.status))
+        self.held.append(_READY[self.status])
+        session.write(b"".join(self.held))
+        self.held = []
         connection, self.connection = self.connection, None
         self.done = True
         if connection is not None:
@@ -463,7 +468,11 @@
             return
         exchange.status = status
         if self.gate is not Gate.DISCARDING and self.out:
-            self._flush()
+            if self.hold:
+                self._flush()
+            else:
+                exchange.answered = True
+                exchange.held = self.out
         exchange.on_answer_end(self)
 
     def on_lost(self):
--- a/pomelograde/net/metrics.py
+++ b/pomelograde/net/metrics.py
@@ -2,11 +2,53 @@
 
 import hdrh.histogram
 import prometheus_client
+import prometheus_client.core
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+MAX_UNRECORDED = 2000  # distinct latencies
+
+
+class Counter:
+    """A counter with one label, cheap enough for each statement.
+
+    Parameters
+    ----------
+    name, text : str
+        Name and help text.
+    label : str
+        Name of the label.
+
+    Attributes
+    ----------
+    values : dict of str to int
+        Counts by value of the label.
+    """
+
+    def __init__(self, name, text, label):
+        self.name = name
+        self.text = text
+        self.label = label
+        self.values = {}
+
+    def collect(self):
+        """Return the metric families, as a registry wants them."""
+        family = prometheus_client.core.CounterMetricFamily(
+            self.name, self.text, labels=[self.label]
+        )
+        for value, count in sorted(self.values.items()):
+            family.add_metric([value], count)
+        return [family]
+
+    def describe(self):
+        """Return the metric families without values."""
+        return [
+            prometheus_client.core.CounterMetricFamily(
+                self.name, self.text, labels=[self.label]
+            )
+        ]
 
 
 class Metrics:
@@ -16,7 +58,7 @@
     ----------
     registry : prometheus_client.CollectorRegistry
         What the metrics address shows.
-    refusals, retries, statements, reads : prometheus_client.Counter
+    refusals, retries, statements, reads : Counter
         Counters by label.
     latencies : dict of str to hdrh.histogram.HdrHistogram
         Latencies in microseconds by what was timed.
@@ -42,23 +84,21 @@
             registry=self.registry,
         )
         self.latencies = {}
-        self.hot = {}
+        self.unrecorded = {}
 
-    def add_counter(self, name, text, *labels):
-        """Register and return a counter."""
-        return prometheus_client.Counter(name, text, labels, registry=self.registry)
+    def add_counter(self, name, text, label):
+        """Register and return a `Counter`."""
+        counter = Counter(name, text, label)
+        self.registry.register(counter)
+        return counter
 
     def add_gauge(self, name, text, *labels):
         """Register and return a gauge."""
         return prometheus_client.Gauge(name, text, labels, registry=self.registry)
 
-    def count(self, counter, label):
-        """Add one to a labelled counter, with its child looked up once."""
-        key = (counter, label)
-        child = self.hot.get(key)
-        if child is None:
-            child = self.hot[key] = counter.labels(label)
-        child.inc()
+    def count(self, counter, value):
+        """Add one to a counter, for a value of its label."""
+        counter.values[value] = counter.values.get(value, 0) + 1
 
     def record(self, name, seconds):
         """Record a latency.
@@ -70,16 +110,32 @@
         seconds : float
             How long it took.
         """
+        counts = self.unrecorded.setdefault(name, {})
+        microseconds = int(seconds * 1e6)
+        counts[microseconds] = counts.get(microseconds, 0) + 1
+        if len(counts) >= MAX_UNRECORDED:
+            self._record_all(name, counts)
+
+    def _record_all(self, name, counts):
+        """Move latencies to their histogram, equal ones together."""
         histogram = self.latencies.get(name)
         if histogram is None:
             histogram = hdrh.histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
             )
             self.latencies[name] = histogram
-        histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
+        for microseconds, count in counts.items():
+            value = min(HIGHEST_US, max(LOWEST_US, microseconds))
+            histogram.record_value(value, count)
+        counts.clear()
+
+    def _flush(self):
+        for name, counts in self.unrecorded.items():
+            self._record_all(name, counts)
 
     def summarize(self):
         """Return counters and latency percentiles as a JSON value."""
+        self._flush()
         counters = {}
         for family in self.registry.collect():
             for sample in family.samples:
@@ -98,6 +154,7 @@
 
     def expose(self):
         """Return the text exposition of all figures."""
+        self._flush()
         text = prometheus_client.generate_latest(self.registry)
         lines = []
         for name, histogram in sorted(self.latencies.items()):
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -31,6 +31,13 @@
         self.idle = set()
         self.closed = False
 
+    def take_at_once(self, role):
+        """Return an idle connection if nobody waits for one, else None."""
+        connection = self.core.take_at_once(role)
+        if connection is not None:
+            self.idle.discard(connection)
+        return connection
+
     def request(self, waiter):
         """Ask for a connection.
 
@@ -50,7 +57,9 @@
             self.discard(connection)
             return
         self.idle.add(connection)
-        self._run(self.core.release(connection, connection.role, self.context.now()))
+        actions = self.core.release(connection, connection.role, self.context.now())
+        if actions:
+            self._run(actions)
 
     def discard(self, connection):
         """Close a connection instead of giving it back."""
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -1,12 +1,14 @@
 """The task of one authenticated caller."""
 
 import collections
+import functools
 
 from pomelograde.core import retries, routing, sessions
 from pomelograde.net import (
     _batches,
     _frames,
     _proxy_settings,
+    _sending,
     events,
     exchanges,
 )
@@ -57,7 +59,7 @@
         self.needs_floor = True
         self.closing = None
         self.closed = False
-        self.write = caller.transport.write
+        self.write = functools.partial(_sending.send, caller.transport)
 
     def set_option(self, name, value):
         """Set a proxy setting; returns a Result of None or str."""
--- a/pomelograde/net/upstream.py
+++ b/pomelograde/net/upstream.py
@@ -9,7 +9,7 @@
 from twisted.internet import error as net_error
 
 from pomelograde.core import retries, sessions
-from pomelograde.net import _frames
+from pomelograde.net import _frames, _sending
 
 OPEN_TIMEOUT_S = 2.0
 AUTH_OK = 0
@@ -88,7 +88,12 @@
     def send(self, part, data):
         """Send a part's frames."""
         self.parts.append(part)
-        self.transport.write(data)
+        _sending.send(self.transport, data)
+
+    def send_two(self, first, second, data):
+        """Send two parts' frames in one write."""
+        self.parts.append(first)
+        self.send(second, data)
 
     def close(self):
         """Drop the connection at once; its answers reach nobody."""
