Add relays that cut data centres off from each other

Cause: the stand-ins could silence a member, but nothing stood between instances or between an instance and the platform, so no test could bring about a network partition. The platform client connects from bind_host. Conclusion: tests can cut any pair of data centres and the platform, and make open connections silent while new ones work.

--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -142,7 +142,10 @@
     )
     shared.peers = peers.PeerTask(shared, _peer_tls(settings.peers))
     client = platform.PlatformClient(
-        reactor, settings.platform.url, settings.platform.timeout_s
+        reactor,
+        settings.platform.url,
+        settings.platform.timeout_s,
+        addresses.bind_host,
     )
     configuration_task = configuration.ConfigurationTask(shared, client)
     admission_task = admission.AdmissionTask(shared, configuration_task)
--- a/pomelograde/net/platform.py
+++ b/pomelograde/net/platform.py
@@ -89,15 +89,22 @@
         Address of the platform, without a slash at the end.
     timeout_s : float
         Time limit for a request.
+    bind_host : str
+        IP address to connect from; empty for any.
     """
 
-    def __init__(self, reactor, base_url, timeout_s=REQUEST_TIMEOUT_S):
+    def __init__(self, reactor, base_url, timeout_s=REQUEST_TIMEOUT_S, bind_host=""):
         self.reactor = reactor
         self.base_url = base_url
         self.timeout_s = timeout_s
         self.pool = web_client.HTTPConnectionPool(reactor, persistent=True)
         self.client = treq.client.HTTPClient(
-            web_client.Agent(reactor, connectTimeout=timeout_s, pool=self.pool)
+            web_client.Agent(
+                reactor,
+                connectTimeout=timeout_s,
+                bindAddress=(bind_host, 0) if bind_host else None,
+                pool=self.pool,
+            )
         )
 
     async def commit(self, conditions, writes):
--- a/pomelograde/standins/main.py
+++ b/pomelograde/standins/main.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor
 from twisted.web import server
 
-from pomelograde.standins import demo, host, platform
+from pomelograde.standins import demo, host, links, platform
 
 
 @click.group()
@@ -52,6 +52,25 @@
     reactor.run()
 
 
+@main.command("links")
+@click.option("--config", required=True, help="JSON file, or - for standard input.")
+def run_links(config):
+    r"""Run relays between data centres.
+
+    \b
+    Example:
+      python -m pomelograde.standins links --config links.json
+    """
+    text = sys.stdin.read() if config == "-" else pathlib.Path(config).read_text()
+    parsed = links.parse(json.loads(text))
+    if parsed.is_err():
+        raise click.ClickException("; ".join(parsed.err_value))
+    relay = links.Relay(reactor, parsed.ok_value)
+    relay.start()
+    _announce(relay.describe())
+    reactor.run()
+
+
 @main.command("demo")
 @click.option("--check", is_flag=True, help="Do a scripted round and exit.")
 @click.option("--port", default=0, help="Caller port of the first instance.")
--- a/pomelograde/standins/processes.py
+++ b/pomelograde/standins/processes.py
@@ -60,6 +60,27 @@
         arguments = ["-m", "pomelograde.standins", "members", f"--config={path}"]
         return read_announcement(self.spawn(arguments))
 
+    def start_links(self, places, near_delay_s=0.0, far_delay_s=0.0):
+        """Start a relay process; returns its control address.
+
+        Parameters
+        ----------
+        places : dict of str to str
+            Prefix of the addresses of each data centre.
+        near_delay_s, far_delay_s : float
+            One-way delays within and between places.
+        """
+        path = self.directory / f"links-{len(self.children)}.json"
+        value = {
+            "places": places,
+            "near_delay_s": near_delay_s,
+            "far_delay_s": far_delay_s,
+        }
+        path.write_text(json.dumps(value))
+        arguments = ["-m", "pomelograde.standins", "links", f"--config={path}"]
+        port = read_announcement(self.spawn(arguments))["control_port"]
+        return f"http://127.0.0.1:{port}"
+
     def start_daemon(self, settings):
         """Start a daemon; returns the child and its settings file."""
         name = settings["instance"]
@@ -133,6 +154,13 @@
     raise TimeoutError(f"nothing listens on {host}:{port}")
 
 
+def add_link(links_url, name, place, host, port):
+    """Add a link to a relay process; returns the port that it listens on."""
+    link = {"name": name, "place": place, "host": host, "port": port}
+    answer = http.post(f"{links_url}/links", {"add": [link]})
+    return answer["ports"][name]
+
+
 def daemon_settings(name, data_centre, platform_url, ports, host="127.0.0.1"):
     """Return the settings of a daemon as a JSON value.
 
@@ -167,14 +195,16 @@
 
 def list_instances(platform_url, all_settings):
     """Tell the platform stand-in which instances there are."""
-    entries = [
-        {
-            "name": settings["instance"],
-            "data_centre": settings["data_centre"],
-            "host": settings["addresses"]["host"],
-            "peer_port": settings["addresses"]["peer_port"],
-            "leaving": False,
-        }
-        for settings in all_settings
-    ]
+    entries = [_instance_entry(settings) for settings in all_settings]
     http.post(f"{platform_url}/control/instances", entries)
+
+
+def _instance_entry(settings):
+    addresses = settings["addresses"]
+    return {
+        "name": settings["instance"],
+        "data_centre": settings["data_centre"],
+        "host": addresses.get("advertised_host") or addresses["host"],
+        "peer_port": addresses.get("advertised_peer_port") or addresses["peer_port"],
+        "leaving": False,
+    }
