Reserve the ports of fleets for as long as the fleet runs

Cause: a fleet did not come up (nothing listened within 20 s); its port had been freed and given to an outgoing connection of another fleet. Change: the reserving sockets stay bound without listening. Seen: a listener starts on a reserved port, and the fleet comes up.

--- a/pomelograde/standins/processes.py
+++ b/pomelograde/standins/processes.py
@@ -18,6 +18,8 @@
 UPSTREAM_PASSWORD = "stand-in-upstream"
 OPERATOR_TOKEN = "demo-operator-token"
 
+_RESERVED = []
+
 
 class Processes:
     """Child processes of one experiment, stopped together.
@@ -126,13 +128,28 @@
 
 
 def free_ports(count, host="127.0.0.1"):
-    """Return ports that the kernel says are free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind((host, 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
+    """Return ports that the kernel chose, reserved while this process lives.
+
+    Parameters
+    ----------
+    count : int
+        How many.
+    host : str
+        Address that they are for.
+
+    Notes
+    -----
+    The sockets stay bound without listening, so that the kernel gives the
+    ports to nobody else, outgoing connections included. A child can listen
+    all the same, since both sides allow the address to be reused.
+    """
+    ports = []
+    for _ in range(count):
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((host, 0))
+        _RESERVED.append(reserved)
+        ports.append(reserved.getsockname()[1])
     return ports
 
 
