Refuse malformed start-ups and frames clearly; cancel through any instance

Cause: raw callers showed a length below the header, a Query without its terminator, malformed SASL responses and an expired start-up ending without an answer, some as unhandled errors that no log had; a CancelRequest that reached another instance was lost; hashing of names failed with xxhash 4. Change: each gets its SQLSTATE; Twisted's errors reach the log; process ids name the instance, and a CancelRequest is passed on to it.

--- a/pomelograde/core/membership/_instances.py
+++ b/pomelograde/core/membership/_instances.py
@@ -114,6 +114,7 @@
     """
 
     def weight(name):
-        return (xxhash.xxh64_intdigest(f"{key}\0{name}"), name)
+        text = f"{key}\0{name}"
+        return (xxhash.xxh64_intdigest(text.encode("utf-8")), name)
 
     return sorted(names, key=weight, reverse=True)[:count]
--- a/pomelograde/daemon/main.py
+++ b/pomelograde/daemon/main.py
@@ -5,6 +5,7 @@
 import click
 from absl import logging
 from twisted.internet import defer, reactor
+from twisted.python import log
 
 from pomelograde.daemon import root
 from pomelograde.daemon import settings as settings_module
@@ -53,6 +54,7 @@
     logging.set_verbosity(LEVELS[settings.logging.level])
     if settings.logging.format == "json":
         logging.get_absl_handler().setFormatter(None)
+    log.PythonLoggingObserver("twisted").start()
     daemon = root.build(reactor, settings)
     failures = []
 
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -151,6 +151,7 @@
     admission_task = admission.AdmissionTask(shared, configuration_task)
     gate = gateway.Gateway(shared, configuration_task, admission_task)
     listener = callers.CallerListener(shared, gate, _tls_contexts(settings.tls))
+    shared.peers.handlers[peer_messages.CancelStatement] = listener.on_peer_cancel
     members = membership_task.MembershipTask(shared, client, configuration_task)
     members.listeners.append(gate.on_instances_changed)
     members.listeners.append(admission_task.update)
--- a/pomelograde/net/_frames.py
+++ b/pomelograde/net/_frames.py
@@ -22,6 +22,7 @@
 CANCEL_CODE = 80877102
 TLS_CODE = 80877103
 GSS_CODE = 80877104
+SASL_MECHANISM = "SCRAM-SHA-256"
 
 STARTUP = construct.Struct(
     "code" / construct.Int32ub,
@@ -274,3 +275,20 @@
     if message.code >> 16 != PROTOCOL_VERSION >> 16:
         return result.Err(retries.ErrorKind.MALFORMED_FRAME)
     return result.Ok({entry.name: entry.value for entry in message.parameters})
+
+
+def read_sasl_initial(payload):
+    """Return the SCRAM message in the payload of a SASLInitialResponse.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed or names another mechanism.
+    """
+    try:
+        message = SASL_INITIAL.parse(payload)
+    except construct.ConstructError as error:
+        raise ValueError("malformed SASL response") from error
+    if message.mechanism != SASL_MECHANISM:
+        raise ValueError("unknown SASL mechanism")
+    return message.response.decode("utf-8")
--- a/pomelograde/net/callers.py
+++ b/pomelograde/net/callers.py
@@ -7,12 +7,19 @@
 from twisted.internet import protocol
 
 from pomelograde.core import accounts, retries
-from pomelograde.net import _frames, _proxy_settings, events
+from pomelograde.core.membership import cancels
+from pomelograde.net import (
+    _frames,
+    _proxy_settings,
+    events,
+    peer_messages,
+    upstream,
+)
 from pomelograde.net import sessions as session_tasks
 
 SERVER_VERSION = "15.0 (pomelograde)"
 SALT_BYTES = 16
-PROCESS_BITS = 31
+LINGER_S = 1.0  # time for a refused caller to take the answer
 
 PARAMETERS = {
     "server_version": SERVER_VERSION,
@@ -154,13 +161,11 @@
 
     def _authenticate(self, payload):
         if self.scram is None:
-            message = _frames.SASL_INITIAL.parse(payload)
-            if message.mechanism != "SCRAM-SHA-256":
-                raise ValueError("unknown mechanism")
+            message = _frames.read_sasl_initial(payload)
             self.key = self._find_key()
             info = self._auth_info()
             self.scram = accounts.make_server(info)
-            accounts.read_client_first(self.scram, message.response.decode("utf-8"))
+            accounts.read_client_first(self.scram, message)
             first = self.scram.get_server_first().encode("utf-8")
             body = struct.pack(">I", 11) + first
             self.transport.write(_frames.frame(b"R", body))
@@ -259,7 +264,9 @@
 
     def _on_startup_timeout(self):
         self._refuse(retries.ErrorKind.STARTUP_TIMEOUT)
-        self.transport.abortConnection()
+        self.timer = self.context.reactor.callLater(
+            LINGER_S, self.transport.abortConnection
+        )
 
     def _refuse(self, kind, detail=""):
         self._end_startup()
@@ -312,19 +319,46 @@
 
     def new_cancel_key(self, session):
         """Return a process id and a secret for a session."""
-        process_id = self.context.random.getrandbits(PROCESS_BITS)
+        own = self.context.members.own.name
+        process_id = 0
         while process_id in self.cancel_keys or process_id == 0:
-            process_id = self.context.random.getrandbits(PROCESS_BITS)
+            number = self.context.random.getrandbits(cancels.NUMBER_BITS)
+            process_id = cancels.make_process_id(own, number)
         secret = self.context.random.getrandbits(32)
         self.cancel_keys[process_id] = (secret, session)
         return process_id, secret
 
     def on_cancel(self, process_id, secret):
-        """Cancel the statement of a session whose secret is known."""
-        known = self.cancel_keys.get(process_id)
-        if known is None or known[0] != secret:
+        """Take a CancelRequest; another instance's is passed on."""
+        if self.cancel(process_id, secret):
             return
+        message = peer_messages.CancelStatement(process_id, secret)
+        members = self.context.members
+        for instance in cancels.find_owners(process_id, members.live()):
+            if instance.name != members.own.name:
+                self.context.peers.send(instance, message)
+
+    def on_peer_cancel(self, message, envelope):
+        """Take a CancelRequest that reached another instance."""
+        self.cancel(message.process_id, message.secret)
+
+    def cancel(self, process_id, secret):
+        """Cancel the statement of one of this instance's sessions.
+
+        Returns
+        -------
+        bool
+            Whether the process id is one of this instance's.
+        """
+        known = self.cancel_keys.get(process_id)
+        if known is None:
+            return False
+        if known[0] != secret:
+            return True
         exchange = known[1].exchange
         connection = getattr(exchange, "connection", None)
         if connection is not None:
-            self.gateway.cancel_upstream(connection)
+            pool = exchange.group.pools.get(connection.member)
+            if pool is not None:
+                upstream.send_cancel(self.context.reactor, pool.spec, connection)
+        return True
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -3,7 +3,7 @@
 from twisted.internet import task
 
 from pomelograde.core import retries
-from pomelograde.net import events, groups, upstream
+from pomelograde.net import events, groups
 
 SWEEP_INTERVAL_S = 0.05
 
@@ -74,14 +74,6 @@
                 del self.by_key[session.key_name]
         self.context.metrics.connections.set(len(self.sessions))
 
-    def cancel_upstream(self, connection):
-        """Ask a member to cancel what runs on a connection."""
-        for group in self.groups.values():
-            pool = group.pools.get(connection.member)
-            if pool is not None:
-                upstream.send_cancel(self.context.reactor, pool.spec, connection)
-                return
-
     def drain(self):
         """Ask all callers to go at their next transaction boundary."""
         self.draining = True
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -96,7 +96,7 @@
     def receive(self, frames):
         """Take frames from the caller."""
         for kind, frame in frames:
-            if kind == _batches.QUERY:
+            if kind == _batches.QUERY and frame.endswith(b"\0"):
                 self._enqueue(self.book.read_simple(frame), len(frame))
             elif kind == _batches.SYNC:
                 self._end_extended(kind, frame)
--- a/pomelograde/standins/member.py
+++ b/pomelograde/standins/member.py
@@ -184,10 +184,10 @@
     async def _authenticate(self, frame):
         payload = frame[5:]
         if self.scram is None:
-            message = _frames.SASL_INITIAL.parse(payload)
+            message = _frames.read_sasl_initial(payload)
             info = self.factory.auth_info
             self.scram = accounts.make_server(info)
-            accounts.read_client_first(self.scram, message.response.decode())
+            accounts.read_client_first(self.scram, message)
             first = self.scram.get_server_first().encode()
             self._send(_frames.frame(b"R", struct.pack(">I", 11) + first))
             return
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -1,6 +1,7 @@
 """Small fleets of real processes for tests."""
 
 import contextlib
+import time
 import urllib.parse
 
 import attrs
@@ -113,6 +114,24 @@
         self.daemons.append(self.running.start_daemon(settings))
         return number
 
+    def wait_for_peers(self, timeout_s=10.0):
+        """Wait until every instance has heard of all others."""
+        end = time.monotonic() + timeout_s
+        for number in range(len(self.daemons)):
+            while len(self.known_instances(number)) < len(self.daemons):
+                if time.monotonic() > end:
+                    raise TimeoutError("instances do not know each other")
+                time.sleep(0.1)
+
+    def known_instances(self, number):
+        """Return the instances that one knows to be alive."""
+        found = self.operate("GET", "/v1/status", number=number)["instances"]
+        return {
+            name: one
+            for name, one in found.items()
+            if one["incarnation"] > 0 and not one["leaving"]
+        }
+
     def wait(self):
         """Wait until all instances accept callers."""
         processes.list_instances(self.platform_url, self.settings)
