Order configuration changes, spread them and prove them current

Cause: changes reached other instances by polling alone, a lost answer to a commit was reported as unknown, and an instance without contact went on serving keys that had been withdrawn elsewhere.

--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -58,25 +58,31 @@
 
     async def start(self):
         """Listen, and fetch the configuration."""
-        await self.configuration.start()
-        self.gateway.start()
+        self.context.log.write(events.Event.DAEMON_STARTED)
         if self.context.peers.tls is not None:
             addresses = self.context.settings.addresses
             self.ports["peer"] = self.context.peers.listen(
                 addresses.host, addresses.peer_port
             )
             self.membership.start()
-        self._listen("caller", self.listener)
         site = operators.OperatorSite(self.context, self.gateway, self.configuration)
         self._listen("operator", server.Site(site))
         metrics_site = operators.MetricsSite(self.context.metrics)
         self._listen("metrics", server.Site(metrics_site))
+        await self.configuration.start()
+        if self.configuration.stopped:
+            return
+        self.gateway.start()
+        self._listen("caller", self.listener)
         self.context.log.write(events.Event.DAEMON_READY, **self.port_numbers())
 
     async def stop(self):
         """Stop without cutting a request in flight."""
         self.context.log.write(events.Event.DAEMON_STOPPING)
-        await defer.maybeDeferred(self.ports["caller"].stopListening)
+        if "caller" not in self.ports:
+            self.configuration.stop()
+        else:
+            await defer.maybeDeferred(self.ports["caller"].stopListening)
         self.membership.leave()
         self.gateway.drain()
         deadline = self.context.now() + self.context.settings.drain_timeout_s
@@ -141,6 +147,8 @@
         random=random.SystemRandom(),
     )
     shared.peers = peers.PeerTask(shared, _peer_tls(settings.peers))
+    for seed in settings.seeds:
+        shared.members.learn(_seed_instance(seed))
     client = platform.PlatformClient(
         reactor,
         settings.platform.url,
@@ -159,6 +167,16 @@
     return Daemon(shared, configuration_task, gate, listener, members)
 
 
+def _seed_instance(seed):
+    return membership.Instance(
+        name=seed.name,
+        data_centre=seed.data_centre,
+        incarnation=0,
+        host=seed.host,
+        peer_port=seed.peer_port,
+    )
+
+
 def _tls_contexts(tls):
     if not tls.certificate_file:
         return None
--- a/pomelograde/daemon/settings.py
+++ b/pomelograde/daemon/settings.py
@@ -167,6 +167,41 @@
     )
 
 
+@attrs.frozen
+class ConfigurationSettings:
+    """How long an instance serves without evidence of being up to date.
+
+    Attributes
+    ----------
+    stale_after_s : float
+        Age of the last evidence, from the platform or from all listed
+        instances, above which requests by key are refused. A key that is
+        withdrawn meanwhile works for at most this long.
+    """
+
+    stale_after_s: float = attrs.field(default=2.5, validator=checks.positive)
+
+
+@attrs.frozen
+class PeerSeed:
+    """An instance to start from while the platform's list can't be had.
+
+    Attributes
+    ----------
+    name, data_centre : str
+        Name and data centre of the instance.
+    host : str
+        IP address.
+    peer_port : int
+        TCP port.
+    """
+
+    name: str = attrs.field(validator=checks.not_empty)
+    data_centre: str = attrs.field(validator=checks.not_empty)
+    host: str = attrs.field(validator=checks.not_empty)
+    peer_port: int = attrs.field(validator=checks.port)
+
+
 @attrs.frozen
 class Settings:
     """All settings of a daemon.
@@ -179,6 +214,10 @@
         Data centre that it runs in.
     region : str
         Region of the data centre.
+    seeds : list of PeerSeed
+        Instances to start from while the platform is down.
+    drain_timeout_s : float
+        Most time that a graceful shutdown takes.
     """
 
     instance: str = attrs.field(validator=checks.not_empty)
@@ -191,6 +230,8 @@
     peers: PeerSettings = PeerSettings()
     operators: list[Operator] = attrs.field(factory=list)
     limits: Limits = Limits()
+    configuration: ConfigurationSettings = ConfigurationSettings()
+    seeds: list[PeerSeed] = attrs.field(factory=list)
     logging: Logging = Logging()
     drain_timeout_s: float = attrs.field(default=30.0, validator=checks.positive)
 
--- /dev/null
+++ b/pomelograde/net/_snapshots.py
@@ -0,0 +1,94 @@
+"""Snapshots of the configuration in the platform's object store."""
+
+import attrs
+
+from pomelograde.core import resources
+from pomelograde.net import _rows, platform
+
+OBJECT = "configuration-snapshot"
+SNAPSHOT_EVERY = 64  # revisions
+KEPT_REVISIONS = 1024  # revisions whose deletion records are kept
+
+
+@attrs.frozen
+class Snapshot:
+    """A configuration with the table version that it was read at.
+
+    Attributes
+    ----------
+    batch : Batch
+        The whole state.
+    head : RevisionRow
+        The revision row at that version.
+    table_version : int
+        Version of the table; rows written after it follow the snapshot.
+    """
+
+    batch: resources.Batch
+    head: _rows.RevisionRow
+    table_version: int
+
+
+async def load(client, on_rejected):
+    """Read the snapshot; returns a Result of `Snapshot` or None."""
+    answer = await client.get_object(OBJECT)
+    if answer.is_err() or answer.ok_value is None:
+        return answer
+    value = answer.ok_value
+    rows = [platform.Row(**row) for row in value["rows"]]
+    batch = _rows.read_batch(rows, 0, on_rejected)
+    head = _rows.read_revision_row(rows)
+    return answer.map(lambda _: Snapshot(batch, head, value["table_version"]))
+
+
+async def store(client, on_rejected):
+    """Store a snapshot of the table as it is now; returns its revision or None.
+
+    Notes
+    -----
+    The rows are read in one request, which the platform answers from one
+    version of the table. An older snapshot that overwrites a newer one does
+    no harm: the rows written after its table version follow it.
+    """
+    answer = await client.rows(_rows.PREFIX)
+    if answer.is_err():
+        return None
+    table_version, rows = answer.ok_value
+    batch = _rows.read_batch(rows, 0, on_rejected)
+    if batch is None:
+        return None
+    value = {
+        "table_version": table_version,
+        "rows": [attrs.asdict(row) for row in rows],
+    }
+    stored = await client.put_object(OBJECT, value)
+    if stored.is_err():
+        return None
+    await _compact(client, rows)
+    return batch.revision
+
+
+async def _compact(client, rows):
+    """Drop the deletion records that every instance has long seen."""
+    head = _rows.read_revision_row(rows)
+    horizon = head.revision - KEPT_REVISIONS
+    gone = [
+        row
+        for row in rows
+        if row.key != _rows.REVISION_KEY
+        and row.value is not None
+        and row.value["spec"] is None
+        and row.value["revision"] <= horizon
+    ]
+    if not gone:
+        return
+    value = {
+        "revision": head.revision,
+        "horizon": horizon,
+        "recent": [list(pair) for pair in head.recent.items()],
+    }
+    await client.commit(
+        [platform.Condition(_rows.REVISION_KEY, head.version)],
+        [platform.Write(_rows.REVISION_KEY, value)]
+        + [platform.Write(row.key, None) for row in gone],
+    )
--- a/pomelograde/net/callers.py
+++ b/pomelograde/net/callers.py
@@ -204,6 +204,9 @@
         if self.key.withdrawn:
             self._refuse(retries.ErrorKind.KEY_WITHDRAWN)
             return
+        if not self.listener.gateway.is_current(self.context.now()):
+            self._refuse(retries.ErrorKind.CONFIGURATION_STALE)
+            return
         if self.listener.gateway.draining:
             self._refuse(retries.ErrorKind.DRAINING)
             return
--- a/pomelograde/net/configuration.py
+++ b/pomelograde/net/configuration.py
@@ -4,15 +4,26 @@
 import uuid
 
 import attrs
-import result
 from twisted.internet import defer, task
 
 from pomelograde.core import resources
-from pomelograde.net import events, platform
+from pomelograde.net import (
+    _commits,
+    _propagation,
+    _rows,
+    _snapshots,
+    events,
+    timers,
+)
 
-PREFIX = "config/"
-REVISION_KEY = "revision"
-MAX_COMMIT_TRIES = 5
+RevisionConflict = _commits.RevisionConflict
+InvalidReference = _commits.InvalidReference
+OutcomeUnknown = _commits.OutcomeUnknown
+NotAccepted = _commits.NotAccepted
+Change = _commits.Change
+
+START_RETRY_S = 0.25
+AWAIT_LOG_INTERVAL_S = 5.0
 
 
 @attrs.frozen
@@ -23,23 +34,13 @@
     ----------
     old, new : Configuration
         Before and after.
+    changes : list of Resource
+        What is new, in the order of revisions; a deletion has no spec.
     """
 
     old: resources.Configuration
     new: resources.Configuration
-
-
-@attrs.frozen
-class RevisionConflict:
-    """A change named a revision that is no longer the resource's.
-
-    Attributes
-    ----------
-    current : Resource or None
-        The resource as it is now.
-    """
-
-    current: resources.Resource | None
+    changes: list = attrs.field(factory=list)
 
 
 class ConfigurationTask:
@@ -54,50 +55,101 @@
 
     Attributes
     ----------
-    current : Configuration
-        Configuration in force.
+    log : ConfigurationLog
+        Configuration in force and the last change of each resource.
+    evidence : Evidence
+        When the revision was last known to be the latest one.
     listeners : list of callable
         Called with each `Changed`.
-    confirmed_at : float
-        When the platform last confirmed the revision, in monotonic seconds.
     """
 
     def __init__(self, context, client):
         self.context = context
         self.client = client
-        self.current = resources.Configuration()
+        self.log = resources.ConfigurationLog()
+        self.evidence = resources.Evidence()
+        self.committer = _commits.Committer(context, client, self.log, self.read_head)
+        self.propagation = _propagation.Propagation(context, self)
         self.table_version = 0
-        self.confirmed_at = float("-inf")
+        self.table_revision = 0
+        self.head = _rows.RevisionRow()
+        self.snapshot_revision = 0
+        self.snapshot_running = False
         self.listeners = []
         self.available = True
-        self.loop = task.LoopingCall(self._poll)
+        self.stopped = False
+        self.loop = None
+        self.propagation.attach()
+
+    @property
+    def current(self):
+        """Configuration in force."""
+        return self.log.current
+
+    @property
+    def confirmed_at(self):
+        """When the revision was last known to be the latest one."""
+        return self.evidence.confirmed_at
+
+    def is_current(self, now):
+        """Return whether the evidence is recent enough to serve by keys."""
+        limit_s = self.context.settings.configuration.stale_after_s
+        return now - self.evidence.confirmed_at < limit_s
 
-    def start(self):
-        """Begin polling; returns a Deferred that fires after the first poll."""
-        self.loop.clock = self.context.reactor
-        first = defer.ensureDeferred(self.refresh())
+    async def start(self):
+        """Fetch the configuration, from the platform or from peers."""
+        warned_at = float("-inf")
+        while not self.stopped:
+            await self._load_snapshot()
+            if (await self.refresh()).is_ok():
+                break
+            await self.propagation.ask_all()
+            if self.current.revision and self.is_current(self.context.now()):
+                break
+            if self.context.now() - warned_at >= AWAIT_LOG_INTERVAL_S:
+                warned_at = self.context.now()
+                self._log_waiting()
+            await task.deferLater(self.context.reactor, START_RETRY_S)
+        if self.stopped:
+            return
         interval_s = self.context.settings.platform.poll_interval_s
-        first.addCallback(lambda _: self._loop(interval_s) and None)
-        return first
+        self.loop = timers.start_loop(self.context, interval_s, self._poll, now=False)
+        self.propagation.start()
 
     def stop(self):
         """End polling."""
-        if self.loop.running:
+        self.stopped = True
+        self.propagation.stop()
+        if self.loop is not None and self.loop.running:
             self.loop.stop()
 
     async def refresh(self):
-        """Fetch what has changed since the last look."""
+        """Fetch what has changed since the last look; returns a Result."""
         asked_at = self.context.now()
-        answer = await self.client.rows(PREFIX, self.table_version)
+        after, after_version = self.table_revision, self.table_version
+        answer = await self.client.rows(_rows.PREFIX, after_version)
         self._note_availability(answer)
         if answer.is_err():
-            return
+            return answer
         version, rows = answer.ok_value
-        self._apply(rows)
-        self.table_version = max(self.table_version, version)
-        self.confirmed_at = asked_at
+        batch = _rows.read_batch(rows, after, self.on_rejected)
+        if batch is not None:
+            self.take(batch, whole=after_version == 0)
+        if version > self.table_version:
+            self.table_version = version
+        if batch is not None and batch.revision >= self.table_revision:
+            self.table_revision = batch.revision
+            self.head = _rows.read_revision_row(rows)
+        self.evidence.on_platform(asked_at)
+        self.committer.on_confirmed()
+        return answer
 
-    async def write(self, kind, name, spec, expected=None):
+    async def read_head(self):
+        """Fetch the latest configuration; returns a Result of `RevisionRow`."""
+        answer = await self.refresh()
+        return answer.map(lambda _: self.head)
+
+    async def write(self, kind, name, spec, expected=None, change_id=""):
         """Accept a change of one resource.
 
         Parameters
@@ -108,85 +160,91 @@
             Checked spec; None deletes the resource.
         expected : int or None
             Revision that the resource must have; 0 for none; None for any.
+        change_id : str
+            Id that makes the change idempotent; made here where empty.
 
         Returns
         -------
-        Result of Resource or RevisionConflict or Unavailable
+        Result of Resource or RevisionConflict or InvalidReference \
+or OutcomeUnknown or NotAccepted
             The resource as accepted.
         """
-        change_id = uuid.UUID(int=self.context.random.getrandbits(128)).hex
-        for _ in range(MAX_COMMIT_TRIES):
-            await self.refresh()
-            known = self.current.resources.get((kind, name))
-            at = 0 if known is None else known.revision
-            if expected is not None and expected != at:
-                return result.Err(RevisionConflict(known))
-            outcome = await self._commit(kind, name, spec, change_id)
-            if outcome.is_ok():
-                await self.refresh()
-                return outcome
-            if isinstance(outcome.err_value, platform.Unavailable):
-                return outcome
-        return result.Err(RevisionConflict(self.current.resources.get((kind, name))))
-
-    async def _commit(self, kind, name, spec, change_id):
-        before = await self.client.rows(REVISION_KEY)
-        if before.is_err():
-            return before
-        _, rows = before.ok_value
-        row = rows[0] if rows else platform.Row(REVISION_KEY, {"revision": 0}, 0)
-        revision = row.value["revision"] + 1
-        value = {
-            "revision": revision,
-            "change_id": change_id,
-            "spec": None if spec is None else resources.dump(spec),
-        }
-        answer = await self.client.commit(
-            [platform.Condition(REVISION_KEY, row.version)],
-            [
-                platform.Write(REVISION_KEY, {"revision": revision}),
-                platform.Write(f"{PREFIX}{kind}/{name}", value),
-            ],
-        )
-        return answer.map(lambda _: resources.Resource(kind, name, spec, revision))
+        if not change_id:
+            change_id = uuid.UUID(int=self.context.random.getrandbits(128)).hex
+        before = self.current.revision
+        change = _commits.Change(kind, name, spec, change_id, expected)
+        outcome = await self.committer.commit(change)
+        if outcome.is_ok():
+            accepted = outcome.ok_value
+            after = accepted.revision - 1
+            self.take(resources.Batch(after, accepted.revision, [accepted]))
+            self.propagation.push(min(before, after))
+        return outcome
 
-    def _loop(self, interval_s):
-        self.loop.start(interval_s, now=False)
+    def take(self, batch, whole=False):
+        """Apply a batch from the platform or a peer; returns what came of it."""
+        behind_horizon = whole and batch.horizon > self.current.revision > 0
+        take = self.log.replace if behind_horizon else self.log.take
+        outcome = take(batch)
+        if isinstance(outcome, resources.Applied):
+            self._notify(outcome)
+        return outcome
+
+    def _notify(self, applied):
+        self.context.log.write(
+            events.Event.CONFIGURATION_APPLIED, revision=applied.new.revision
+        )
+        changed = Changed(applied.old, applied.new, applied.changes)
+        for listener in list(self.listeners):
+            listener(changed)
 
     def _poll(self):
-        return defer.ensureDeferred(self.refresh())
-
-    def _apply(self, rows):
-        old = self.current
-        new = old
-        parsed = filter(None, map(self._parse, rows))
-        for resource in sorted(parsed, key=lambda found: found.revision):
-            new = new.apply(resource)
-        if new is old:
+        if not self.propagation.polls_platform():
+            return None
+        return defer.ensureDeferred(self._poll_platform())
+
+    async def _poll_platform(self):
+        answer = await self.refresh()
+        if answer.is_err() or self.snapshot_running:
+            return
+        due = self.snapshot_revision + _snapshots.SNAPSHOT_EVERY
+        is_due = self.snapshot_revision == 0 or self.current.revision >= due
+        if self.propagation.is_poller() and is_due and self.current.revision:
+            await self._store_snapshot()
+
+    async def _store_snapshot(self):
+        self.snapshot_running = True
+        try:
+            stored = await _snapshots.store(self.client, self.on_rejected)
+        finally:
+            self.snapshot_running = False
+        if stored is not None:
+            self.snapshot_revision = stored
+
+    async def _load_snapshot(self):
+        if self.current.revision:
             return
-        self.current = new
+        answer = await _snapshots.load(self.client, self.on_rejected)
+        if answer.is_err() or answer.ok_value is None:
+            return
+        snapshot = answer.ok_value
+        self.take(snapshot.batch)
+        self.head = snapshot.head
+        self.table_version = snapshot.table_version
+        self.table_revision = self.snapshot_revision = snapshot.batch.revision
+
+    def _log_waiting(self):
         self.context.log.write(
-            events.Event.CONFIGURATION_APPLIED, revision=new.revision
+            events.Event.CONFIGURATION_AWAITED,
+            platform=self.context.settings.platform.url,
+            peers=len(self.context.members.instances) - 1,
         )
-        for listener in self.listeners:
-            listener(Changed(old, new))
 
-    def _parse(self, row):
-        kind, _, name = row.key.removeprefix(PREFIX).partition("/")
-        value = row.value
-        if kind not in resources.KINDS or value is None:
-            return None
-        if value["spec"] is None:
-            return resources.Resource(kind, name, None, value["revision"])
-        checked = resources.validate(kind, value["spec"])
-        if checked.is_err():
-            self.context.log.write(
-                events.Event.CONFIGURATION_REJECTED,
-                resource=row.key,
-                reason="; ".join(checked.err_value),
-            )
-            return None
-        return resources.Resource(kind, name, checked.ok_value, value["revision"])
+    def on_rejected(self, key, reason):
+        """Log a stored resource that does not pass its check."""
+        self.context.log.write(
+            events.Event.CONFIGURATION_REJECTED, resource=key, reason=reason
+        )
 
     def _note_availability(self, answer):
         available = answer.is_ok()
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -39,6 +39,7 @@
         self.by_key = {}
         self.exchanges = set()
         self.draining = False
+        self.was_current = True
         self.sweep = task.LoopingCall(self._sweep)
 
     def start(self):
@@ -63,6 +64,16 @@
         self.by_key.setdefault(session.key_name, set()).add(session)
         self.context.metrics.connections.set(len(self.sessions))
 
+    def is_current(self, now):
+        """Return whether requests by key may be served.
+
+        Notes
+        -----
+        Weighed at each request, and not by a timer, so that an instance that
+        was paused refuses at once.
+        """
+        return self.configuration.is_current(now)
+
     def forget(self, session):
         """Drop a caller that is gone."""
         self.sessions.discard(session)
@@ -124,7 +135,22 @@
 
     def _sweep(self):
         now = self.context.now()
+        self._log_evidence(now)
         late = [found for found in self.exchanges if found.deadline <= now]
         for exchange in late:
             if not exchange.done:
                 exchange.expire()
+
+    def _log_evidence(self, now):
+        current = self.is_current(now)
+        if current == self.was_current:
+            return
+        self.was_current = current
+        revision = self.configuration.current.revision
+        if current:
+            event = events.Event.CONFIGURATION_CONFIRMED
+            self.context.log.write(event, revision=revision)
+            return
+        age_s = round(self.configuration.evidence.age(now), 3)
+        event = events.Event.CONFIGURATION_STALE
+        self.context.log.write(event, revision=revision, age_s=age_s)
--- a/pomelograde/net/operators.py
+++ b/pomelograde/net/operators.py
@@ -120,7 +120,15 @@
             current = None if fault.current is None else _dump(fault.current)
             _finish(request, 409, {"message": "conflict", "current": current})
             return
-        message = f"platform unavailable ({fault.reason}); outcome unknown"
+        if isinstance(fault, configuration.InvalidReference):
+            _finish(request, 422, {"message": "; ".join(fault.faults)})
+            return
+        if isinstance(fault, configuration.OutcomeUnknown):
+            message = f"outcome unknown: the platform did not answer ({fault.reason})"
+            body = {"message": message, "changeId": fault.change_id}
+            _finish(request, 503, body)
+            return
+        message = f"not accepted: the platform is unavailable ({fault.reason})"
         _finish(request, 503, {"message": message})
 
     def _status(self):
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -213,6 +213,10 @@
             self._admit(batch, self._deadline())
 
     def _admit(self, batch, deadline):
+        if not self.gateway.is_current(self.context.now()):
+            kind = retries.ErrorKind.CONFIGURATION_STALE
+            self.refuse(retries.Failure(kind))
+            return
         admission = self.gateway.admission
         admitted = self.connection is not None or admission.try_admit(
             self.account, self.context.now()
--- a/pomelograde/standins/seed.py
+++ b/pomelograde/standins/seed.py
@@ -46,5 +46,5 @@
     for revision, (kind, name, spec) in enumerate(found, start=1):
         value = {"revision": revision, "change_id": f"seed-{revision}", "spec": spec}
         rows.append({"key": f"config/{kind}/{name}", "value": value})
-    rows.append({"key": "revision", "value": {"revision": len(found)}})
+    rows.append({"key": "config/revision", "value": {"revision": len(found)}})
     return rows
