Share scarce upstream connections fairly between database roles

Cause: with 2 connections and 8 client accounts nearly every statement opened a connection (182 openings for 91 statements a second), since one waiter could have several openings under way and a role lost its connection at once. Change: one opening at a time for a role when connections are scarce, a tenure of 30 ms for a role with waiters, waiters in order for each account, hopeless waiters refused at once with the time after which to retry.

--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -2,10 +2,11 @@
 
 import attrs
 
-from pomelograde.core.pooling import _queue
+from pomelograde.core.pooling import _pace, _queue
 from pomelograde.core.retries import _errors
 
 MAX_QUEUE_LENGTH = 2000  # waiters for one member
+ROLE_TENURE_S = 0.03  # time that a role keeps a connection others wait for
 
 
 @attrs.frozen
@@ -52,18 +53,25 @@
     Notes
     -----
     A connection belongs to one database role for its life. When the limit is
-    reached, an idle connection of another role is closed to make room.
+    reached, an idle connection of another role is closed to make room. A role
+    that has waiters of its own keeps a connection for `ROLE_TENURE_S` first,
+    so that the time for opening is spread over several statements.
+
+    A waiter that can't be served by its deadline, as the queue moves now, is
+    refused at once.
     """
 
     def __init__(self, limit, max_queue=MAX_QUEUE_LENGTH):
         self.limit = limit
         self.max_queue = max_queue
         self.queue = _queue.FairQueue()
+        self.pace = _pace.Pace()
         self.idle = {}
         self.idle_count = 0
         self.opening = {}
         self.opening_count = 0
         self.busy_count = 0
+        self.tenure_from = {}
 
     @property
     def size(self):
@@ -81,8 +89,9 @@
         connection = self.take_at_once(waiter.role)
         if connection is not None:
             return [Assign(waiter, connection)]
-        if self.queue.length >= self.max_queue:
-            return [Refuse(waiter, _errors.Failure(_errors.ErrorKind.QUEUE_FULL))]
+        failure = self._forecast(waiter, now)
+        if failure is not None:
+            return [Refuse(waiter, failure)]
         self.queue.push(waiter)
         return self.dispatch(now)
 
@@ -90,31 +99,30 @@
         """Give a healthy connection back; returns the actions to carry out."""
         self.busy_count -= 1
         if self.size >= self.limit:
+            self.tenure_from.pop(connection, None)
             return [Close(connection), *self.dispatch(now)]
+        self._put_idle(connection, role)
         if self.queue.length == 0:
-            self._put_idle(connection, role)
             return []
-        self._put_idle(connection, role)
         return self.dispatch(now)
 
     def opened(self, connection, role, now):
         """Take in a connection that was opened; returns the actions."""
         self._forget_opening(role)
+        self.tenure_from[connection] = now
         self._put_idle(connection, role)
         return self.dispatch(now)
 
     def open_failed(self, role, failure, now):
         """Note that opening failed; the role's first waiter is refused."""
         self._forget_opening(role)
-        waiter = self._first_of_role(role)
-        actions = []
-        if waiter is not None:
-            waiter.abandoned = True
-            actions.append(Refuse(waiter, failure))
-        return [*actions, *self.dispatch(now)]
+        waiter = self.queue.pop_role(role)
+        refusals = [] if waiter is None else [Refuse(waiter, failure)]
+        return [*refusals, *self.dispatch(now)]
 
     def lost(self, connection, role, was_idle, now):
         """Note that an open connection is gone; returns the actions."""
+        self.tenure_from.pop(connection, None)
         if was_idle:
             self._drop_idle(connection, role)
         else:
@@ -143,38 +151,66 @@
                 return actions
             connection = self._take_idle(waiter.role)
             if connection is not None:
-                self.queue.pop()
-                actions.append(Assign(waiter, connection))
+                actions.append(self._assign(self.queue.pop(), connection, now))
                 continue
-            if not self._make_room(waiter.role, actions):
-                return actions
-
-    def _make_room(self, role, actions):
-        """Open a connection for `role` if one more is useful and allowed."""
-        if self.opening.get(role, 0) >= self._waiting(role):
-            return False
-        if self.size >= self.limit:
-            if not self.idle_count:
-                return False
-            actions.append(Close(self._evict(role)))
-        self.opening[role] = self.opening.get(role, 0) + 1
-        self.opening_count += 1
-        actions.append(Open(role))
-        return False
-
-    def _waiting(self, role):
-        return sum(
-            1
-            for entry in self.queue.heap
-            if entry[2].role == role and not entry[2].abandoned
+            assigned = self._serve_tenants(waiter.role, now)
+            if assigned is not None:
+                actions.append(assigned)
+                continue
+            self._make_room(actions)
+            return actions
+
+    def _forecast(self, waiter, now):
+        """Return why a waiter can't be queued, or None."""
+        kind = _errors.ErrorKind.QUEUE_FULL
+        wait_s = self.pace.expect_wait(
+            self.queue.count_account(waiter.account), len(self.queue.by_account)
         )
+        if self.queue.length >= self.max_queue or now + wait_s > waiter.deadline:
+            return _errors.Failure(kind, retry_after_s=wait_s)
+        return None
 
-    def _first_of_role(self, role):
-        for _, _, waiter in sorted(self.queue.heap, key=lambda entry: entry[:2]):
-            if waiter.role == role and not waiter.abandoned:
-                return waiter
+    def _assign(self, waiter, connection, now):
+        self.pace.note(now, self.queue.length == 0)
+        return Assign(waiter, connection)
+
+    def _serve_tenants(self, wanted_role, now):
+        """Let a role with waiters use its idle connection a while longer."""
+        if self.size < self.limit:
+            return None
+        for role, connections in self.idle.items():
+            if role == wanted_role or not connections:
+                continue
+            tenure_s = now - self.tenure_from.get(connections[-1], now)
+            if tenure_s >= ROLE_TENURE_S:
+                continue
+            waiter = self.queue.pop_role(role)
+            if waiter is not None:
+                return self._assign(waiter, self._take_idle(role), now)
         return None
 
+    def _make_room(self, actions):
+        """Open a connection for the first role that one is useful for.
+
+        Notes
+        -----
+        A role that a connection is being opened for has to wait for it when
+        connections are scarce, so that another role gets the next one.
+        """
+        scarce = self.size >= self.limit
+        if scarce and not self.idle_count:
+            return
+        for role in self.queue.roles():
+            opening = self.opening.get(role, 0)
+            if opening >= (1 if scarce else self.queue.count_role(role)):
+                continue
+            if scarce:
+                actions.append(Close(self._evict(role)))
+            self.opening[role] = opening + 1
+            self.opening_count += 1
+            actions.append(Open(role))
+            return
+
     def _take_idle(self, role):
         connections = self.idle.get(role)
         if not connections:
@@ -197,7 +233,9 @@
         roles = [r for r, found in self.idle.items() if found and r != keep_role]
         role = max(roles, key=lambda r: len(self.idle[r]), default=keep_role)
         self.idle_count -= 1
-        return self.idle[role].pop(0)
+        connection = self.idle[role].pop(0)
+        self.tenure_from.pop(connection, None)
+        return connection
 
     def _forget_opening(self, role):
         self.opening[role] -= 1
--- a/tests/core/pooling/test_pool.py
+++ b/tests/core/pooling/test_pool.py
@@ -1,12 +1,45 @@
 """Tests of the pool and its fair queue."""
 
+import hypothesis
+import hypothesis.strategies as st
 import testtools
+from hypothesis import stateful
 
-from pomelograde.core import pooling
+from pomelograde.core import pooling, retries
 
+FAR = 1e9
 
-def waiter(account, deadline=10.0, role="role"):
-    return pooling.Waiter(account, role, deadline, None)
+
+def waiter(account, deadline=FAR, role=None, weight=1.0):
+    return pooling.Waiter(account, role or account, deadline, None, weight)
+
+
+class FairQueueTests(testtools.TestCase):
+    def test_busy_account_does_not_starve_another(self):
+        queue = pooling.FairQueue()
+        for _ in range(100):
+            queue.push(waiter("busy"))
+        queue.push(waiter("quiet"))
+        first = [queue.pop().account for _ in range(3)]
+        self.assertIn("quiet", first)
+
+    def test_weights_share_the_turns(self):
+        queue = pooling.FairQueue()
+        for _ in range(100):
+            queue.push(waiter("heavy", weight=3.0))
+            queue.push(waiter("light"))
+        turns = [queue.pop().account for _ in range(40)]
+        self.assertEqual(30, turns.count("heavy"))
+
+    def test_abandoned_waiters_are_passed_over(self):
+        queue = pooling.FairQueue()
+        first = waiter("a")
+        second = waiter("a")
+        queue.push(first)
+        queue.push(second)
+        first.abandoned = True
+        self.assertIs(second, queue.pop())
+        self.assertEqual(0, queue.length)
 
 
 class PoolTests(testtools.TestCase):
@@ -18,19 +51,26 @@
 
     def test_closes_idle_connection_of_another_role_to_make_room(self):
         pool = pooling.Pool(1)
-        pool.request(waiter("a", role="one"), 0.0)
+        pool.request(waiter("one"), 0.0)
         pool.opened("c1", "one", 0.0)
         pool.release("c1", "one", 0.0)
-        actions = pool.request(waiter("b", role="two"), 0.0)
+        actions = pool.request(waiter("two"), 0.0)
         self.assertEqual([pooling.Close("c1"), pooling.Open("two")], actions)
 
-    def test_busy_account_does_not_starve_another(self):
-        queue = pooling.FairQueue()
-        for _ in range(100):
-            queue.push(waiter("busy"))
-        queue.push(waiter("quiet"))
-        first = [queue.pop().account for _ in range(3)]
-        self.assertIn("quiet", first)
+    def test_role_with_waiters_keeps_its_connection_for_its_tenure(self):
+        pool = pooling.Pool(1)
+        pool.request(waiter("one"), 0.0)
+        pool.opened("c1", "one", 0.0)
+        first_other = waiter("two")
+        pool.request(first_other, 0.0)
+        own = waiter("one")
+        pool.request(own, 0.0)
+        self.assertEqual([pooling.Assign(own, "c1")], pool.release("c1", "one", 0.01))
+        pool.request(waiter("one"), 0.02)
+        self.assertEqual(
+            [pooling.Close("c1"), pooling.Open("two")],
+            pool.release("c1", "one", 0.05),
+        )
 
     def test_expired_waiters_are_refused_as_not_run(self):
         pool = pooling.Pool(1)
@@ -39,3 +79,106 @@
         self.assertEqual(1, len(actions))
         self.assertIsInstance(actions[0], pooling.Refuse)
         self.assertIsNone(pool.queue.peek())
+
+    def test_waiter_that_cannot_be_served_in_time_is_refused_at_once(self):
+        pool = pooling.Pool(1)
+        pool.request(waiter("a"), 0.0)
+        pool.opened("c", "a", 0.0)
+        for _ in range(60):
+            pool.request(waiter("a"), 0.0)
+        for turn in range(40):
+            pool.release("c", "a", 1.0 + turn)
+        (refusal,) = pool.request(waiter("a", deadline=45.0), 41.0)
+        self.assertIs(retries.ErrorKind.QUEUE_FULL, refusal.failure.kind)
+        self.assertTrue(refusal.failure.retry_after_s > 4.0)
+
+
+class PoolMachine(stateful.RuleBasedStateMachine):
+    """Any order of events keeps the pool's books."""
+
+    def __init__(self):
+        super().__init__()
+        self.pool = pooling.Pool(3)
+        self.now = 0.0
+        self.roles = {}
+        self.opening = []
+        self.busy = []
+        self.waiting = []
+        self.served = 0
+        self.asked = 0
+        self.refused = 0
+
+    def carry_out(self, actions):
+        for action in actions:
+            if isinstance(action, pooling.Assign):
+                assert self.roles[action.connection] == action.waiter.role
+                assert action.connection not in self.busy
+                self.busy.append(action.connection)
+                self.served += 1
+            elif isinstance(action, pooling.Open):
+                self.opening.append(action.role)
+            elif isinstance(action, pooling.Close):
+                assert action.connection not in self.busy
+                del self.roles[action.connection]
+            else:
+                self.refused += 1
+
+    @stateful.rule(account=st.sampled_from("abc"), patience=st.floats(0.1, 5.0))
+    def request(self, account, patience):
+        self.asked += 1
+        found = waiter(account, deadline=self.now + patience)
+        self.carry_out(self.pool.request(found, self.now))
+
+    @stateful.precondition(lambda self: self.opening)
+    @stateful.rule(fails=st.booleans())
+    def end_opening(self, fails):
+        role = self.opening.pop(0)
+        if fails:
+            failure = retries.Failure(retries.ErrorKind.UPSTREAM_UNREACHABLE)
+            self.carry_out(self.pool.open_failed(role, failure, self.now))
+            return
+        connection = f"c{len(self.roles)}-{self.asked}-{self.served}-{self.now}"
+        while connection in self.roles:
+            connection += "x"
+        self.roles[connection] = role
+        self.carry_out(self.pool.opened(connection, role, self.now))
+
+    @stateful.precondition(lambda self: self.busy)
+    @stateful.rule(lose=st.booleans())
+    def end_statement(self, lose):
+        connection = self.busy.pop(0)
+        role = self.roles[connection]
+        if lose:
+            del self.roles[connection]
+            self.carry_out(self.pool.lost(connection, role, False, self.now))
+        else:
+            self.carry_out(self.pool.release(connection, role, self.now))
+
+    @stateful.rule(step=st.floats(0.001, 1.0))
+    def pass_time(self, step):
+        self.now += step
+        self.carry_out(self.pool.expire(self.now))
+
+    @stateful.rule(limit=st.integers(1, 4))
+    def resize(self, limit):
+        self.carry_out(self.pool.resize(limit, self.now))
+
+    @stateful.invariant()
+    def books_balance(self):
+        pool = self.pool
+        assert pool.busy_count == len(self.busy)
+        assert pool.opening_count == len(self.opening)
+        assert pool.idle_count + pool.busy_count == len(self.roles)
+        assert set(pool.tenure_from) == set(self.roles)
+
+    @stateful.invariant()
+    def nobody_waits_without_a_reason(self):
+        pool = self.pool
+        if pool.queue.peek() is not None:
+            assert pool.busy_count or pool.opening_count
+
+
+PoolMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True, max_examples=200, stateful_step_count=40, deadline=None
+)
+PoolMachineTests = PoolMachine.TestCase
