Let operators watch, explain and follow every change

Cause: the resource interface could neither be watched nor tell whether a change was in force; keys could not be issued; faults in a spec named no field, and only the first one was told; the command line imported a stand-in. Change: the operators' interface is split into views, writes and streams; watch resumes without a gap, 409 shows what is there now, 410 and 413 exist, status counts the instances in force, keys are issued, rotated and withdrawn, and events and decisions are kept in bounded records. A check reports all faults at once, each with its path, and never the value of a wrong type. A rotated key closes the connections that showed the old one.

--- /dev/null
+++ b/pomelograde/cli/output.py
@@ -0,0 +1,76 @@
+"""Prints answers as tables or as JSON."""
+
+import json
+
+import click
+import rich.console
+import rich.table
+
+NO_VALUE = "-"
+
+
+def echo_json(value):
+    """Print a JSON value over several lines."""
+    click.echo(json.dumps(value, indent=2))
+
+
+def echo_line(value):
+    """Print a JSON value on one line."""
+    click.echo(json.dumps(value))
+
+
+def echo_table(columns, rows):
+    """Print rows as a table.
+
+    Parameters
+    ----------
+    columns : list of str
+        Headings.
+    rows : list of list
+        Values; None is shown as a dash.
+    """
+    table = rich.table.Table(*columns, box=None, header_style="bold")
+    for row in rows:
+        table.add_row(*[NO_VALUE if cell is None else str(cell) for cell in row])
+    rich.console.Console(soft_wrap=True).print(table)
+
+
+def echo_resources(items):
+    """Print resources of one kind as a table."""
+    fields = sorted({name for item in items for name in item.get("spec") or {}})
+    shown = [name for name in fields if not _is_nested(items, name)]
+    columns = ["name", "version", *shown, "status"]
+    echo_table(
+        columns,
+        [
+            [
+                item["name"],
+                item.get("resourceVersion"),
+                *[(item.get("spec") or {}).get(name) for name in shown],
+                describe_status(item.get("status", {})),
+            ]
+            for item in items
+        ],
+    )
+
+
+def describe_status(status):
+    """Return a status on one line."""
+    conditions = status.get("conditions")
+    if conditions:
+        return ", ".join(_describe_condition(found) for found in conditions)
+    return " ".join(f"{name}={value}" for name, value in status.items())
+
+
+def _describe_condition(condition):
+    text = condition["type"]
+    if condition["status"] != "True":
+        text = f"not {text}"
+    if "of" in condition:
+        text += f" {condition['instances']}/{condition['of']}"
+    return text
+
+
+def _is_nested(items, name):
+    values = [(item.get("spec") or {}).get(name) for item in items]
+    return any(isinstance(value, list | dict) for value in values)
--- a/pomelograde/core/checks.py
+++ b/pomelograde/core/checks.py
@@ -1,21 +1,33 @@
 """Checked conversion of JSON values to attrs classes."""
 
+import math
+import typing
+
 import attrs
 import cattrs
 import cattrs.gen
 import result
 
 CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+TYPE_NAMES = {
+    bool: "a boolean",
+    int: "a whole number",
+    float: "a number",
+    str: "a string",
+    list: "a list",
+    dict: "an object",
+    type(None): "null",
+}
 
 
 def _strict(expected, name):
     def structure(value, _):
-        if isinstance(value, bool) and expected is not bool:
-            raise ValueError(f"expected {name}, got a boolean")
-        if expected is float and isinstance(value, int):
+        if expected is float and type(value) is int:
             return float(value)
-        if not isinstance(value, expected):
-            raise ValueError(f"expected {name}, got {value!r}")
+        if type(value) is not expected:
+            raise ValueError(f"expected {name}, got {TYPE_NAMES[type(value)]}")
+        if expected is float and not math.isfinite(value):
+            raise ValueError(f"expected {name}, got one that is not finite")
         return value
 
     return structure
@@ -41,13 +53,62 @@
     -------
     Result of cls or list of str
         The object, or one message for each fault, each naming its field.
+
+    Notes
+    -----
+    Wrong types and wrong values are found in separate rounds, so that the
+    faults of both are reported together.
     """
     if not isinstance(value, dict):
-        return result.Err(["$: expected an object"])
+        return result.Err(["expected an object @ $"])
+    with attrs.validators.disabled():
+        structured = _convert(value, cls, "$")
+    faults = structured.err_value if structured.is_err() else []
+    faults = faults + list(_check_fields(value, cls, "$"))
+    if faults:
+        return result.Err(sorted(set(faults)))
+    return structured
+
+
+def _convert(value, cls, path):
     try:
         return result.Ok(CONVERTER.structure(value, cls))
     except (cattrs.BaseValidationError, ValueError, TypeError) as error:
-        return result.Err(cattrs.transform_error(error, format_exception=_describe))
+        return result.Err(
+            cattrs.transform_error(error, path=path, format_exception=_describe)
+        )
+
+
+def _check_fields(value, cls, path):
+    """Yield the faults of the values whose types are right."""
+    if typing.get_origin(cls) is list:
+        if isinstance(value, list):
+            for index, item in enumerate(value):
+                yield from _check_fields(
+                    item, typing.get_args(cls)[0], f"{path}[{index}]"
+                )
+        return
+    if not attrs.has(cls) or not isinstance(value, dict):
+        return
+    for field in attrs.fields(attrs.resolve_types(cls)):
+        if field.name not in value:
+            continue
+        field_path = f"{path}.{field.name}"
+        yield from _check_fields(value[field.name], field.type, field_path)
+        yield from _check_value(value[field.name], field, field_path)
+
+
+def _check_value(value, field, path):
+    if field.validator is None:
+        return
+    with attrs.validators.disabled():
+        converted = _convert(value, field.type, path)
+    if converted.is_err():
+        return
+    try:
+        field.validator(None, field, converted.ok_value)
+    except ValueError as error:
+        yield f"{error} @ {path}"
 
 
 def unstructure(value):
--- a/pomelograde/core/resources/_configuration.py
+++ b/pomelograde/core/resources/_configuration.py
@@ -19,12 +19,15 @@
         Instance of the kind's class, or None once deleted.
     revision : int
         Revision of the change that wrote it.
+    operator : str
+        Who made the change.
     """
 
     kind: str
     name: str
     spec: object
     revision: int
+    operator: str = ""
 
 
 @attrs.frozen
--- a/pomelograde/core/resources/_references.py
+++ b/pomelograde/core/resources/_references.py
@@ -46,6 +46,10 @@
 @check_references.register
 def _(spec: _kinds.ClientAccountKey, configuration, name):
     faults = _missing(configuration, "accounts", spec.account, "account")
+    known = configuration.get("keys", name)
+    was_withdrawn = known is not None and known.withdrawn
+    if was_withdrawn and not spec.withdrawn and known.verifier == spec.verifier:
+        faults.append("a withdrawn key can't be restored; rotate it @ $.spec.withdrawn")
     if configuration.get("rules", name) is not None:
         faults.append(f"a rule is named {name!r} already @ $.name")
     return faults
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -14,6 +14,7 @@
     configuration,
     context,
     events,
+    exposition,
     gateway,
     metrics,
     operators,
@@ -65,9 +66,11 @@
                 addresses.host, addresses.peer_port
             )
             self.membership.start()
-        site = operators.OperatorSite(self.context, self.gateway, self.configuration)
-        self._listen("operator", server.Site(site))
-        metrics_site = operators.MetricsSite(self.context.metrics)
+        site = operators.OperatorSite(
+            self.context, self.gateway, self.configuration, self._drain
+        )
+        self._listen("operator", operators.make_site(site))
+        metrics_site = exposition.MetricsSite(self.context.metrics)
         self._listen("metrics", server.Site(metrics_site))
         await self.configuration.start()
         if self.configuration.stopped:
@@ -105,6 +108,9 @@
             f"{name}_port": port.getHost().port for name, port in self.ports.items()
         }
 
+    def _drain(self):
+        self.context.reactor.callLater(0.0, self.context.reactor.stop)
+
     def _listen(self, name, factory):
         addresses = self.context.settings.addresses
         number = getattr(addresses, f"{name}_port")
@@ -147,6 +153,7 @@
         members=membership.Membership(own),
         random=random.SystemRandom(),
     )
+    shared.log.record = shared.events
     shared.peers = peers.PeerTask(shared, _peer_tls(settings.peers))
     for seed in settings.seeds:
         shared.members.learn(_seed_instance(seed))
--- a/pomelograde/net/_commits.py
+++ b/pomelograde/net/_commits.py
@@ -76,6 +76,8 @@
         Unique id of the change.
     expected : int or None
         Revision that the resource must have; 0 for none; None for any.
+    operator : str
+        Who makes the change.
     """
 
     kind: str
@@ -83,6 +85,13 @@
     spec: object = attrs.field(repr=False)
     change_id: str
     expected: int | None = None
+    operator: str = ""
+
+    def accepted(self, revision):
+        """Return the resource that the change makes."""
+        return resources.Resource(
+            self.kind, self.name, self.spec, revision, self.operator
+        )
 
 
 class Committer:
@@ -170,9 +179,7 @@
         """Return the outcome where the configuration as it is decides it."""
         revision = head.recent.get(change.change_id)
         if revision is not None:
-            return result.Ok(
-                resources.Resource(change.kind, change.name, change.spec, revision)
-            )
+            return result.Ok(self._find_accepted(change, revision))
         current = self.log.current
         known = current.resources.get((change.kind, change.name))
         at = 0 if known is None else known.revision
@@ -181,9 +188,16 @@
         faults = resources.check_change(current, change.kind, change.name, change.spec)
         return result.Err(InvalidReference(faults)) if faults else None
 
+    def _find_accepted(self, change, revision):
+        """Return what was accepted under a change id that is known already."""
+        known = self.log.current.resources.get((change.kind, change.name))
+        if known is not None and known.revision == revision:
+            return known
+        return change.accepted(revision)
+
     async def _send(self, change, head):
         revision = head.revision + 1
-        accepted = resources.Resource(change.kind, change.name, change.spec, revision)
+        accepted = change.accepted(revision)
         value = head.next_value(change.change_id)
         answer = await self.client.commit(
             [platform.Condition(_rows.REVISION_KEY, head.version)],
--- a/pomelograde/net/_propagation.py
+++ b/pomelograde/net/_propagation.py
@@ -1,10 +1,10 @@
 """Carries configuration changes between instances."""
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.internet import error as net_error
 
 from pomelograde.core import membership, resources
-from pomelograde.net import _rows, peer_messages, peers, timers
+from pomelograde.net import _rows, events, peer_messages, peers, timers
 
 ASK_INTERVAL_S = 0.5
 ASK_TIMEOUT_S = 1.0
@@ -12,6 +12,8 @@
 ASK_ALL_AGE_S = 1.25  # age of evidence above which all peers are asked
 LIST_INTERVAL_S = 5.0
 INSTANCES_A_POLLER = 64
+FOLLOW_TIMEOUT_S = 60.0
+FOLLOW_INTERVAL_S = 0.25
 UNKNOWN_AGE_MS = 2**31
 
 
@@ -71,6 +73,50 @@
         for instance in self._others():
             self.context.peers.send(instance, news)
 
+    def revisions(self):
+        """Return the revision in force by instance, as last heard.
+
+        Notes
+        -----
+        Instances whose address refuses connections run no more and are left
+        out; one that was not heard yet counts as being at revision 0.
+        """
+        self._update_listed()
+        found = {}
+        for name in self.listed:
+            answer = self.configuration.evidence.answers.get(name)
+            if answer is None or not answer.stopped:
+                found[name] = 0 if answer is None else answer.revision
+        own = self.context.members.own.name
+        found[own] = self.configuration.current.revision
+        return found
+
+    def follow(self, change):
+        """Tell the listeners when a change is in force on all instances."""
+        started_at = self.context.now()
+        return defer.ensureDeferred(self._follow(change, started_at))
+
+    async def _follow(self, change, started_at):
+        end = started_at + FOLLOW_TIMEOUT_S
+        while not self._is_in_force(change.revision):
+            if self.context.now() >= end or self.configuration.stopped:
+                return
+            await self.ask_all()
+            if not self._is_in_force(change.revision):
+                await task.deferLater(self.context.reactor, FOLLOW_INTERVAL_S)
+        self.context.log.write(
+            events.Event.RESOURCE_IN_FORCE,
+            resource=f"{change.kind}/{change.name}",
+            revision=change.revision,
+            instances=len(self.revisions()),
+            after_ms=round((self.context.now() - started_at) * 1000.0, 1),
+        )
+        for listener in list(self.configuration.in_force_listeners):
+            listener(change)
+
+    def _is_in_force(self, revision):
+        return all(known >= revision for known in self.revisions().values())
+
     def pollers(self):
         """Return the names of the instances that poll for this data centre."""
         own = self.context.members.own
--- /dev/null
+++ b/pomelograde/net/_resource_writes.py
@@ -0,0 +1,211 @@
+"""Requests of operators that change a resource."""
+
+import functools
+import json
+
+import attrs
+import result
+
+from pomelograde.core import accounts, resources
+from pomelograde.net import _resource_views, configuration, events
+
+SALT_BYTES = 16
+BODY_FIELDS = frozenset(
+    {"kind", "name", "spec", "resourceVersion", "changeId", "rotate", "status"}
+)
+
+
+@attrs.frozen
+class Answer:
+    """Status and JSON body of an answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    body : object
+        JSON value.
+    """
+
+    status: int
+    body: object = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Request:
+    """A checked request to write or delete one resource.
+
+    Attributes
+    ----------
+    kind, name : str
+        Which resource.
+    spec : object or None
+        Checked spec; None deletes the resource.
+    expected : int or None
+        Revision that the resource must have.
+    change_id : str
+        Id that makes the request idempotent; may be empty.
+    issued : str
+        Key in clear, where one was made.
+    """
+
+    kind: str
+    name: str
+    spec: object = attrs.field(repr=False)
+    expected: int | None = None
+    change_id: str = ""
+    issued: str = attrs.field(default="", repr=False)
+
+
+class ResourceWriter:
+    """Carries out operators' changes.
+
+    Parameters
+    ----------
+    context : InstanceContext
+        Parts of the daemon that all tasks share.
+    configuration_task : ConfigurationTask
+        Accepts changes.
+    """
+
+    def __init__(self, context, configuration_task):
+        self.context = context
+        self.configuration = configuration_task
+
+    async def put(self, kind, name, content, operator):
+        """Create or replace a resource; returns an `Answer`."""
+        parsed = self._parse(kind, name, content)
+        if parsed.is_err():
+            return parsed.err_value
+        return await self._carry_out(parsed.ok_value, operator)
+
+    async def delete(self, kind, name, expected, change_id, operator):
+        """Delete a resource; returns an `Answer`."""
+        if self.configuration.current.get(kind, name) is None and not change_id:
+            return Answer(404, {"message": f"{kind}/{name} does not exist"})
+        request = Request(kind, name, None, expected, change_id)
+        return await self._carry_out(request, operator)
+
+    def _parse(self, kind, name, content):
+        try:
+            body = json.loads(content)
+        except ValueError:
+            return result.Err(Answer(400, {"message": "$: not JSON"}))
+        faults = _check_body(body)
+        if faults:
+            return result.Err(Answer(422, {"message": "; ".join(faults)}))
+        spec, issued = body["spec"], ""
+        if kind == "keys" and isinstance(spec, dict):
+            spec, issued = self._fill_key(name, spec, body.get("rotate", False))
+        checked = resources.validate(kind, spec)
+        if checked.is_err():
+            message = "; ".join(_below_spec(fault) for fault in checked.err_value)
+            return result.Err(Answer(422, {"message": message}))
+        return result.Ok(
+            Request(
+                kind,
+                name,
+                checked.ok_value,
+                body.get("resourceVersion"),
+                body.get("changeId", ""),
+                issued,
+            )
+        )
+
+    def _fill_key(self, name, spec, rotate):
+        """Return a key's spec with a verifier, and the new key in clear."""
+        known = self.configuration.current.get("keys", name)
+        if "verifier" in spec:
+            return spec, ""
+        if known is not None and not rotate:
+            verifier = resources.dump(known.verifier)
+            return {"withdrawn": known.withdrawn, **spec, "verifier": verifier}, ""
+        random_bytes = self.context.random.randbytes
+        key = accounts.make_key(random_bytes)
+        verifier = accounts.make_verifier(key, random_bytes(SALT_BYTES))
+        return {**spec, "verifier": resources.dump(verifier)}, key
+
+    async def _carry_out(self, request, operator):
+        outcome = await self.configuration.write(
+            request.kind,
+            request.name,
+            request.spec,
+            request.expected,
+            request.change_id,
+            operator.name,
+        )
+        if outcome.is_err():
+            revisions = self.configuration.propagation.revisions()
+            return _refuse(outcome.err_value, revisions)
+        accepted = outcome.ok_value
+        self.context.log.write(
+            events.Event.OPERATOR_CHANGE,
+            operator=operator.name,
+            resource=f"{request.kind}/{request.name}",
+            revision=accepted.revision,
+        )
+        revisions = self.configuration.propagation.revisions()
+        body = _resource_views.describe(accepted, revisions)
+        if request.issued and accepted.spec == request.spec:
+            body["key"] = request.issued
+        return Answer(200, body)
+
+
+def _check_body(body):
+    if not isinstance(body, dict):
+        return ["expected an object @ $"]
+    faults = []
+    unknown = sorted(set(body) - BODY_FIELDS)
+    if unknown:
+        allowed = ", ".join(sorted(BODY_FIELDS))
+        faults.append(f"unknown field {', '.join(unknown)}; allowed: {allowed} @ $")
+    if "spec" not in body:
+        faults.append("required field is missing @ $.spec")
+    version = body.get("resourceVersion")
+    if version is not None and (
+        not isinstance(version, int) or isinstance(version, bool) or version < 0
+    ):
+        faults.append("must be a whole number, 0 or more @ $.resourceVersion")
+    if not isinstance(body.get("changeId", ""), str):
+        faults.append("must be a string @ $.changeId")
+    if not isinstance(body.get("rotate", False), bool):
+        faults.append("must be true or false @ $.rotate")
+    return faults
+
+
+def _below_spec(fault):
+    message, separator, path = fault.rpartition("$")
+    return f"{message}$.spec{path}" if separator else fault
+
+
+@functools.singledispatch
+def _refuse(fault, revisions):
+    raise TypeError(f"unknown fault {fault!r}")
+
+
+@_refuse.register
+def _(fault: configuration.RevisionConflict, revisions):
+    current = fault.current
+    shown = None if current is None else _resource_views.describe(current, revisions)
+    message = "conflict: the resource has another resourceVersion"
+    return Answer(409, {"message": message, "current": shown})
+
+
+@_refuse.register
+def _(fault: configuration.InvalidReference, revisions):
+    return Answer(422, {"message": "; ".join(fault.faults)})
+
+
+@_refuse.register
+def _(fault: configuration.OutcomeUnknown, revisions):
+    message = (
+        f"outcome unknown: the platform did not answer ({fault.reason}); "
+        "repeat the request with this changeId"
+    )
+    return Answer(503, {"message": message, "changeId": fault.change_id})
+
+
+@_refuse.register
+def _(fault: configuration.NotAccepted, revisions):
+    message = f"not accepted: the platform is unavailable ({fault.reason})"
+    return Answer(503, {"message": message})
--- a/pomelograde/net/_rows.py
+++ b/pomelograde/net/_rows.py
@@ -61,6 +61,7 @@
     value = {
         "revision": change.revision,
         "change_id": change_id,
+        "operator": change.operator,
         "spec": None if change.spec is None else resources.dump(change.spec),
     }
     return platform.Write(f"{PREFIX}{change.kind}/{change.name}", value)
@@ -102,6 +103,7 @@
             "kind": change.kind,
             "name": change.name,
             "revision": change.revision,
+            "operator": change.operator,
             "spec": None if change.spec is None else resources.dump(change.spec),
         }
         for change in batch.changes
@@ -128,11 +130,12 @@
 def _read_change(kind, name, value):
     if kind not in resources.KINDS:
         return result.Err(f"unknown kind {kind!r}")
-    spec = value["spec"]
-    if spec is None:
-        return result.Ok(resources.Resource(kind, name, None, value["revision"]))
-    checked = resources.validate(kind, spec)
+    change = resources.Resource(
+        kind, name, None, value["revision"], value.get("operator", "")
+    )
+    if value["spec"] is None:
+        return result.Ok(change)
+    checked = resources.validate(kind, value["spec"])
     if checked.is_err():
         return result.Err("; ".join(checked.err_value))
-    revision = value["revision"]
-    return result.Ok(resources.Resource(kind, name, checked.ok_value, revision))
+    return result.Ok(attrs.evolve(change, spec=checked.ok_value))
--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -29,6 +29,13 @@
     def stop(self):
         """End all timers."""
 
+    def describe(self):
+        """Return the limits in force on this instance as JSON values, by name."""
+        return {
+            name: {"rate_per_s": bucket.rate_per_s, "burst": bucket.burst}
+            for name, bucket in self.buckets.items()
+        }
+
     def try_admit(self, account, now):
         """Take one request of a client account's rate if it may run now.
 
--- a/pomelograde/net/configuration.py
+++ b/pomelograde/net/configuration.py
@@ -24,6 +24,7 @@
 
 START_RETRY_S = 0.25
 AWAIT_LOG_INTERVAL_S = 5.0
+LOGGED_CHANGES = 32  # of one batch
 
 
 @attrs.frozen
@@ -61,6 +62,9 @@
         When the revision was last known to be the latest one.
     listeners : list of callable
         Called with each `Changed`.
+    in_force_listeners : list of callable
+        Called with each change that was accepted here, once it is in force on
+        all instances.
     """
 
     def __init__(self, context, client):
@@ -76,6 +80,7 @@
         self.snapshot_revision = 0
         self.snapshot_running = False
         self.listeners = []
+        self.in_force_listeners = []
         self.available = True
         self.stopped = False
         self.loop = None
@@ -149,7 +154,7 @@
         answer = await self.refresh()
         return answer.map(lambda _: self.head)
 
-    async def write(self, kind, name, spec, expected=None, change_id=""):
+    async def write(self, kind, name, spec, expected=None, change_id="", operator=""):
         """Accept a change of one resource.
 
         Parameters
@@ -162,6 +167,8 @@
             Revision that the resource must have; 0 for none; None for any.
         change_id : str
             Id that makes the change idempotent; made here where empty.
+        operator : str
+            Who makes the change.
 
         Returns
         -------
@@ -172,13 +179,14 @@
         if not change_id:
             change_id = uuid.UUID(int=self.context.random.getrandbits(128)).hex
         before = self.current.revision
-        change = _commits.Change(kind, name, spec, change_id, expected)
+        change = _commits.Change(kind, name, spec, change_id, expected, operator)
         outcome = await self.committer.commit(change)
         if outcome.is_ok():
             accepted = outcome.ok_value
             after = accepted.revision - 1
             self.take(resources.Batch(after, accepted.revision, [accepted]))
             self.propagation.push(min(before, after))
+            self.propagation.follow(accepted)
         return outcome
 
     def take(self, batch, whole=False):
@@ -194,10 +202,20 @@
         self.context.log.write(
             events.Event.CONFIGURATION_APPLIED, revision=applied.new.revision
         )
+        for change in applied.changes[-LOGGED_CHANGES:]:
+            self._log_change(change)
         changed = Changed(applied.old, applied.new, applied.changes)
         for listener in list(self.listeners):
             listener(changed)
 
+    def _log_change(self, change):
+        self.context.log.write(
+            events.Event.RESOURCE_CHANGED,
+            resource=f"{change.kind}/{change.name}",
+            revision=change.revision,
+            operator=change.operator,
+        )
+
     def _poll(self):
         if not self.propagation.polls_platform():
             return None
--- a/pomelograde/net/context.py
+++ b/pomelograde/net/context.py
@@ -1,11 +1,12 @@
 """What all tasks of one daemon share."""
 
 import random
+import time
 
 import attrs
 
 from pomelograde.core import membership, routing
-from pomelograde.net import events, metrics, upstream
+from pomelograde.net import events, metrics, records, upstream
 
 
 @attrs.define(eq=False)
@@ -32,6 +33,10 @@
         Messages to and from other instances.
     classifier : Classifier
         Statement classes.
+    events : EventRecord
+        Last events of this instance.
+    decisions : DecisionRecord
+        Recent decisions on requests, by client account.
     """
 
     reactor: object
@@ -43,6 +48,12 @@
     random: random.Random
     peers: object = None
     classifier: routing.Classifier = attrs.field(factory=routing.Classifier)
+    events: records.EventRecord = attrs.field(
+        factory=lambda: records.EventRecord(time.time)
+    )
+    decisions: records.DecisionRecord = attrs.field(
+        factory=lambda: records.DecisionRecord(time.time)
+    )
 
     def now(self):
         """Return monotonic seconds."""
--- a/pomelograde/net/events.py
+++ b/pomelograde/net/events.py
@@ -28,6 +28,8 @@
     CONFIGURATION_AWAITED = 402
     CONFIGURATION_STALE = 403
     CONFIGURATION_CONFIRMED = 404
+    RESOURCE_CHANGED = 405
+    RESOURCE_IN_FORCE = 406
     PLATFORM_UNAVAILABLE = 410
     PLATFORM_AVAILABLE = 411
     KEY_CONNECTIONS_CLOSED = 420
@@ -37,6 +39,7 @@
     INSTANCE_LEAVING = 503
     OPERATOR_REFUSED = 430
     OPERATOR_CHANGE = 431
+    OPERATOR_DRAIN = 432
 
 
 LEVELS = {
@@ -64,11 +67,14 @@
         Name of this instance.
     as_json : bool
         Whether each event is one line of JSON.
+    record : EventRecord or None
+        What keeps the last events for operators.
     """
 
-    def __init__(self, instance, as_json=False):
+    def __init__(self, instance, as_json=False, record=None):
         self.instance = instance
         self.as_json = as_json
+        self.record = record
 
     def write(self, event, **fields):
         """Log an event.
@@ -81,6 +87,8 @@
             Particulars; never a key, a verifier or a password.
         """
         level = LEVELS.get(event, logging.INFO)
+        if level != logging.DEBUG and self.record is not None:
+            self.record.add(event, fields)
         if not logging.level_debug() and level == logging.DEBUG:
             return
         if self.as_json:
--- /dev/null
+++ b/pomelograde/net/exposition.py
@@ -0,0 +1,24 @@
+"""The metrics address."""
+
+from twisted.web import resource
+
+
+class MetricsSite(resource.Resource):
+    """``/metrics`` in the usual text exposition format.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Figures of the daemon.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, metrics):
+        super().__init__()
+        self.metrics = metrics
+
+    def render_GET(self, request):  # noqa: N802
+        """Answer with all figures."""
+        request.setHeader("content-type", "text/plain; version=0.0.4; charset=utf-8")
+        return self.metrics.expose()
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -122,9 +122,13 @@
     def _close_withdrawn(self, configuration):
         for key_name in list(self.by_key):
             key = configuration.get("keys", key_name)
-            if key is not None and not key.withdrawn:
+            sessions = [
+                session
+                for session in self.by_key[key_name]
+                if not _is_valid(key, session)
+            ]
+            if not sessions:
                 continue
-            sessions = list(self.by_key[key_name])
             self.context.log.write(
                 events.Event.KEY_CONNECTIONS_CLOSED,
                 key=key_name,
@@ -154,3 +158,14 @@
         age_s = round(self.configuration.evidence.age(now), 3)
         event = events.Event.CONFIGURATION_STALE
         self.context.log.write(event, revision=revision, age_s=age_s)
+
+
+def _is_valid(key, session):
+    """Return whether a session may go on with the key that it showed."""
+    shown = session.caller.key
+    return (
+        key is not None
+        and not key.withdrawn
+        and key.account == shown.account
+        and key.verifier == shown.verifier
+    )
--- a/pomelograde/net/metrics.py
+++ b/pomelograde/net/metrics.py
@@ -78,6 +78,9 @@
         self.reads = self.add_counter(
             "pomelograde_reads", "Reads by the role of the upstream.", "upstream_role"
         )
+        self.operator_answers = self.add_counter(
+            "pomelograde_operator_answers", "Answers to operators.", "status"
+        )
         self.connections = prometheus_client.Gauge(
             "pomelograde_caller_connections",
             "Open caller connections.",
--- a/pomelograde/net/timers.py
+++ b/pomelograde/net/timers.py
@@ -33,7 +33,7 @@
             events.Event.INTERNAL_FAULT,
             where=getattr(work, "__qualname__", ""),
             error=reason.type.__name__,
-            place=_place(reason),
+            place=place_of(reason),
         )
 
     loop = task.LoopingCall(run)
@@ -42,7 +42,7 @@
     return loop
 
 
-def _place(reason):
+def place_of(reason):
     """Return file and line of a fault, without any value."""
     frames = reason.getTracebackObject()
     if frames is None:
