Make the way of a statement right under faults

Cause: a review of each path found that a deadline during the wait for a majority was answered "not run"; that a connection lost while its position was asked for left the statement hanging; that what a caller had sent ahead ran outside of a transaction that was lost; that a fenced primary's refusal reached the caller; that counts of outstanding statements leaked; that a caller who reads slowly, or sends ahead, was buffered without a bound; that Flush was ignored; that plain SET stayed on the upstream connection and met other sessions; that a COMMIT of a read-only transaction on a replica waited for an acknowledgement. Change: decisions moved to core/retries (attempts, expiry, survival), which say "not run" only where it is certain. Parts know their connection, so a stale one says nothing. A lost transaction aborts until its end, as on a server. A write whose position is known is looked up in the log of the next primary: found, it is acknowledged there; certainly discarded, it is sent again; otherwise its outcome is unknown. Session settings are tracked and replayed before a statement is sent. Batches that a Flush ends are answered at once, in a transaction of the proxy's own where it takes one. Both directions are held up instead of buffered. Reads try replicas whose hint is too old to tell, and a stated age is proved by a floor read within that age. The stand-in describes SHOW, resets single settings and survives a look at a killed member. Changes to tests: tests of `decide` take an Attempt; each case is kept, and a property test of "not run" is added.

--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -37,7 +37,12 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
     TRANSACTION_LOST = "transaction_lost"
+    TRANSACTION_EXPIRED = "transaction_expired"
+    TRANSACTION_ABORTED = "transaction_aborted"
     ACKNOWLEDGEMENT_LOST = "acknowledgement_lost"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    IDEMPOTENCY_UNAVAILABLE = "idempotency_unavailable"
     CONFIGURATION_STALE = "configuration_stale"
     DRAINING = "draining"
     INTERNAL = "internal"
@@ -176,12 +181,42 @@
         "upstream connection was lost; the transaction was rolled back",
         "Run the whole transaction again.",
     ),
+    ErrorKind.TRANSACTION_EXPIRED: Answer(
+        "57014",
+        _NOT_RUN,
+        "deadline passed inside a transaction; the transaction was rolled back",
+        "Run the whole transaction again.",
+    ),
+    ErrorKind.TRANSACTION_ABORTED: Answer(
+        "25P02",
+        _NOT_RUN,
+        "current transaction is aborted, commands are ignored until its end",
+        "Send ROLLBACK, then run the whole transaction again.",
+    ),
     ErrorKind.ACKNOWLEDGEMENT_LOST: Answer(
         "08007",
         _UNKNOWN,
         "the write was not confirmed by a majority of members",
         "Check whether the statement took effect, or use an idempotency key.",
     ),
+    ErrorKind.ANSWER_TOO_LARGE: Answer(
+        "54000",
+        _UNKNOWN,
+        "answer to a write is larger than what is held until its acknowledgement",
+        "Return fewer rows, and check whether the statement took effect.",
+    ),
+    ErrorKind.IDEMPOTENCY_KEY_REUSED: Answer(
+        "22023",
+        _NOT_RUN,
+        "idempotency key was used for another statement",
+        "Use a new idempotency key for each write.",
+    ),
+    ErrorKind.IDEMPOTENCY_UNAVAILABLE: Answer(
+        "0A000",
+        _NOT_RUN,
+        "idempotency keys cannot be used for this statement",
+        "Set pomelograde.idempotency_key to an empty text.",
+    ),
     ErrorKind.CONFIGURATION_STALE: Answer(
         "57P03",
         _NOT_RUN,
--- a/pomelograde/core/routing/_choose.py
+++ b/pomelograde/core/routing/_choose.py
@@ -3,7 +3,7 @@
 import attrs
 
 FAR_COST_FACTOR = 3.0  # outstanding reads that another data centre counts as
-MAX_HINT_AGE_S = 2.0
+BEHIND_HINT_AGE_S = 0.02
 
 
 @attrs.define
@@ -26,6 +26,8 @@
         Whether the member is being taken out.
     outstanding : int
         Statements that this instance has sent and not seen answered.
+    sent : int
+        Statements that this instance has sent.
     """
 
     name: str
@@ -35,6 +37,7 @@
     reachable: bool = True
     leaving: bool = False
     outstanding: int = 0
+    sent: int = 0
 
 
 def covers(position, required):
@@ -52,7 +55,7 @@
     return position is not None and position >= required
 
 
-def choose_replicas(members, primary, required, data_centre, now, lag_s=0.0):
+def choose_replicas(members, primary, required, data_centre, now):
     """Order the replicas for a read, best first.
 
     Parameters
@@ -67,26 +70,24 @@
         Data centre of this instance.
     now : float
         Monotonic seconds.
-    lag_s : float
-        How old a position hint may be before it says nothing, in seconds.
 
     Returns
     -------
     list of MemberView
-        Replicas that may serve the read. One whose fresh hint is behind is
-        left out.
+        Replicas that may serve the read: first those whose hint covers it,
+        then those whose hint is behind but too old to tell. One that was
+        behind just now is left out.
     """
-    fresh_s = lag_s or MAX_HINT_AGE_S
     scored = []
     for member in members:
         if member.name == primary or member.leaving or not member.reachable:
             continue
-        hint_is_fresh = now - member.position_at <= fresh_s
-        if hint_is_fresh and not covers(member.position, required):
+        behind = not covers(member.position, required)
+        if behind and now - member.position_at <= BEHIND_HINT_AGE_S:
             continue
         near = member.data_centre == data_centre
         cost = (member.outstanding + 1) * (1.0 if near else FAR_COST_FACTOR)
-        scored.append((cost, member.name, member))
+        scored.append((behind, cost, member.sent, member.name, member))
     if len(scored) > 1:
         scored.sort()
-    return [entry[2] for entry in scored]
+    return [entry[4] for entry in scored]
--- a/pomelograde/core/routing/_classify.py
+++ b/pomelograde/core/routing/_classify.py
@@ -4,8 +4,12 @@
 
 import attrs
 import pglast
+import pglast.stream
 import pglast.visitors
 
+from pomelograde.core.routing import _functions
+from pomelograde.core.sessions import _settings
+
 MAX_CACHED_TEXT_BYTES = 4096
 MAX_CACHED_TEXTS = 4096
 PROXY_PREFIX = "pomelograde."
@@ -21,6 +25,15 @@
     }
 )
 _WRITING_PREFIXES = ("pg_advisory", "pg_try_advisory", "lo_", "dblink")
+_SESSION_LOCKS = frozenset(
+    {
+        "pg_advisory_lock",
+        "pg_advisory_lock_shared",
+        "pg_try_advisory_lock",
+        "pg_try_advisory_lock_shared",
+    }
+)
+_HOLD_OPTION = 0x20
 
 
 class StatementClass(enum.Enum):
@@ -35,6 +48,7 @@
     SET = "set"
     PROXY_SET = "proxy_set"
     PROXY_SHOW = "proxy_show"
+    DISCARD = "discard"
     UNSUPPORTED = "unsupported"
     EMPTY = "empty"
 
@@ -51,11 +65,29 @@
         Setting that SET or SHOW names, or the reason why it is unsupported.
     value : str or None
         Value that SET gives.
+    commits : bool
+        Whether it may end a transaction with COMMIT.
+    opens : bool
+        Whether it leaves a transaction open.
+    certain : bool
+        Whether a read calls only functions that are known to write nothing.
+    changes : tuple of SettingChange
+        Session settings that it makes.
+    by_text_only : bool
+        Whether the rest depends on constants.
     """
 
     statement_class: StatementClass
     name: str = ""
     value: str | None = None
+    commits: bool = False
+    opens: bool = False
+    certain: bool = True
+    changes: tuple = ()
+    by_text_only: bool = False
+
+
+_BY_FINGERPRINT = (StatementClass.READ, StatementClass.WRITE)
 
 
 class Classifier:
@@ -109,8 +141,9 @@
         known = self.by_fingerprint.get(fingerprint)
         if known is not None:
             return known
-        statement = _merge([_classify_tree(raw.stmt) for raw in _parse(decoded)])
-        if statement.statement_class in (StatementClass.READ, StatementClass.WRITE):
+        statement = merge([_classify_tree(raw.stmt) for raw in _parse(decoded)])
+        cachable = statement.statement_class in _BY_FINGERPRINT
+        if cachable and not statement.by_text_only:
             _remember(self.by_fingerprint, fingerprint, statement, self.max_texts)
         return statement
 
@@ -128,7 +161,8 @@
     cache[key] = value
 
 
-def _merge(statements):
+def merge(statements):
+    """Return one `Statement` for several that run one after the other."""
     if not statements:
         return Statement(StatementClass.EMPTY)
     if len(statements) == 1:
@@ -137,21 +171,43 @@
         if statement.statement_class is StatementClass.UNSUPPORTED:
             return statement
     classes = {statement.statement_class for statement in statements}
-    if classes == {StatementClass.READ}:
-        return statements[0]
-    if classes & {StatementClass.PROXY_SET, StatementClass.PROXY_SHOW}:
+    if classes & _ALONE:
         return Statement(
             StatementClass.UNSUPPORTED, "proxy settings among several statements"
         )
-    return Statement(StatementClass.WRITE)
+    opens = False
+    for statement in statements:
+        ends = statement.statement_class is StatementClass.ROLLBACK
+        opens = statement.opens or (opens and not statement.commits and not ends)
+    return Statement(
+        StatementClass.READ
+        if classes == {StatementClass.READ}
+        else StatementClass.WRITE,
+        commits=any(statement.commits for statement in statements),
+        opens=opens,
+        certain=all(statement.certain for statement in statements),
+        changes=sum((statement.changes for statement in statements), ()),
+        by_text_only=any(statement.by_text_only for statement in statements),
+    )
+
+
+_ALONE = {
+    StatementClass.PROXY_SET,
+    StatementClass.PROXY_SHOW,
+    StatementClass.DISCARD,
+}
+
+
+def _unsupported(reason):
+    return Statement(StatementClass.UNSUPPORTED, reason)
 
 
 def _classify_tree(tree):
     kind = type(tree).__name__
     if kind == "SelectStmt":
-        return Statement(
-            StatementClass.READ if _only_reads(tree) else StatementClass.WRITE
-        )
+        return _classify_select(tree)
+    if kind == "DiscardStmt":
+        return Statement(StatementClass.DISCARD, tree.target.name)
     if kind == "TransactionStmt":
         return _classify_transaction(tree)
     if kind == "VariableSetStmt":
@@ -164,15 +220,35 @@
         return _classify_explain(tree)
     if kind == "CopyStmt":
         return Statement(StatementClass.UNSUPPORTED, "COPY")
-    if kind in ("ListenStmt", "UnlistenStmt", "NotifyStmt"):
+    if kind in ("ListenStmt", "NotifyStmt"):
         return Statement(StatementClass.UNSUPPORTED, "LISTEN and NOTIFY")
-    if kind in ("PrepareStmt", "ExecuteStmt", "DeallocateStmt"):
+    if kind == "DeallocateStmt":
+        return Statement(StatementClass.DISCARD, "DEALLOCATE", tree.name)
+    if kind in ("PrepareStmt", "ExecuteStmt"):
         return Statement(StatementClass.UNSUPPORTED, "SQL PREPARE and EXECUTE")
-    if kind == "DeclareCursorStmt":
-        return Statement(StatementClass.WRITE)
+    if kind == "DeclareCursorStmt" and tree.options & _HOLD_OPTION:
+        return _unsupported("cursors WITH HOLD")
+    relation = getattr(tree, "relation", None) or getattr(tree, "into", None)
+    relation = getattr(relation, "rel", relation)
+    if kind.startswith("Create") and getattr(relation, "relpersistence", "") == "t":
+        return _unsupported("temporary tables")
     return Statement(StatementClass.WRITE)
 
 
+def _classify_select(tree):
+    finder = _WriteFinder()
+    finder(tree)
+    if finder.unsupported:
+        return _unsupported(finder.unsupported)
+    if finder.found:
+        return Statement(
+            StatementClass.WRITE,
+            changes=tuple(finder.changes),
+            by_text_only=finder.by_text_only,
+        )
+    return Statement(StatementClass.READ, certain=finder.certain)
+
+
 def _classify_explain(tree):
     options = {option.defname for option in tree.options or ()}
     if "analyze" not in options:
@@ -185,10 +261,12 @@
     if kind in ("TRANS_STMT_BEGIN", "TRANS_STMT_START"):
         for option in tree.options or ():
             if option.defname == "transaction_read_only" and _constant(option.arg):
-                return Statement(StatementClass.BEGIN_READ_ONLY)
-        return Statement(StatementClass.BEGIN)
+                return Statement(StatementClass.BEGIN_READ_ONLY, opens=True)
+        return Statement(StatementClass.BEGIN, opens=True)
+    if tree.chain:
+        return _unsupported("AND CHAIN")
     if kind == "TRANS_STMT_COMMIT":
-        return Statement(StatementClass.COMMIT)
+        return Statement(StatementClass.COMMIT, commits=True)
     if kind == "TRANS_STMT_ROLLBACK":
         return Statement(StatementClass.ROLLBACK)
     if "PREPARED" in kind or kind == "TRANS_STMT_PREPARE":
@@ -198,11 +276,21 @@
 
 def _classify_set(tree):
     name = tree.name or ""
+    kind = tree.kind.name
     values = [_constant(arg) for arg in tree.args or ()]
     value = ", ".join(str(v) for v in values) if values else None
     if name.startswith(PROXY_PREFIX):
         return Statement(StatementClass.PROXY_SET, name, value)
-    return Statement(StatementClass.SET, name, value)
+    if name == "SESSION CHARACTERISTICS":
+        return _unsupported("SET SESSION CHARACTERISTICS")
+    if tree.is_local or kind == "VAR_SET_MULTI":
+        return Statement(StatementClass.SET, name, value)
+    made = kind in ("VAR_SET_VALUE", "VAR_SET_CURRENT")
+    sql = pglast.stream.RawStream()(tree) if made else ""
+    change = _settings.SettingChange("" if kind == "VAR_RESET_ALL" else name, sql)
+    return Statement(
+        StatementClass.SET, name, value, changes=(change,), by_text_only=True
+    )
 
 
 def _constant(node):
@@ -213,17 +301,15 @@
     return str(inner)
 
 
-def _only_reads(tree):
-    finder = _WriteFinder()
-    finder(tree)
-    return not finder.found
-
-
 class _WriteFinder(pglast.visitors.Visitor):
-    """Looks for anything in a SELECT that may write."""
+    """Looks for anything in a SELECT that may write or change the session."""
 
     def __init__(self):
         self.found = False
+        self.certain = True
+        self.unsupported = ""
+        self.changes = []
+        self.by_text_only = False
 
     def visit_LockingClause(self, ancestors, node):  # noqa: N802
         self.found = True
@@ -244,3 +330,29 @@
         name = node.funcname[-1].sval.lower()
         if name in _WRITING_FUNCTIONS or name.startswith(_WRITING_PREFIXES):
             self.found = True
+        elif name not in _functions.READING or _is_users(node.funcname):
+            self.certain = False
+        if name in _SESSION_LOCKS:
+            self.unsupported = "session-level advisory locks"
+        if name == "set_config":
+            self._on_set_config(node.args or ())
+
+    def _on_set_config(self, arguments):
+        self.by_text_only = True
+        if len(arguments) != 3:
+            return
+        name, value, is_local = (
+            _constant(argument.val) if hasattr(argument, "val") else None
+            for argument in arguments
+        )
+        if is_local is not True and None in (name, value, is_local):
+            self.unsupported = "set_config without constant arguments"
+            return
+        if is_local is not True:
+            quoted = str(value).replace("'", "''")
+            sql = f"SET {name} TO '{quoted}'"
+            self.changes.append(_settings.SettingChange(str(name), sql))
+
+
+def _is_users(path):
+    return len(path) > 1 and path[0].sval != "pg_catalog"
--- /dev/null
+++ b/pomelograde/core/routing/_rules.py
@@ -0,0 +1,31 @@
+"""Which routing rule applies to a caller."""
+
+
+def match(configuration, service, account):
+    """Return the most specific rule for a caller.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Configuration in force.
+    service : str
+        Database service.
+    account : str
+        Client account, or empty for a caller without a key.
+
+    Returns
+    -------
+    RoutingRule or None
+        The rule that names the client account, else one for all of them. A
+        caller without a key matches open rules only.
+    """
+    found = None
+    for resource in configuration.of_kind("rules").values():
+        rule = resource.spec
+        if rule.service != service or (not account and not rule.open):
+            continue
+        if rule.account and rule.account != account:
+            continue
+        if found is None or (rule.account and not found.account):
+            found = rule
+    return found
--- a/pomelograde/core/sessions/__init__.py
+++ b/pomelograde/core/sessions/__init__.py
@@ -1,10 +1,23 @@
-"""Bookmarks and read-your-writes consistency."""
+"""Bookmarks, read-your-writes consistency and session settings."""
 
-from pomelograde.core.sessions import _bookmark
+from pomelograde.core.sessions import _bookmark, _floors, _settings
 
 Bookmark = _bookmark.Bookmark
+FloorHistory = _floors.FloorHistory
 Position = _bookmark.Position
+SettingChange = _settings.SettingChange
+apply_settings = _settings.apply
 decode = _bookmark.decode
 encode = _bookmark.encode
+plan_settings = _settings.plan
 
-__all__ = ["Bookmark", "Position", "decode", "encode"]
+__all__ = [
+    "Bookmark",
+    "FloorHistory",
+    "Position",
+    "SettingChange",
+    "apply_settings",
+    "decode",
+    "encode",
+    "plan_settings",
+]
--- a/pomelograde/net/_batches.py
+++ b/pomelograde/net/_batches.py
@@ -1,10 +1,12 @@
 """Batches of caller frames and their translation for an upstream connection.
 
 A batch is what ends with one ReadyForQuery: a simple Query, or the frames of
-the extended protocol up to Sync.
+the extended protocol up to Sync. What a Flush ends is a batch too, to which a
+Sync is added upstream, so that its answers have a known end.
 """
 
 import collections
+import struct
 
 import attrs
 import xxhash
@@ -22,13 +24,17 @@
 QUERY = ord("Q")
 TERMINATE = ord("X")
 
+UNLIMITED = b"\0\0\0\0"
+
 EXTENDED_KINDS = frozenset((PARSE, BIND, DESCRIBE, CLOSE, EXECUTE, FLUSH))
 _CLASS = routing.StatementClass
+_SYNC_FRAME = _frames.frame(b"S")
 _RANK = {
     _CLASS.EMPTY: 0,
     _CLASS.READ: 1,
     _CLASS.PROXY_SHOW: 2,
     _CLASS.PROXY_SET: 2,
+    _CLASS.DISCARD: 2,
     _CLASS.SET: 3,
     _CLASS.BEGIN_READ_ONLY: 4,
     _CLASS.BEGIN: 5,
@@ -71,11 +77,25 @@
         Whether it is one simple Query.
     statement : Statement
         The most demanding of its statements.
+    executes : bool
+        Whether a statement is run, and not just parsed or described.
+    synced : bool
+        Whether it ends with ReadyForQuery; one that a Flush ended does not.
+    keeps_portal : bool
+        Whether a portal may be needed after it.
     """
 
     frames: list
     simple: bool
     statement: routing.Statement
+    executes: bool = True
+    synced: bool = True
+    keeps_portal: bool = False
+
+    @property
+    def is_empty(self):
+        """Whether it is a Sync alone."""
+        return not self.simple and len(self.frames) == 1
 
 
 @attrs.define(eq=False)
@@ -124,22 +144,35 @@
         return Batch([(QUERY, frame)], True, statement)
 
     def read_extended(self, frames):
-        """Return the batch of extended frames that end with Sync.
+        """Return the batch of extended frames that end with Sync or Flush.
 
         Returns
         -------
         Batch or ErrorKind
             A fault if a frame is malformed.
         """
-        found = routing.Statement(_CLASS.EMPTY)
+        found = []
+        parsed = []
         try:
             for kind, frame in frames:
                 statement = self._read_frame(kind, frame)
-                if statement is not None and _outranks(statement, found):
-                    found = statement
-        except (ValueError, IndexError):
+                if statement is not None:
+                    (parsed if kind == PARSE else found).append(statement)
+        except (ValueError, IndexError, struct.error):
             return retries.ErrorKind.MALFORMED_FRAME
-        return Batch(frames, False, found)
+        kinds = [kind for kind, _ in frames]
+        executions = kinds.count(EXECUTE)
+        keeps_portal = kinds.count(BIND) > executions or any(
+            kind == EXECUTE and frame[-4:] != UNLIMITED for kind, frame in frames
+        )
+        return Batch(
+            frames,
+            False,
+            _merge(found or parsed),
+            executes=executions > 0,
+            synced=kinds[-1] == SYNC,
+            keeps_portal=keeps_portal,
+        )
 
     def forget(self, names):
         """Drop statements whose Parse failed."""
@@ -164,6 +197,8 @@
         translator = _Translator(self.statements, prepared)
         for kind, frame in batch.frames:
             translator.add(kind, frame)
+        if not batch.synced:
+            translator.out[-1] = _SYNC_FRAME
         return translator.finish()
 
     def _read_frame(self, kind, frame):
@@ -289,5 +324,14 @@
             self.upstream_names.append(known.upstream_name)
 
 
-def _outranks(statement, other):
-    return _RANK[statement.statement_class] > _RANK[other.statement_class]
+def _merge(statements):
+    found = routing.Statement(_CLASS.EMPTY)
+    for statement in statements:
+        if _RANK[statement.statement_class] > _RANK[found.statement_class]:
+            found = statement
+    if len(statements) < 2 or all(one is found for one in statements):
+        return found
+    merged = routing.merge(statements)
+    if merged.statement_class is _CLASS.UNSUPPORTED:
+        return merged
+    return attrs.evolve(merged, statement_class=found.statement_class)
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -70,6 +70,8 @@
         self.view = failover.GroupView(name, {})
         self.pools = {}
         self.listeners = []
+        self.floors = sessions.FloorHistory()
+        self.patience = routing.Patience()
         self.waiting_for_primary = []
         self.pending = []
         self.carrier = None
@@ -238,6 +240,7 @@
         defer.ensureDeferred(self._probe())
 
     async def _probe(self):
+        asked_at = self.context.now()
         calls = [self._member_status(name) for name in list(self.pools)]
         needed = failover.majority(len(calls))
         statuses = await _first_answers(calls, needed)
@@ -245,6 +248,8 @@
         waiting, self.probe = self.probe, None
         if len(statuses) < needed:
             floor = None
+        if floor is not None:
+            self.floors.add(asked_at, floor)
         if self.next_probe is not None:
             self.probe, self.next_probe = self.next_probe, None
             self._start_probe()
--- a/pomelograde/standins/host.py
+++ b/pomelograde/standins/host.py
@@ -76,6 +76,7 @@
         self.groups = {}
         self.factories = {}
         self.ports = {}
+        self.addresses = {}
         self.control = None
 
     def start(self):
@@ -124,7 +125,7 @@
         if one.faults.killed and not was_killed:
             self._kill(group_name, one)
         elif was_killed and not one.faults.killed:
-            self._listen(group_name, one, self.ports[group_name, member_name])
+            self._listen(group_name, one)
         for connection in list(one.sessions):
             connection.advance()
         found.heal()
@@ -155,6 +156,8 @@
                 interface=its_settings.host,
                 backlog=512,
             )
+            port = self.ports[spec.name, one.name]
+            self.addresses[spec.name, one.name] = port.getHost()
 
     def _set_up(self, found, first, statements):
         translated = [(_sql.to_sqlite(sql), (), "owner") for sql in statements]
@@ -166,8 +169,8 @@
         for connection in list(one.sessions):
             connection.transport.abortConnection()
 
-    def _listen(self, group_name, one, old_port):
-        host = old_port.getHost()
+    def _listen(self, group_name, one):
+        host = self.addresses[group_name, one.name]
         self.ports[group_name, one.name] = self.reactor.listenTCP(
             host.port,
             self.factories[group_name, one.name],
@@ -176,7 +179,7 @@
         )
 
     def _describe_member(self, group_name, one):
-        host = self.ports[group_name, one.name].getHost()
+        host = self.addresses[group_name, one.name]
         return {
             "name": one.name,
             "host": host.host,
--- a/pomelograde/standins/member.py
+++ b/pomelograde/standins/member.py
@@ -426,7 +426,11 @@
         return prepared.columns
 
     def _infer_columns(self, sql):
-        special = FUNCTION.match(sql) or TRANSACTION.match(sql) or SESSION.match(sql)
+        matched = SESSION.match(sql)
+        if matched is not None and matched.group(1).upper() == "SHOW":
+            name = matched.group(2).strip().rstrip(";")
+            return [_sql.Column(name, _sql.TEXT)]
+        special = matched or FUNCTION.match(sql) or TRANSACTION.match(sql)
         if special or SLEEP.match(sql):
             return []
         types = self.member.store.types()
@@ -480,6 +484,8 @@
         if verb == "SET":
             name, _, value = rest.replace(" TO ", "=", 1).partition("=")
             self.settings[name.strip()] = value.strip().strip("';")
+        elif verb == "RESET" and rest.strip().upper() != "ALL":
+            self.settings.pop(rest.strip(), None)
         else:
             self.settings.clear()
         return [], [], verb
--- a/tests/core/retries/test_errors.py
+++ b/tests/core/retries/test_errors.py
@@ -1,10 +1,10 @@
 """Tests of the error table and of retry decisions."""
 
+import hypothesis
 import testtools
+from hypothesis import strategies
 
-from pomelograde.core import retries, routing
-
-CLASS = routing.StatementClass
+from pomelograde.core import retries, sessions
 
 
 class ErrorTableTests(testtools.TestCase):
@@ -17,24 +17,74 @@
 
 
 class DecideTests(testtools.TestCase):
-    def decide(self, phase, statement_class, in_transaction=False):
-        return retries.decide(phase, statement_class, in_transaction, 0.0, 1.0)
+    def decide(self, phase, **known):
+        return retries.decide(retries.Attempt(phase, **known), 0.0, 1.0)
 
     def test_write_that_was_sent_is_never_sent_again(self):
-        decision = self.decide(retries.Phase.SENT, CLASS.WRITE)
-        self.assertEqual(retries.Failure(retries.ErrorKind.UPSTREAM_LOST), decision)
-        answer = retries.ANSWERS[decision.kind]
-        self.assertIs(retries.Execution.UNKNOWN, answer.execution)
+        for phase in (retries.Phase.SENT, retries.Phase.ACKNOWLEDGING):
+            decision = self.decide(phase)
+            self.assertIsInstance(decision, retries.Failure)
+            answer = retries.ANSWERS[decision.kind]
+            self.assertIs(retries.Execution.UNKNOWN, answer.execution)
 
-    def test_read_that_was_sent_is_tried_again(self):
-        decision = self.decide(retries.Phase.SENT, CLASS.READ)
+    def test_repeatable_statement_that_was_sent_is_tried_again(self):
+        decision = self.decide(retries.Phase.SENT, repeatable=True)
         self.assertIsInstance(decision, retries.Retry)
 
-    def test_read_of_which_the_caller_saw_a_part_is_not_tried_again(self):
-        decision = self.decide(retries.Phase.PARTLY_ANSWERED, CLASS.READ)
+    def test_statement_of_which_the_caller_saw_a_part_is_not_tried_again(self):
+        decision = self.decide(retries.Phase.PARTLY_ANSWERED, repeatable=True)
         self.assertIsInstance(decision, retries.Failure)
 
     def test_commit_that_was_sent_is_of_unknown_outcome(self):
-        decision = self.decide(retries.Phase.SENT, CLASS.COMMIT, in_transaction=True)
+        decision = self.decide(retries.Phase.SENT, commits=True, in_transaction=True)
         answer = retries.ANSWERS[decision.kind]
         self.assertIs(retries.Execution.UNKNOWN, answer.execution)
+
+    def test_nothing_is_tried_again_inside_a_transaction(self):
+        for phase in retries.Phase:
+            decision = self.decide(phase, repeatable=True, in_transaction=True)
+            self.assertIsInstance(decision, retries.Failure)
+
+    @hypothesis.given(
+        phase=strategies.sampled_from(retries.Phase),
+        repeatable=strategies.booleans(),
+        in_transaction=strategies.booleans(),
+        commits=strategies.booleans(),
+        earlier_unknown=strategies.booleans(),
+    )
+    def test_not_run_is_said_only_where_it_is_certain(self, **known):
+        attempt = retries.Attempt(**known)
+        decision = retries.decide(attempt, 2.0, 1.0)
+        kinds = {retries.expiry_kind(attempt), decision.kind}
+        sent = attempt.phase not in (retries.Phase.NOT_SENT, retries.Phase.REFUSED)
+        rolled_back = attempt.in_transaction and not attempt.commits
+        may_have_run = sent and not rolled_back
+        if may_have_run or (attempt.earlier_unknown and not attempt.in_transaction):
+            for kind in kinds:
+                execution = retries.ANSWERS[kind].execution
+                self.assertIs(retries.Execution.UNKNOWN, execution)
+
+
+class SurvivalTests(testtools.TestCase):
+    def judge(self, lower, upper, after_lower, holds_upper):
+        return retries.judge_survival(lower, upper, after_lower, holds_upper)
+
+    def test_log_with_the_position_after_the_write_has_the_write(self):
+        lower, upper = sessions.Position(3, 8), sessions.Position(3, 10)
+        found = self.judge(lower, upper, None, True)
+        self.assertIs(retries.Survival.SURVIVED, found)
+
+    def test_log_that_ends_before_the_write_has_discarded_it(self):
+        lower, upper = sessions.Position(3, 8), sessions.Position(3, 10)
+        found = self.judge(lower, upper, False, False)
+        self.assertIs(retries.Survival.DISCARDED, found)
+
+    def test_log_that_ends_between_tells_nothing(self):
+        lower, upper = sessions.Position(3, 8), sessions.Position(3, 10)
+        found = self.judge(lower, upper, True, False)
+        self.assertIs(retries.Survival.UNKNOWN, found)
+
+    def test_position_of_another_term_tells_nothing(self):
+        lower, upper = sessions.Position(2, 8), sessions.Position(3, 10)
+        found = self.judge(lower, upper, False, False)
+        self.assertIs(retries.Survival.UNKNOWN, found)
--- /dev/null
+++ b/tests/net/test_outcomes.py
@@ -0,0 +1,224 @@
+"""Outcomes of statements under faults, against real processes."""
+
+import pathlib
+import threading
+import time
+import urllib.request
+
+import psycopg
+import pytest
+import testtools
+
+from pomelograde.standins import http
+from tests import fleets
+
+INSERT = "INSERT INTO readings (meter, kwh) VALUES (%s, 1)"
+COUNT = "SELECT count(*) AS n FROM readings WHERE meter = %s"
+MEMBERS = tuple(f"{fleets.SERVICE}-{place}" for place in fleets.PLACES)
+WIDE_ROWS = 400
+WIDE_BYTES = 100_000
+MAX_GROWTH_BYTES = 16_000_000
+
+
+class OutcomeTestCase(testtools.TestCase):
+    lag_s = 0.02
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.running = fleets.run_fleet(lag_s=cls.lag_s)
+        cls.fleet = cls.running.__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.running.__exit__(None, None, None)
+        super().tearDownClass()
+
+    def connect(self, number=0, **options):
+        connection = self.fleet.connect(number, **options)
+        self.addCleanup(connection.close)
+        return connection
+
+    def count(self, meter, number=0):
+        return self.connect(number).execute(COUNT, (meter,)).fetchone()[0]
+
+    def metric(self, name, label, number=0):
+        port = self.fleet.port(number, "metrics")
+        url = f"http://127.0.0.1:{port}/metrics"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            text = answer.read().decode("utf-8")
+        for line in text.splitlines():
+            if line.startswith(name) and f'"{label}"' in line:
+                return float(line.split()[-1])
+        return 0.0
+
+
+@pytest.mark.xdist_group("pipelines")
+class PipelineTests(OutcomeTestCase):
+    def test_flush_before_sync_answers_a_write_and_sync_commits_it(self):
+        connection = self.connect()
+        with connection.pipeline():
+            first = connection.execute(INSERT + " RETURNING meter", ("flush",))
+            self.assertEqual(("flush",), first.fetchone())
+            second = connection.execute(INSERT + " RETURNING meter", ("flush",))
+            self.assertEqual(("flush",), second.fetchone())
+        self.assertEqual(2, self.count("flush", 1))
+
+    def test_error_after_flush_rolls_back_all_since_the_last_sync(self):
+        connection = self.connect()
+        with self.assertRaises(psycopg.Error), connection.pipeline():
+            connection.execute(INSERT + " RETURNING meter", ("undone",)).fetchone()
+            connection.execute("INSERT INTO nowhere VALUES (1)").fetchone()
+        self.assertEqual(0, self.count("undone", 1))
+        self.assertEqual((1,), connection.execute("SELECT 1 AS n").fetchone())
+
+    def test_pipelined_transaction_runs_as_one(self):
+        connection = self.connect()
+        with connection.pipeline(), connection.transaction():
+            for _ in range(20):
+                connection.execute(INSERT, ("piped",))
+        self.assertEqual(20, self.count("piped", 1))
+
+    def test_several_statements_in_one_text_run_as_one(self):
+        connection = self.connect()
+        text = "INSERT INTO readings (meter, kwh) VALUES ('text', 1)"
+        connection.execute(f"BEGIN; {text}; {text}; COMMIT")
+        self.assertEqual(2, self.count("text", 1))
+        self.assertRaises(
+            psycopg.Error, connection.execute, f"{text}; INSERT INTO nowhere VALUES (1)"
+        )
+        self.assertEqual(2, self.count("text", 1))
+
+    def test_transaction_dies_with_its_instance(self):
+        number = self.fleet.add_daemon(fleets.PLACES[0])
+        self.fleet.wait()
+        connection = psycopg.connect(self.fleet.dsn(number))
+        connection.execute(INSERT, ("dead",))
+        self.fleet.daemons[number].kill()
+        self.assertRaises(psycopg.OperationalError, connection.execute, COUNT, ("a",))
+        self.assertEqual(0, self.count("dead"))
+
+    def test_settings_follow_their_session_and_no_other(self):
+        first, second = self.connect(), self.connect()
+        first.execute("SET app.place TO 'Enna'")
+        for _ in range(6):
+            self.assertEqual(("Enna",), first.execute("SHOW app.place").fetchone())
+            self.assertEqual(("",), second.execute("SHOW app.place").fetchone())
+        first.execute("BEGIN; SET app.place TO 'Gela'")
+        first.execute("ROLLBACK")
+        self.assertEqual(("Enna",), first.execute("SHOW app.place").fetchone())
+        first.execute("DISCARD ALL")
+        self.assertEqual(("",), first.execute("SHOW app.place").fetchone())
+
+    def test_read_only_transaction_runs_on_a_replica(self):
+        connection = self.connect()
+        self.count("warm up")
+        before = self.metric("pomelograde_reads", "replica")
+        connection.execute("BEGIN READ ONLY")
+        connection.execute(COUNT, ("a",))
+        connection.execute("COMMIT")
+        self.assertEqual(before + 1, self.metric("pomelograde_reads", "replica"))
+
+    def test_answers_wait_for_a_caller_that_reads_slowly(self):
+        connection = self.connect(deadline="30s")
+        wide = "x" * WIDE_BYTES
+        for _ in range(WIDE_ROWS // 50):
+            with connection.pipeline():
+                for _ in range(50):
+                    connection.execute(
+                        "INSERT INTO readings (meter, kwh, adviser) "
+                        "VALUES ('wide', 1, %s)",
+                        (wide,),
+                    )
+        before = self.resident_bytes()
+        connection.pgconn.send_query(
+            b"SELECT adviser FROM readings WHERE meter = 'wide'"
+        )
+        connection.pgconn.flush()
+        time.sleep(1.0)
+        self.assertLess(self.resident_bytes() - before, MAX_GROWTH_BYTES)
+        connection.pgconn.set_single_row_mode()
+        rows = 0
+        while (found := connection.pgconn.get_result()) is not None:
+            rows += found.ntuples
+        self.assertEqual(WIDE_ROWS, rows)
+
+    def resident_bytes(self):
+        status = pathlib.Path(f"/proc/{self.fleet.daemons[0].pid}/status").read_text()
+        (line,) = [one for one in status.splitlines() if one.startswith("VmRSS")]
+        return int(line.split()[1]) * 1024
+
+
+@pytest.mark.xdist_group("outcomes")
+class FaultTests(OutcomeTestCase):
+    def setUp(self):
+        super().setUp()
+        self.addCleanup(self.mend)
+
+    def mend(self):
+        faults = {"killed": False, "paused": False, "cut_members": []}
+        for member in MEMBERS:
+            self.fleet.change_member(member, faults=faults, service_s=0.0)
+
+    def primary(self):
+        described = http.send("GET", f"{self.fleet.members_url}/members")
+        members = described["groups"][fleets.SERVICE]
+        leading = [one for one in members if one["role"] == "primary"]
+        return max(leading, key=lambda one: one["term"])["name"]
+
+    def fault(self, **faults):
+        self.fleet.change_member(self.primary(), faults=faults)
+
+    def detail(self, connection, *arguments):
+        error = self.assertRaises(psycopg.Error, connection.execute, *arguments)
+        return error.sqlstate, error.diag.message_detail
+
+    def test_write_without_a_majority_is_of_unknown_outcome(self):
+        connection = self.connect(deadline="700ms")
+        connection.execute(INSERT, ("cut",))
+        self.fault(cut_members=list(MEMBERS))
+        _, detail = self.detail(connection, INSERT, ("cut",))
+        self.assertEqual("outcome unknown", detail)
+
+    def test_write_in_flight_when_the_connection_is_lost_is_not_sent_again(self):
+        connection = self.connect(deadline="3s")
+        connection.execute(INSERT, ("lost",))
+        self.fleet.change_member(self.primary(), service_s=0.4)
+        killer = threading.Timer(0.2, self.fault, kwargs={"killed": True})
+        killer.start()
+        self.addCleanup(killer.join)
+        state, detail = self.detail(connection, INSERT, ("lost",))
+        self.assertEqual(("08007", "outcome unknown"), (state, detail))
+        self.mend()
+        self.assertEqual(1, self.count("lost", 1))
+
+    def test_statements_after_a_lost_transaction_do_not_run_outside_of_it(self):
+        connection = self.connect(deadline="3s")
+        connection.execute("BEGIN")
+        connection.execute(INSERT, ("half",))
+        self.fault(killed=True)
+        self.assertEqual("40000", self.detail(connection, INSERT, ("half",))[0])
+        self.mend()
+        self.assertEqual("25P02", self.detail(connection, INSERT, ("half",))[0])
+        connection.execute("ROLLBACK")
+        connection.execute(INSERT, ("half",))
+        self.assertEqual(1, self.count("half", 1))
+
+    def test_deadline_in_a_transaction_rolls_it_back(self):
+        connection = self.connect(deadline="500ms")
+        connection.execute("BEGIN")
+        connection.execute(INSERT, ("late",))
+        state, detail = self.detail(connection, "SELECT pg_sleep(5)")
+        self.assertEqual(("57014", "not run"), (state, detail))
+        connection.execute("ROLLBACK")
+        self.assertEqual(0, self.count("late", 1))
+
+    def test_write_waits_while_the_primary_cannot_be_reached(self):
+        connection = self.connect(deadline="5s")
+        connection.execute(INSERT, ("wait",))
+        self.fault(killed=True)
+        timer = threading.Timer(0.5, self.mend)
+        timer.start()
+        self.addCleanup(timer.join)
+        connection.execute(INSERT, ("wait",))
+        self.assertEqual(2, self.count("wait", 1))
