--- a/pomelograde/standins/_sql.py
+++ b/pomelograde/standins/_sql.py
@@ -38,6 +38,8 @@
     ("BLOB", BYTEA),
 )
 _FUNCTIONS = {"count": INT8, "length": INT8, "sum": INT8, "total": FLOAT8}
+_CALL = re.compile(r"(\w+)\s*\(")
+_NAME = re.compile(r"[A-Za-z_]\w*$")
 _SERIAL = re.compile(r"\b(?:BIG)?SERIAL\s+PRIMARY\s+KEY\b", re.IGNORECASE)
 _CAST = re.compile(r"::\s*[a-zA-Z_][\w]*(?:\[\])?")
 _PARAMETER = re.compile(r"\$(\d+)")
@@ -91,6 +93,14 @@
         return (text.strip(),) if text.strip() else ()
 
 
+def result_name(name):
+    """Return PostgreSQL's name of a result column that sqlite names."""
+    function = _CALL.match(name)
+    if function is not None:
+        return function.group(1).lower()
+    return name if _NAME.match(name) else "?column?"
+
+
 def declared_oid(declared):
     """Return the type oid of a column's declared type."""
     upper = (declared or "").upper()
--- a/pomelograde/standins/member.py
+++ b/pomelograde/standins/member.py
@@ -416,7 +416,7 @@
             oid = types.get(name)
             if oid is None:
                 oid = _sql.value_oid(value)
-            columns.append(_sql.Column(name, oid))
+            columns.append(_sql.Column(_sql.result_name(name), oid))
         return columns
 
     def _describe(self, prepared):
@@ -438,7 +438,7 @@
         names = self._column_names(sql)
         return [
             _sql.Column(name, types.get(name, inferred.get(name, _sql.TEXT)))
-            for name in names
+            for name in map(_sql.result_name, names)
         ]
 
     def _column_names(self, sql):
