Give the stand-in member savepoints and the catalogue that drivers ask for

Cause: psycopg's nested transactions ended with 'no such savepoint', since ROLLBACK TO was taken for ROLLBACK; SQLAlchemy asks for pg_type on its first connection. Change: savepoints on sqlite's, with the log of written statements cut back; empty catalogue tables, current_schema() and SHOW's defaults. Seen: psycopg's nested transactions and SQLAlchemy's first query pass.

--- a/pomelograde/standins/_sql.py
+++ b/pomelograde/standins/_sql.py
@@ -44,6 +44,7 @@
 _CAST = re.compile(r"::\s*[a-zA-Z_][\w]*(?:\[\])?")
 _PARAMETER = re.compile(r"\$(\d+)")
 _CURRENT_USER = re.compile(r"\b(?:current_user|session_user)\b", re.IGNORECASE)
+_CATALOG = re.compile(r"\bpg_catalog\.")
 _NOW = re.compile(r"\bnow\(\)", re.IGNORECASE)
 _FOR_UPDATE = re.compile(r"\bFOR\s+(?:UPDATE|SHARE)\b", re.IGNORECASE)
 _WRITE = re.compile(
@@ -78,6 +79,7 @@
     """Return a statement in sqlite's dialect."""
     sql = _SERIAL.sub("INTEGER PRIMARY KEY AUTOINCREMENT", sql)
     sql = _CAST.sub("", sql)
+    sql = _CATALOG.sub("", sql)
     sql = _CURRENT_USER.sub("pg_current_user()", sql)
     sql = _NOW.sub("strftime('%Y-%m-%d %H:%M:%f','now')", sql)
     sql = _FOR_UPDATE.sub("", sql)
--- a/pomelograde/standins/_store.py
+++ b/pomelograde/standins/_store.py
@@ -5,6 +5,14 @@
 
 from pomelograde.standins import _sql
 
+CATALOG = (
+    "CREATE TABLE pg_type (oid BIGINT, typarray BIGINT, typname TEXT, "
+    "typnamespace BIGINT)",
+    "CREATE TABLE pg_namespace (oid BIGINT, nspname TEXT)",
+    "CREATE TABLE pg_class (oid BIGINT, relname TEXT, relnamespace BIGINT, "
+    "relkind TEXT)",
+)
+
 
 class Store:
     """A database file that several connections share.
@@ -21,6 +29,8 @@
         self.path = pathlib.Path(directory) / f"{name}.sqlite"
         self.writer = self.connect()
         self.writer.execute("PRAGMA journal_mode=WAL")
+        for statement in CATALOG:
+            self.writer.execute(statement)
         self.version = 0
         self.known_types = None
 
@@ -31,6 +41,8 @@
         )
         connection.execute("PRAGMA synchronous=OFF")
         connection.create_function("pg_current_user", 0, lambda: user)
+        connection.create_function("current_schema", 0, lambda: "public")
+        connection.create_function("current_database", 0, lambda: "main")
         connection.create_function("version", 0, lambda: "PostgreSQL 15.0 stand-in")
         return connection
 
@@ -63,7 +75,8 @@
     def _read_types(self):
         found = {}
         rows = self.writer.execute(
-            "SELECT name FROM sqlite_master WHERE type = 'table'"
+            "SELECT name FROM sqlite_master "
+            "WHERE type = 'table' AND name NOT LIKE 'pg\\_%' ESCAPE '\\'"
         ).fetchall()
         for (table,) in rows:
             for row in self.writer.execute(f'PRAGMA table_info("{table}")').fetchall():
--- a/pomelograde/standins/member.py
+++ b/pomelograde/standins/member.py
@@ -20,7 +20,17 @@
     r"^\s*(BEGIN|START\s+TRANSACTION|COMMIT|END|ROLLBACK|ABORT)\b(.*)$",
     re.IGNORECASE | re.DOTALL,
 )
+SAVEPOINT = re.compile(
+    r"^\s*(SAVEPOINT|RELEASE|ROLLBACK\s+TO)\s+(?:SAVEPOINT\s+)?(\"?\w+\"?)\s*;?\s*$",
+    re.IGNORECASE,
+)
 SESSION = re.compile(r"^\s*(SET|RESET|DISCARD|SHOW)\b\s*(.*)$", re.I | re.S)
+DEFAULTS = {
+    "standard_conforming_strings": "on",
+    "transaction isolation level": "read committed",
+    "server_version": "15.0",
+    "client_encoding": "UTF8",
+}
 ROW_COUNT_TAGS = {"INSERT": "INSERT 0 {}", "UPDATE": "UPDATE {}", "DELETE": "DELETE {}"}
 
 
@@ -83,6 +93,7 @@
         self.store = None
         self.status = b"I"
         self.written = []
+        self.savepoints = {}
         self.in_write = False
         self.prepared = {}
         self.portals = {}
@@ -348,6 +359,9 @@
 
     async def _execute(self, sql, values):
         """Run one statement; returns columns, rows and tag."""
+        matched = SAVEPOINT.match(sql)
+        if matched is not None:
+            return await self._mark(*matched.groups())
         matched = TRANSACTION.match(sql)
         if matched is not None:
             return self._transact(matched.group(1).upper(), matched.group(2).upper())
@@ -476,10 +490,33 @@
         self._rollback()
         return [], [], "ROLLBACK"
 
+    async def _mark(self, verb, name):
+        """Set, release or return to a savepoint."""
+        verb = verb.upper().split()[0]
+        if self.status == b"I":
+            raise SqlError("25P01", f"{verb} can only be used in transaction blocks")
+        if verb == "SAVEPOINT":
+            self._check_writable(verb)
+            await self.member.lock(self)
+            self._check_alive()
+            self._begin_write()
+            self.store.execute(f"SAVEPOINT {name}")
+            self.savepoints[name] = len(self.written)
+            return [], [], verb
+        if name not in self.savepoints:
+            raise SqlError("3B001", f"savepoint {name} does not exist")
+        if verb == "RELEASE":
+            self.store.execute(f"RELEASE {name}")
+            return [], [], verb
+        self.store.execute(f"ROLLBACK TO {name}")
+        del self.written[self.savepoints[name] :]
+        self.status = b"T"
+        return [], [], verb
+
     def _session_command(self, verb, rest):
         if verb == "SHOW":
             name = rest.strip().rstrip(";")
-            value = self.settings.get(name, "")
+            value = self.settings.get(name, DEFAULTS.get(name.lower(), ""))
             return [_sql.Column(name, _sql.TEXT)], [(value,)], "SHOW"
         if verb == "SET":
             name, _, value = rest.replace(" TO ", "=", 1).partition("=")
@@ -513,6 +550,7 @@
             raise SqlError("25006", "member was fenced; the transaction is rolled back")
         self.store.execute("COMMIT")
         self.in_write = False
+        self.savepoints = {}
         written, self.written = self.written, []
         self.group.append(self.member, written)
         self.member.unlock(self)
@@ -522,14 +560,18 @@
             self.store.execute("ROLLBACK")
         self.in_write = False
         self.written = []
+        self.savepoints = {}
         self.status = b"I"
         self.read_only = False
         self.member.unlock(self)
 
     def _on_error(self, error):
-        in_block = self.status != b"I"
-        self._rollback()
-        if in_block:
+        if self.status == b"I":
+            self._rollback()
+        elif self.savepoints:
+            self.status = b"E"
+        else:
+            self._rollback()
             self.status = b"E"
         self._send_error(error)
 
