Check settings in one go, read secrets from files, reload certificates

Cause: settings were undocumented, secrets had to be in the settings file, a new certificate wanted a restart, the operators' port had no TLS, JSON logs had neither time nor level, and the event loop's own messages broke their form. Ruled out: Twisted's CertificateOptions; psycopg with libpq 18 failed its handshake with an OpenSSL internal error, a plain context works.

--- a/pomelograde/core/checks.py
+++ b/pomelograde/core/checks.py
@@ -1,6 +1,7 @@
 """Checked conversion of JSON values to attrs classes."""
 
 import math
+import re
 import typing
 
 import attrs
@@ -159,3 +160,9 @@
     """Check that a string or list is not empty."""
     if not value:
         raise ValueError("must not be empty")
+
+
+def sha256_or_empty(instance, attribute, value):
+    """Check that a string is a SHA-256 in hexadecimal, or empty."""
+    if value and not re.fullmatch("[0-9a-fA-F]{64}", value):
+        raise ValueError("must be 64 hexadecimal digits")
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -4,13 +4,15 @@
 import time
 
 import attrs
-from twisted.internet import defer, ssl, task
+from twisted.internet import defer, task
+from twisted.protocols import tls
 from twisted.web import server
 
 from pomelograde.core import membership
 from pomelograde.net import (
     admission,
     callers,
+    certificates,
     configuration,
     context,
     events,
@@ -69,7 +71,10 @@
         site = operators.OperatorSite(
             self.context, self.gateway, self.configuration, self._drain
         )
-        self._listen("operator", operators.make_site(site))
+        contexts = self.listener.tls_contexts
+        if contexts is not None:
+            contexts.start()
+        self._listen("operator", operators.make_site(site), contexts)
         metrics_site = exposition.MetricsSite(self.context.metrics)
         self._listen("metrics", server.Site(metrics_site))
         await self.configuration.start()
@@ -79,6 +84,11 @@
         self._listen("caller", self.listener)
         self.context.log.write(events.Event.DAEMON_READY, **self.port_numbers())
 
+    def reload_certificates(self):
+        """Load the certificate towards callers and operators again."""
+        if self.listener.tls_contexts is not None:
+            self.listener.tls_contexts.reload()
+
     async def stop(self):
         """Stop without cutting a request in flight."""
         self.context.log.write(events.Event.DAEMON_STOPPING)
@@ -96,6 +106,8 @@
         self.gateway.stop()
         self.membership.stop()
         self.context.peers.stop()
+        if self.listener.tls_contexts is not None:
+            self.listener.tls_contexts.stop()
         for name in ("operator", "metrics", "peer"):
             if name not in self.ports:
                 continue
@@ -111,10 +123,12 @@
     def _drain(self):
         self.context.reactor.callLater(0.0, self.context.reactor.stop)
 
-    def _listen(self, name, factory):
+    def _listen(self, name, factory, contexts=None):
         addresses = self.context.settings.addresses
         number = getattr(addresses, f"{name}_port")
         factory.noisy = False
+        if contexts is not None:
+            factory = tls.TLSMemoryBIOFactory(contexts, False, factory)
         self.ports[name] = self.context.reactor.listenTCP(
             number, factory, interface=addresses.host, backlog=1024
         )
@@ -166,7 +180,7 @@
     configuration_task = configuration.ConfigurationTask(shared, client)
     admission_task = admission.AdmissionTask(shared, configuration_task)
     gate = gateway.Gateway(shared, configuration_task, admission_task)
-    listener = callers.CallerListener(shared, gate, _tls_contexts(settings.tls))
+    listener = callers.CallerListener(shared, gate, _tls_contexts(shared))
     shared.peers.handlers[peer_messages.CancelStatement] = listener.on_peer_cancel
     members = membership_task.MembershipTask(shared, client, configuration_task)
     members.listeners.append(gate.on_instances_changed)
@@ -185,10 +199,11 @@
     )
 
 
-def _tls_contexts(tls):
+def _tls_contexts(shared):
+    tls = shared.settings.tls
     if not tls.certificate_file:
         return None
-    return ssl.DefaultOpenSSLContextFactory(tls.key_file, tls.certificate_file)
+    return certificates.ReloadedContexts(shared, tls)
 
 
 def _peer_tls(settings):
--- a/pomelograde/daemon/settings.py
+++ b/pomelograde/daemon/settings.py
@@ -7,6 +7,8 @@
 import result
 
 from pomelograde.core import checks
+from pomelograde.daemon import _secrets
+from pomelograde.net import certificates
 
 
 @attrs.frozen
@@ -80,10 +82,15 @@
         Name that changes are recorded under.
     token_sha256 : str
         SHA-256 of the bearer token, in hexadecimal.
+    token_file : str
+        File with the bearer token, in place of `token_sha256`.
     """
 
     name: str = attrs.field(validator=checks.not_empty)
-    token_sha256: str = attrs.field(repr=False, validator=checks.not_empty)
+    token_sha256: str = attrs.field(
+        default="", repr=False, validator=checks.sha256_or_empty
+    )
+    token_file: str = ""
 
 
 @attrs.frozen
@@ -113,11 +120,14 @@
     ----------
     password : str
         Password of the proxy's database roles.
+    password_file : str
+        File with the password, in place of `password`.
     open_timeout_s : float
         Time limit for opening a connection.
     """
 
-    password: str = attrs.field(repr=False, validator=checks.not_empty)
+    password: str = attrs.field(default="", repr=False)
+    password_file: str = ""
     open_timeout_s: float = attrs.field(default=2.0, validator=checks.positive)
 
 
@@ -158,7 +168,7 @@
     format : str
         "json" or "text".
     level : str
-        Lowest level that is written.
+        Lowest level that is written: "debug", "info", "warning" or "error".
     """
 
     format: str = attrs.field(default="json", validator=checks.one_of("json", "text"))
@@ -212,10 +222,28 @@
         Unique name of this instance.
     data_centre : str
         Data centre that it runs in.
+    platform : PlatformSettings
+        Where the platform is.
+    upstream : UpstreamSettings
+        How upstream connections are opened.
     region : str
         Region of the data centre.
+    addresses : Addresses
+        Where the daemon listens.
+    tls : TlsSettings
+        Certificate for callers and operators.
+    peers : PeerSettings
+        Key material that instances authenticate each other with.
+    operators : list of Operator
+        Who may use the resource interface.
+    limits : Limits
+        Bounds on what callers can make the daemon hold.
+    configuration : ConfigurationSettings
+        How long to serve without evidence of being up to date.
     seeds : list of PeerSeed
         Instances to start from while the platform is down.
+    logging : Logging
+        How events are logged.
     drain_timeout_s : float
         Most time that a graceful shutdown takes.
     """
@@ -256,7 +284,7 @@
         return result.Err([f"{path}: {error.strerror}"])
     except ValueError as error:
         return result.Err([f"{path}: not JSON: {error}"])
-    return parse(value)
+    return parse(value).and_then(_secrets.read).and_then(_check_files)
 
 
 def parse(value):
@@ -282,4 +310,31 @@
         faults.append(
             "certificate_file, key_file and authority_file go together @ $.peers"
         )
+    return faults + _check_alternatives(settings)
+
+
+def _check_alternatives(settings):
+    faults = []
+    upstream = settings.upstream
+    if bool(upstream.password) == bool(upstream.password_file):
+        faults.append("either password or password_file is required @ $.upstream")
+    for index, operator in enumerate(settings.operators):
+        if bool(operator.token_sha256) == bool(operator.token_file):
+            faults.append(
+                f"either token_sha256 or token_file is required @ $.operators[{index}]"
+            )
     return faults
+
+
+def _check_files(settings):
+    faults = []
+    if settings.tls.certificate_file:
+        try:
+            certificates.load(settings.tls)
+        except certificates.CertificateError as error:
+            faults.append(f"{error} @ $.tls")
+    for name in attrs.asdict(settings.peers):
+        path = getattr(settings.peers, name)
+        if path and not pathlib.Path(path).is_file():
+            faults.append(f"{path}: no such file @ $.peers.{name}")
+    return result.Err(faults) if faults else result.Ok(settings)
--- a/pomelograde/net/events.py
+++ b/pomelograde/net/events.py
@@ -2,9 +2,12 @@
 
 import enum
 import json
+import time
 
 from absl import logging
 
+from pomelograde.net import records
+
 
 class Event(enum.Enum):
     """Every event that is logged; the numbers never change their meaning."""
@@ -13,6 +16,7 @@
     DAEMON_READY = 101
     DAEMON_STOPPING = 102
     DAEMON_STOPPED = 103
+    DAEMON_FAILED = 104
     INTERNAL_FAULT = 110
     CALLER_REFUSED = 200
     CALLER_AUTHENTICATED = 201
@@ -40,6 +44,8 @@
     OPERATOR_REFUSED = 430
     OPERATOR_CHANGE = 431
     OPERATOR_DRAIN = 432
+    CERTIFICATE_LOADED = 440
+    CERTIFICATE_REJECTED = 441
 
 
 LEVELS = {
@@ -53,11 +59,21 @@
     Event.PLATFORM_UNAVAILABLE: logging.WARNING,
     Event.CONFIGURATION_REJECTED: logging.ERROR,
     Event.INTERNAL_FAULT: logging.ERROR,
+    Event.DAEMON_FAILED: logging.ERROR,
+    Event.CERTIFICATE_REJECTED: logging.ERROR,
     Event.CONFIGURATION_AWAITED: logging.WARNING,
     Event.CONFIGURATION_STALE: logging.WARNING,
 }
 
 
+LEVEL_NAMES = {
+    logging.DEBUG: "debug",
+    logging.INFO: "info",
+    logging.WARNING: "warning",
+    logging.ERROR: "error",
+}
+
+
 class Log:
     """Writes events through absl.
 
@@ -93,6 +109,8 @@
             return
         if self.as_json:
             record = {
+                "time": records.format_time(time.time()),
+                "level": LEVEL_NAMES[level],
                 "event": event.value,
                 "name": event.name,
                 "instance": self.instance,
--- a/pomelograde/net/records.py
+++ b/pomelograde/net/records.py
@@ -60,7 +60,7 @@
 
     def add(self, event, fields):
         """Take a logged event."""
-        time = _format_time(self.clock())
+        time = format_time(self.clock())
         entry = EventEntry(next(self.numbers), time, event.value, event.name, fields)
         self.entries.append(entry)
         for listener in list(self.listeners):
@@ -128,7 +128,7 @@
         **particulars : str, int or float
             Anything else without secrets.
         """
-        time = _format_time(self.clock())
+        time = format_time(self.clock())
         found = _bounded(self.recent, account, _new_decisions)
         found.append(Decision(time, outcome, reason, service, particulars))
         self.count(account, outcome, reason)
@@ -161,6 +161,7 @@
     return found
 
 
-def _format_time(seconds):
+def format_time(seconds):
+    """Return seconds since the epoch as UTC in ISO 8601."""
     time = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
     return time.isoformat(timespec="milliseconds")
--- a/pomelograde/net/timers.py
+++ b/pomelograde/net/timers.py
@@ -1,9 +1,14 @@
 """Repeated work that outlives a fault in one of its rounds."""
 
+import pathlib
+import traceback
+
 from twisted.internet import defer, task
 
 from pomelograde.net import events
 
+SHOWN_FRAMES = 4
+
 
 def start_loop(context, interval_s, work, now=True):
     """Repeat work until the returned loop is stopped.
@@ -43,10 +48,7 @@
 
 
 def place_of(reason):
-    """Return file and line of a fault, without any value."""
-    frames = reason.getTracebackObject()
-    if frames is None:
-        return ""
-    while frames.tb_next is not None:
-        frames = frames.tb_next
-    return f"{frames.tb_frame.f_code.co_filename.rpartition('/')[2]}:{frames.tb_lineno}"
+    """Return the innermost places of a fault, without any value."""
+    frames = traceback.extract_tb(reason.getTracebackObject())
+    places = [f"{pathlib.PurePath(f.filename).name}:{f.lineno}" for f in frames]
+    return " < ".join(reversed(places[-SHOWN_FRAMES:]))
