--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,6 @@
+"""Entry point of ``python -m measure``."""
+
+from measure import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/measure/programs.py
@@ -0,0 +1,74 @@
+"""Programs that the measuring tool starts as processes of their own."""
+
+import json
+import pathlib
+import sys
+
+import attrs
+import cattrs
+import click
+from twisted.internet import reactor
+
+from measure import callers, workload
+from measure.throughput import _driver, _forwarder, _synthetic
+
+LOOPBACK = "127.0.0.1"
+BACKLOG = 512
+
+
+@click.group()
+def program():
+    """Run one of the tool's own processes."""
+
+
+@program.command()
+@click.option("--name", required=True)
+@click.option("--role", required=True)
+@click.option("--leader", required=True)
+@click.option("--password", required=True)
+def synthetic(name, role, leader, password):
+    """Run an upstream member with canned answers."""
+    factory = _synthetic.SyntheticFactory(name, role, leader, password)
+    _listen(factory)
+
+
+@program.command()
+@click.option("--upstream-port", required=True, type=int)
+def forwarder(upstream_port):
+    """Run a bare frame forwarder."""
+    pool = _forwarder.Pool()
+    factory = _forwarder.UpstreamFactory(pool)
+    for _ in range(_forwarder.POOLED_CONNECTIONS):
+        reactor.connectTCP(LOOPBACK, upstream_port, factory)
+    _listen(_forwarder.CallerFactory(pool))
+
+
+@program.command()
+@click.option("--config", required=True, help="Target and load as JSON.")
+def driver(config):
+    """Run a closed-loop load and print its outcome."""
+    value = json.loads(config)
+    target = _driver.Target(**value["target"])
+    outcome = _driver.drive(target, _driver.Load(**value["load"]), _wait_for_start)
+    click.echo(json.dumps(attrs.asdict(outcome)))
+
+
+@program.command("callers")
+@click.option("--plan", required=True, help="Plan as a JSON file.")
+def run_callers(plan):
+    """Run callers and write their history."""
+    value = json.loads(pathlib.Path(plan).read_text("utf-8"))
+    callers.run(cattrs.structure(value, workload.Plan))
+
+
+def _wait_for_start():
+    click.echo("connected")
+    sys.stdout.flush()
+    sys.stdin.readline()
+
+
+def _listen(factory):
+    port = reactor.listenTCP(0, factory, interface=LOOPBACK, backlog=BACKLOG)
+    click.echo(json.dumps({"port": port.getHost().port}))
+    sys.stdout.flush()
+    reactor.run()
--- /dev/null
+++ b/tests/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measuring tool."""
