Keep idempotency keys and first answers on the upstream

Cause: a write whose outcome is unknown could not be tried again by anyone. Change: with `pomelograde.idempotency_key` a write claims its key, runs and keeps its answer in one transaction of the upstream, keyed by client account. Whoever finds the key taken gets the kept rows and tag, after the entry is held by a majority. A racing retry waits for the first one's transaction. Another statement under the same key is refused as not run; so is a key inside a transaction. The key stays with the session until its write is acknowledged. Retries are counted by reason.

--- /dev/null
+++ b/pomelograde/net/_keyed.py
@@ -0,0 +1,221 @@
+"""Writes with an idempotency key."""
+
+import time
+
+from pomelograde.core import retries
+from pomelograde.net import _answers, _batches, _frames, exchanges
+
+_PARSE_COMPLETE = ord("1")
+_BIND_COMPLETE = ord("2")
+_CLOSE_COMPLETE = ord("3")
+_PARAMETERS = ord("t")
+_ROW_DESCRIPTION = ord("T")
+_NO_DATA = ord("n")
+_CONFIRMATIONS = (_PARSE_COMPLETE, _BIND_COMPLETE, _CLOSE_COMPLETE)
+_DESCRIPTIONS = (_PARAMETERS, _ROW_DESCRIPTION, _NO_DATA)
+
+_PARSED = _frames.frame(b"1")
+_BOUND = _frames.frame(b"2")
+_CLOSED = _frames.frame(b"3")
+_NO_PARAMETERS = _frames.frame(b"t", b"\0\0")
+_NOTHING = _frames.frame(b"n")
+
+
+class KeyedExchange(exchanges.Exchange):
+    """Carries a write whose key and answer are kept on the upstream.
+
+    Parameters
+    ----------
+    session : Session
+        Session of the caller.
+    batch : Batch
+        What the caller sent.
+    deadline : float
+        Monotonic seconds.
+
+    Notes
+    -----
+    The key is claimed, the write runs and its answer is kept in one
+    transaction. Whoever finds the key taken gets the kept answer instead. A
+    claim waits for a transaction that holds the same key, so a retry that races
+    the first attempt waits for its end.
+    """
+
+    __slots__ = ("created", "key")
+
+    def __init__(self, session, batch, deadline):
+        super().__init__(session, batch, deadline)
+        self.on_primary = True
+        self.keyed = True
+        self.holds_all = True
+        self.created = False
+        self.key = retries.Key(
+            session.account,
+            session.proxy_settings.idempotency_key,
+            retries.fingerprint(_pieces(session.book, batch)),
+        )
+
+    def on_answer_end(self, part):
+        """Keep the answer, or roll back after an error."""
+        if part.refused:
+            self._again("refused_by_primary")
+        elif part.failed:
+            self._run("ROLLBACK", self._on_rolled_back)
+        else:
+            answer = b"".join(part.out)
+            self._run(retries.store_sql(self.key, answer), self._on_stored)
+
+    def _send_statement(self):
+        self.phase = retries.Phase.SENT
+        self.writing = True
+        self.lower = None
+        context = self.session.context
+        clean = context.random.random() < retries.CLEANING_SHARE
+        sql = retries.claim_sql(self.key, int(time.time()), clean)
+        self._run(sql, self._on_claim)
+
+    def _run(self, sql, on_done):
+        part = _answers.HiddenPart(self, self.connection, on_done)
+        self.connection.send(part, _frames.query(sql))
+
+    def _on_claim(self, part):
+        sqlstate = None if part.error is None else part.error.get("C", "")
+        claim = retries.judge_claim(part.tags, sqlstate)
+        if claim is retries.Claim.CLAIMED:
+            self._send_write()
+        elif claim is retries.Claim.TAKEN:
+            self._run(retries.find_sql(self.key), self._on_found)
+        elif claim is retries.Claim.AGAIN:
+            self._again("idempotency_claim")
+        elif claim is retries.Claim.NO_TABLE and not self.created:
+            self.created = True
+            self._run("ROLLBACK", self._create_table)
+        else:
+            self._refuse(part)
+
+    def _create_table(self, part):
+        self._run(retries.CREATE, lambda _: self._send_statement())
+
+    def _send_write(self):
+        batch = self.batch
+        connection = self.connection
+        translation = None
+        data = batch.frames[0][1]
+        if not batch.simple:
+            translation = self.session.book.translate(batch, connection.prepared)
+            data = translation.data
+        self.part = _answers.AnswerPart(
+            self, connection, translation, _answers.Gate.OPEN, hold=True
+        )
+        connection.send(self.part, data)
+
+    def _on_rolled_back(self, part):
+        self.status = part.status
+        self.part.hold = False
+        self._finish()
+
+    def _on_stored(self, part):
+        if part.error is not None:
+            claim = retries.judge_claim([], part.error.get("C", ""))
+            if claim is retries.Claim.AGAIN:
+                self._again("idempotency_claim")
+            else:
+                self._refuse(part)
+            return
+        self.status = part.status
+        self.session.on_answered(
+            self.batch.statement, self.connection, False, self.status
+        )
+        self._ask_position()
+
+    def _on_found(self, part):
+        if part.error is not None:
+            self._refuse(part)
+            return
+        if part.row is None or part.row[1] is None:
+            self._again("idempotency_claim")
+            return
+        statement, answer = part.row
+        if statement.decode("ascii") != self.key.statement:
+            kind = retries.ErrorKind.IDEMPOTENCY_KEY_REUSED
+            self._fail(retries.Failure(kind))
+            return
+        self._count_retry("idempotency_replay")
+        self.status = part.status
+        self.part = _answers.AnswerPart(
+            self, self.connection, None, _answers.Gate.OPEN, hold=True
+        )
+        self.part.completed = True
+        self.part.out = _replay(self.batch, bytes.fromhex(answer.decode("ascii")))
+        self._ask_position()
+
+    def _again(self, reason):
+        connection = self._detach()
+        connection.close()
+        self._count_retry(reason)
+        self._restart(exchanges.PRIMARY_RETRY_INTERVAL_S)
+
+    def _refuse(self, part):
+        kind = retries.ErrorKind.IDEMPOTENCY_UNAVAILABLE
+        detail = "" if part.error is None else part.error.get("M", "")
+        self._fail(retries.Failure(kind, detail))
+
+    def _finish(self):
+        settings = self.session.proxy_settings
+        if not self.part.failed and settings.idempotency_key == self.key.key:
+            settings.idempotency_key = ""
+        super()._finish()
+
+
+def _pieces(book, batch):
+    """Return the statement's text and parameters, without names."""
+    if batch.simple:
+        return [batch.frames[0][1][5:]]
+    pieces = []
+    for kind, frame in batch.frames:
+        if kind == _batches.BIND:
+            _, start = _frames.read_cstring(frame, 5)
+            name, rest = _frames.read_cstring(frame, start)
+            known = book.statements.get(name)
+            pieces.append(b"" if known is None else known.tail)
+            pieces.append(frame[rest:])
+    return pieces
+
+
+def _replay(batch, answer):
+    """Return the frames that answer a batch as its first run was answered."""
+    frames = _frames.FrameReader(len(answer) + 1).feed(answer)
+    if batch.simple:
+        return [frame for _, frame in frames]
+    described = [frame for kind, frame in frames if kind == _ROW_DESCRIPTION]
+    parameters = [frame for kind, frame in frames if kind == _PARAMETERS]
+    ran = [
+        frame
+        for kind, frame in frames
+        if kind not in _CONFIRMATIONS and kind not in _DESCRIPTIONS
+    ]
+    out = []
+    for kind, frame in batch.frames:
+        if kind == _batches.PARSE:
+            out.append(_PARSED)
+        elif kind == _batches.BIND:
+            out.append(_BOUND)
+        elif kind == _batches.CLOSE:
+            out.append(_CLOSED)
+        elif kind == _batches.DESCRIBE:
+            if frame[5:6] == b"S":
+                out.append(parameters.pop(0) if parameters else _NO_PARAMETERS)
+            out.append(described.pop(0) if described else _NOTHING)
+        elif kind == _batches.EXECUTE:
+            out.extend(_take_execution(ran))
+    return out
+
+
+def _take_execution(ran):
+    """Remove and return the frames up to the end of one execution."""
+    for number, frame in enumerate(ran, start=1):
+        if frame[:1] in (b"C", b"I", b"s"):
+            taken = ran[:number]
+            del ran[:number]
+            return taken
+    return []
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -8,6 +8,7 @@
     _answers,
     _batches,
     _frames,
+    _keyed,
     _proxy_settings,
     _sending,
     events,
@@ -426,7 +427,10 @@
         self._start_exchange(batch, deadline)
 
     def _start_exchange(self, batch, deadline):
-        exchange = self.exchange = exchanges.Exchange(self, batch, deadline)
+        made = exchanges.Exchange
+        if self.proxy_settings.idempotency_key and _may_write(batch):
+            made = _keyed.KeyedExchange
+        exchange = self.exchange = made(self, batch, deadline)
         self.gateway.exchanges.add(exchange)
         exchange.start()
 
@@ -480,11 +484,24 @@
             return retries.Failure(kinds.UNSUPPORTED, statement.name)
         if self.read_only and not (found in _READ_ONLY and statement.certain):
             return retries.Failure(kinds.ROUTE_FORBIDDEN)
+        if self.proxy_settings.idempotency_key and _may_write(batch):
+            return self._check_keyed(batch, statement)
         if self.implicit and (statement.opens or statement.commits):
             text = "transaction control after Flush and before Sync"
             return retries.Failure(kinds.UNSUPPORTED, text)
         return None
 
+    def _check_keyed(self, batch, statement):
+        in_transaction = self.connection is not None
+        if (
+            not in_transaction
+            and batch.synced
+            and not (statement.opens or statement.commits)
+        ):
+            return None
+        kind = retries.ErrorKind.IDEMPOTENCY_UNAVAILABLE
+        return retries.Failure(kind, "only a write outside a transaction takes one")
+
     def _discard(self, batch, statement):
         if statement.name == "DEALLOCATE":
             self._deallocate(batch, statement.value)
@@ -532,6 +549,13 @@
         _answers.answer_locally(self, batch, [], [], "SET")
 
 
+def _may_write(batch):
+    statement = batch.statement
+    found = statement.statement_class
+    writes = found is _CLASS.WRITE or (found is _CLASS.READ and not statement.certain)
+    return batch.executes and writes
+
+
 class _Admission:
     """Stands for a batch that waits for its client account's rate."""
 
--- a/tests/net/test_outcomes.py
+++ b/tests/net/test_outcomes.py
@@ -15,6 +15,7 @@
 INSERT = "INSERT INTO readings (meter, kwh) VALUES (%s, 1)"
 COUNT = "SELECT count(*) AS n FROM readings WHERE meter = %s"
 MEMBERS = tuple(f"{fleets.SERVICE}-{place}" for place in fleets.PLACES)
+OTHER_ACCOUNT = "bollette-legal"
 WIDE_ROWS = 400
 WIDE_BYTES = 100_000
 MAX_GROWTH_BYTES = 16_000_000
@@ -204,6 +205,57 @@
         connection.execute(INSERT, ("half",))
         self.assertEqual(1, self.count("half", 1))
 
+    def test_key_gives_the_first_answer_through_another_instance(self):
+        text = INSERT + " RETURNING id, meter"
+        first = self.connect(0, idempotency_key="letter-1", deadline="9s")
+        row = first.execute(text, ("keyed",)).fetchone()
+        again = self.connect(1, idempotency_key="letter-1", deadline="9s")
+        cursor = again.execute(text, ("keyed",))
+        self.assertEqual((row, "INSERT 0 1"), (cursor.fetchone(), cursor.statusmessage))
+        self.assertEqual(1, self.count("keyed"))
+        reused = self.connect(1, idempotency_key="letter-1", deadline="9s")
+        state, detail = self.detail(reused, INSERT, ("another",))
+        self.assertEqual(("22023", "not run"), (state, detail))
+        others = self.fleet.dsn(0, OTHER_ACCOUNT, idempotency_key="letter-1")
+        with psycopg.connect(others, autocommit=True) as other:
+            self.assertNotEqual(row, other.execute(text, ("keyed",)).fetchone())
+
+    def test_keyed_write_survives_the_loss_of_its_connection(self):
+        connection = self.connect(idempotency_key="letter-2", deadline="9s")
+        self.fleet.change_member(self.primary(), service_s=0.3)
+        killer = threading.Timer(0.5, self.fault, kwargs={"killed": True})
+        healer = threading.Timer(1.5, self.mend)
+        for timer in (killer, healer):
+            timer.start()
+            self.addCleanup(timer.join)
+        connection.execute(INSERT, ("survivor",))
+        self.assertEqual(1, self.count("survivor", 1))
+
+    def test_racing_retries_of_one_key_run_once(self):
+        self.fleet.change_member(self.primary(), service_s=0.1)
+        rows = []
+
+        def write(number):
+            with self.fleet.connect(
+                number % 2, idempotency_key="letter-3", deadline="9s"
+            ) as connection:
+                found = connection.execute(INSERT + " RETURNING id", ("race",))
+                rows.append(found.fetchone())
+
+        threads = [threading.Thread(target=write, args=(n,)) for n in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual((6, 1), (len(rows), len(set(rows))))
+        self.assertEqual(1, self.count("race"))
+
+    def test_key_of_a_failed_write_stays_free(self):
+        connection = self.connect(idempotency_key="letter-4", deadline="9s")
+        self.detail(connection, "INSERT INTO nowhere VALUES (1)")
+        connection.execute(INSERT, ("second try",))
+        self.assertEqual(1, self.count("second try"))
+
     def test_deadline_in_a_transaction_rolls_it_back(self):
         connection = self.connect(deadline="500ms")
         connection.execute("BEGIN")
