--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -606,7 +606,7 @@
                 self._give_back(connection)
         metrics = session.context.metrics
         metrics.record("statement", session.context.now() - self.started_at)
-        if self.reading:
+        if self.reading and self.batch.executes:
             metrics.count(metrics.reads, self.role)
             if self.waited and self.role == "replica":
                 self.group.patience.on_served()
--- a/tests/core/routing/test_classify.py
+++ b/tests/core/routing/test_classify.py
@@ -43,3 +43,38 @@
 
     def test_text_that_is_not_sql_goes_to_the_primary(self):
         self.check(CLASS.WRITE, "SELEC 1")
+
+    def test_functions_that_are_not_built_in_may_write(self):
+        for text, certain in (
+            ("SELECT count(*) FROM t", True),
+            ("SELECT pg_catalog.count(*) FROM t", True),
+            ("SELECT book_pallet(1)", False),
+            ("SELECT stores.count(1)", False),
+        ):
+            found = self.classifier.classify(text.encode("utf-8"))
+            self.assertEqual(
+                (CLASS.READ, certain), (found.statement_class, found.certain)
+            )
+
+    def test_session_state_that_no_connection_keeps_is_unsupported(self):
+        self.check(CLASS.UNSUPPORTED, "SELECT pg_advisory_lock(1)")
+        self.check(CLASS.UNSUPPORTED, "CREATE TEMP TABLE a (b int)")
+        self.check(CLASS.UNSUPPORTED, "DECLARE c CURSOR WITH HOLD FOR SELECT 1")
+        self.check(CLASS.UNSUPPORTED, "SELECT set_config($1, $2, false)")
+        self.check(CLASS.WRITE, "SELECT set_config($1, $2, true)")
+
+    def test_texts_tell_how_they_leave_a_transaction(self):
+        for text, opens, commits in (
+            ("BEGIN", True, False),
+            ("BEGIN; INSERT INTO t VALUES (1)", True, False),
+            ("BEGIN; INSERT INTO t VALUES (1); COMMIT", False, True),
+            ("COMMIT; BEGIN", True, True),
+            ("BEGIN; ROLLBACK", False, False),
+        ):
+            found = self.classifier.classify(text.encode("utf-8"))
+            self.assertEqual((opens, commits), (found.opens, found.commits), text)
+
+    def test_settings_are_made_by_set_and_not_by_set_local(self):
+        found = self.classifier.classify(b"SET search_path TO a, b; RESET ALL")
+        self.assertEqual(["search_path", ""], [one.name for one in found.changes])
+        self.assertEqual((), self.classifier.classify(b"SET LOCAL a = 1").changes)
