--- a/pomelograde/net/_keyed.py
+++ b/pomelograde/net/_keyed.py
@@ -155,6 +155,11 @@
         self._count_retry(reason)
         self._restart(exchanges.PRIMARY_RETRY_INTERVAL_S)
 
+    def _restart(self, delay_s=0.0):
+        # The table can be lost with the primary that it was made on.
+        self.created = False
+        super()._restart(delay_s)
+
     def _refuse(self, part):
         kind = retries.ErrorKind.IDEMPOTENCY_UNAVAILABLE
         detail = "" if part.error is None else part.error.get("M", "")
