Serve open routes, say why requests were refused, end withdrawn statements truly

Cause: callers without a key could not read on routes open to all; explain had nothing to show; a statement under way when its key was withdrawn was answered "not run" although a member may have run it; a service that was deleted left its sessions behind. Change: open rules give read-only sessions a rate and a role of their own; refusals, delays and routes are recorded by client account; error kinds for withdrawal and deletion with a statement under way say "outcome unknown".

--- a/pomelograde/core/resources/_kinds.py
+++ b/pomelograde/core/resources/_kinds.py
@@ -118,9 +118,12 @@
     max_staleness_s : float
         Age of data that reads accept; 0 for none but the session's own needs.
     open : bool
-        Whether callers without a key may read; such a rule has a rate.
+        Whether callers without a key may read; they connect with the rule's
+        name as their user. Such a rule has a rate.
     rate_per_s, burst : float
         Rate of an open route, over all instances.
+    role : str
+        Database role of an open route's reads; the rule's name where empty.
     """
 
     service: str = attrs.field(validator=checks.not_empty)
@@ -129,6 +132,7 @@
     open: bool = False
     rate_per_s: float = attrs.field(default=0.0, validator=checks.not_negative)
     burst: float = attrs.field(default=0.0, validator=checks.not_negative)
+    role: str = ""
 
 
 KINDS = {
--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -24,6 +24,9 @@
     AUTHENTICATION_FAILED = "authentication_failed"
     UNKNOWN_DATABASE = "unknown_database"
     KEY_WITHDRAWN = "key_withdrawn"
+    KEY_WITHDRAWN_IN_FLIGHT = "key_withdrawn_in_flight"
+    SERVICE_DELETED = "service_deleted"
+    SERVICE_DELETED_IN_FLIGHT = "service_deleted_in_flight"
     ROUTE_FORBIDDEN = "route_forbidden"
     INVALID_SETTING = "invalid_setting"
     UNSUPPORTED = "unsupported"
@@ -124,6 +127,23 @@
     ErrorKind.KEY_WITHDRAWN: Answer(
         "28000", _NOT_RUN, "client account key has been withdrawn", fatal=True
     ),
+    ErrorKind.KEY_WITHDRAWN_IN_FLIGHT: Answer(
+        "28000",
+        _UNKNOWN,
+        "client account key has been withdrawn while a statement was under way",
+        "Check whether the statement took effect.",
+        fatal=True,
+    ),
+    ErrorKind.SERVICE_DELETED: Answer(
+        "57P04", _NOT_RUN, "database service has been deleted", fatal=True
+    ),
+    ErrorKind.SERVICE_DELETED_IN_FLIGHT: Answer(
+        "57P04",
+        _UNKNOWN,
+        "database service has been deleted while a statement was under way",
+        "Check whether the statement took effect.",
+        fatal=True,
+    ),
     ErrorKind.ROUTE_FORBIDDEN: Answer(
         "42501", _NOT_RUN, "no route allows this statement for the client account"
     ),
--- a/pomelograde/net/callers.py
+++ b/pomelograde/net/callers.py
@@ -6,7 +6,7 @@
 import scramp
 from twisted.internet import protocol
 
-from pomelograde.core import accounts, retries
+from pomelograde.core import accounts, retries, routing
 from pomelograde.core.membership import cancels
 from pomelograde.net import (
     _frames,
@@ -55,6 +55,7 @@
         self.timer = None
         self.scram = None
         self.key = None
+        self.route = None
         self.secure = False
         self.process_id = 0
         self.secret = 0
@@ -139,6 +140,14 @@
             return
         self.parameters = outcome.ok_value
         self.reader = _frames.FrameReader(_frames.MAX_STARTUP_BYTES)
+        self.route = routing.find_open_route(
+            self.listener.gateway.configuration.current,
+            self.parameters.get("user", ""),
+            self._service(),
+        )
+        if self.route is not None:
+            self._start_route()
+            return
         self.transport.write(
             _frames.frame(b"R", struct.pack(">I", 10) + b"SCRAM-SHA-256\0\0")
         )
@@ -200,32 +209,57 @@
 
     def _finish_startup(self):
         current = self.listener.gateway.configuration.current
-        service = self.parameters.get("database") or self.parameters.get("user", "")
-        if self.key.withdrawn:
+        if self.key.withdrawn or self.key != self._find_key():
             self._refuse(retries.ErrorKind.KEY_WITHDRAWN)
             return
         if not self.listener.gateway.is_current(self.context.now()):
             self._refuse(retries.ErrorKind.CONFIGURATION_STALE)
             return
-        if self.listener.gateway.draining:
-            self._refuse(retries.ErrorKind.DRAINING)
+        account = current.get("accounts", self.key.account)
+        session = self._make_session(
+            account=self.key.account,
+            key_name=self.parameters.get("user", ""),
+            role=current.role_of(self.key.account),
+            weight=account.weight if account is not None else 1.0,
+        )
+        if session is not None:
+            self._add_session(session)
+
+    def _start_route(self):
+        """Let a caller without a key read."""
+        session = self._make_session(
+            account=self.route.account,
+            key_name=self.route.account,
+            role=self.route.role,
+            weight=1.0,
+            read_only=True,
+            route=self.route,
+        )
+        if session is None:
             return
-        if service not in self.listener.gateway.groups:
+        self._add_session(session)
+        if self.buffer:
+            data, self.buffer = self.buffer, b""
+            self.dataReceived(data)
+
+    def _service(self):
+        return self.parameters.get("database") or self.parameters.get("user", "")
+
+    def _make_session(self, **particulars):
+        gateway = self.listener.gateway
+        service = self._service()
+        if gateway.draining:
+            self._refuse(retries.ErrorKind.DRAINING)
+            return None
+        if service not in gateway.groups:
             self._refuse(retries.ErrorKind.UNKNOWN_DATABASE)
-            return
-        account = current.get("accounts", self.key.account)
+            return None
         session = session_tasks.Session(
-            self.context,
-            self.listener.gateway,
-            self,
-            service,
-            self.key.account,
-            self.parameters.get("user", ""),
-            current.role_of(self.key.account),
-            account.weight if account is not None else 1.0,
+            self.context, gateway, self, service, **particulars
         )
-        if not self._set_options(session):
-            return
+        return session if self._set_options(session) else None
+
+    def _add_session(self, session):
         self._end_startup()
         self.session = session
         self.listener.gateway.add(session)
@@ -236,7 +270,7 @@
             events.Event.CALLER_AUTHENTICATED,
             key=session.key_name,
             account=session.account,
-            service=service,
+            service=session.service,
         )
 
     def _set_options(self, session):
--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -608,6 +608,7 @@
         metrics.record("statement", session.context.now() - self.started_at)
         if self.reading and self.batch.executes:
             metrics.count(metrics.reads, self.role)
+            session.context.decisions.count(session.account, "routed", self.role)
             if self.waited and self.role == "replica":
                 self.group.patience.on_served()
         session.on_exchange_done(self.status)
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -2,10 +2,11 @@
 
 from twisted.internet import task
 
-from pomelograde.core import retries
+from pomelograde.core import retries, routing
 from pomelograde.net import events, groups
 
 SWEEP_INTERVAL_S = 0.05
+_KINDS = retries.ErrorKind
 
 
 class Gateway:
@@ -74,6 +75,15 @@
         """
         return self.configuration.is_current(now)
 
+    def may_serve(self, session, now):
+        """Return whether a session's requests may be served.
+
+        Notes
+        -----
+        An open route rests on no key, so it needs no evidence.
+        """
+        return session.route is not None or self.is_current(now)
+
     def forget(self, session):
         """Drop a caller that is gone."""
         self.sessions.discard(session)
@@ -109,6 +119,7 @@
     def _update_services(self, configuration):
         wanted = configuration.of_kind("services")
         for name in [name for name in self.groups if name not in wanted]:
+            self._close_service(name)
             self.groups.pop(name).stop()
         for name, resource in wanted.items():
             group = self.groups.get(name)
@@ -119,13 +130,24 @@
             elif group.spec != resource.spec:
                 group.update(resource.spec)
 
+    def _close_service(self, name):
+        for session in list(self.sessions):
+            if session.service == name:
+                self._close(
+                    session, _KINDS.SERVICE_DELETED, _KINDS.SERVICE_DELETED_IN_FLIGHT
+                )
+
+    def _close(self, session, kind, kind_in_flight):
+        """Close a session; what is under way has an unknown outcome."""
+        in_flight = session.exchange in self.exchanges
+        session.fail(retries.Failure(kind_in_flight if in_flight else kind))
+
     def _close_withdrawn(self, configuration):
         for key_name in list(self.by_key):
-            key = configuration.get("keys", key_name)
             sessions = [
                 session
                 for session in self.by_key[key_name]
-                if not _is_valid(key, session)
+                if not _is_valid(configuration, session)
             ]
             if not sessions:
                 continue
@@ -135,7 +157,9 @@
                 connections=len(sessions),
             )
             for session in sessions:
-                session.fail(retries.Failure(retries.ErrorKind.KEY_WITHDRAWN))
+                self._close(
+                    session, _KINDS.KEY_WITHDRAWN, _KINDS.KEY_WITHDRAWN_IN_FLIGHT
+                )
 
     def _sweep(self):
         now = self.context.now()
@@ -160,9 +184,15 @@
         self.context.log.write(event, revision=revision, age_s=age_s)
 
 
-def _is_valid(key, session):
+def _is_valid(configuration, session):
     """Return whether a session may go on with the key that it showed."""
     shown = session.caller.key
+    if session.route is not None:
+        route = routing.find_open_route(
+            configuration, session.route.name, session.service
+        )
+        return route == session.route
+    key = configuration.get("keys", session.key_name)
     return (
         key is not None
         and not key.withdrawn
--- a/pomelograde/net/operators.py
+++ b/pomelograde/net/operators.py
@@ -208,8 +208,8 @@
     def _handle_other(self, request, kind, rest, operator):
         if kind == "status" and not rest and request.method == b"GET":
             self._finish(request, 200, self._status())
-        elif kind == "explain" and len(rest) == 1 and request.method == b"GET":
-            self._finish(request, 200, self._explain(rest[0]))
+        elif kind == "explain" and rest and request.method == b"GET":
+            self._finish(request, 200, self._explain("/".join(rest)))
         elif kind == "drain" and not rest and request.method == b"POST":
             self.context.log.write(events.Event.OPERATOR_DRAIN, operator=operator.name)
             self._finish(request, 202, {"message": "graceful shutdown begins"})
--- a/pomelograde/net/records.py
+++ b/pomelograde/net/records.py
@@ -136,14 +136,17 @@
     def count(self, account, outcome, reason):
         """Count a decision without recording it."""
         counts = _bounded(self.counts, account, collections.Counter)
-        counts[f"{outcome}/{reason}"] += 1
+        counts[outcome, reason] += 1
 
     def describe(self, account):
         """Return what is known of a client account as a JSON value."""
         recent = self.recent.get(account, ())
         return {
             "account": account,
-            "counts": dict(self.counts.get(account, {})),
+            "counts": {
+                f"{outcome}/{reason}": count
+                for (outcome, reason), count in self.counts.get(account, {}).items()
+            },
             "recent": [attrs.asdict(decision) for decision in reversed(recent)],
         }
 
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -50,6 +50,8 @@
         Share of the client account.
     read_only : bool
         Whether anything but reads is refused.
+    route : OpenRoute or None
+        Open route that the caller uses in place of a key.
 
     Attributes
     ----------
@@ -76,6 +78,7 @@
         role,
         weight,
         read_only=False,
+        route=None,
     ):
         self.context = context
         self.gateway = gateway
@@ -86,6 +89,7 @@
         self.role = role
         self.weight = weight
         self.read_only = read_only
+        self.route = route
         self.group = gateway.groups[service]
         self.book = _batches.StatementBook(
             context.classifier, context.settings.limits.prepared_statements
@@ -141,9 +145,14 @@
         current = self.gateway.configuration.current
         if current is not self.rule_source:
             self.rule_source = current
-            self.rule = routing.match(current, self.service, self.account)
+            self.rule = self._find_rule(current)
         return 0.0 if self.rule is None else self.rule.max_staleness_s
 
+    def _find_rule(self, configuration):
+        if self.route is not None:
+            return configuration.get("rules", self.route.name)
+        return routing.match(configuration, self.service, self.account)
+
     def needs_probe(self, now):
         """Return whether a read must ask the members for a floor first."""
         if self.needs_floor:
@@ -259,6 +268,7 @@
         if self.closed:
             return
         self.context.metrics.count(self.context.metrics.refusals, failure.kind.value)
+        self._note_refusal(failure)
         self.write(_frames.error_response(failure))
         self.on_closed()
         self.caller.transport.loseConnection()
@@ -320,10 +330,20 @@
         elif self.reading_stopped:
             self._check_backlog()
 
+    def _note_refusal(self, failure):
+        self.context.decisions.note(
+            self.account,
+            "refused",
+            failure.kind.value,
+            self.service,
+            retry_after_s=round(failure.retry_after_s, 3),
+        )
+
     def _write_refusal(self, failure, batch, status):
         self.status = status
         metrics = self.context.metrics
         metrics.count(metrics.refusals, failure.kind.value)
+        self._note_refusal(failure)
         self.context.log.write(
             events.Event.STATEMENT_REFUSED,
             account=self.account,
@@ -402,7 +422,7 @@
                 self._admit(batch, self._deadline())
 
     def _admit(self, batch, deadline):
-        if not self.gateway.is_current(self.context.now()):
+        if not self.gateway.may_serve(self, self.context.now()):
             kind = retries.ErrorKind.CONFIGURATION_STALE
             self.refuse(retries.Failure(kind), batch)
             return
@@ -413,7 +433,7 @@
         if admitted:
             self._start_exchange(batch, deadline)
             return
-        self.exchange = _Admission()
+        self.exchange = _Admission(self.context.now())
         waiting = admission.wait(self.account, deadline)
         waiting.addCallback(self._on_admission, self.exchange, batch, deadline)
 
@@ -424,6 +444,10 @@
         if failure is not None:
             self.refuse(failure, batch)
             return
+        wait_ms = round((self.context.now() - admission.since) * 1000.0, 1)
+        self.context.decisions.note(
+            self.account, "delayed", "rate", self.service, wait_ms=wait_ms
+        )
         self._start_exchange(batch, deadline)
 
     def _start_exchange(self, batch, deadline):
@@ -557,7 +581,16 @@
 
 
 class _Admission:
-    """Stands for a batch that waits for its client account's rate."""
+    """Stands for a batch that waits for its client account's rate.
+
+    Parameters
+    ----------
+    since : float
+        When the wait began, in monotonic seconds.
+    """
+
+    def __init__(self, since):
+        self.since = since
 
     def abandon(self):
         """Do nothing; the session ignores the answer."""
