Replace failed primaries without anybody ordering it

Cause: groups kept a primary that was killed, paused or cut off for ever, and every instance held a connection of its own to every member.

Change: core/failover has a state machine that suspects over a kept and then a fresh connection, asks witnesses in other data centres, fences a majority with a new term, promotes the most advanced member and makes the rest follow. One instance of each data centre watches a group; the others get its news and ask it for floors. Writes whose primary is lost are judged by the next one's log, once a majority holds an entry of its own term. What waits for a member that can't be reached is released when another one leads.

--- a/pomelograde/core/failover/_group.py
+++ b/pomelograde/core/failover/_group.py
@@ -5,6 +5,8 @@
 from pomelograde.core.routing import _choose
 from pomelograde.core.sessions import _bookmark
 
+MAX_LEADERS = 32
+
 
 @attrs.frozen
 class MemberStatus:
@@ -51,12 +53,21 @@
         Highest term that a primary is known for.
     primary : str or None
         Primary of that term, or None while none is known.
+    deposed_term : int
+        Highest term whose primary is known to be fenced for a later one.
+    leaders : dict of int to str
+        Primaries of the last terms.
+    withdrawn : set of str
+        Members that operators are taking out.
     """
 
     name: str
     members: dict[str, _choose.MemberView]
     term: int = 0
     primary: str | None = None
+    deposed_term: int = 0
+    leaders: dict[int, str] = attrs.field(factory=dict)
+    withdrawn: set[str] = attrs.field(factory=set)
 
     def apply(self, status, now):
         """Take in what a member said of itself.
@@ -72,12 +83,15 @@
         view.position = status.position
         view.position_at = now
         view.reachable = True
-        view.leaving = status.leaving
+        view.leaving = status.leaving or status.name in self.withdrawn
         if status.role == "primary":
             return self.learn(status.term, status.name)
         if status.name == self.primary and status.fenced_term > self.term:
             self.primary = None
+            self.deposed_term = self.term
             return True
+        if status.role == "replica" and status.leader != status.name:
+            return self.learn(status.term, status.leader)
         return False
 
     def learn(self, term, primary):
@@ -90,11 +104,16 @@
         """
         if term < self.term or (term == self.term and self.primary is not None):
             return False
+        if term <= self.deposed_term:
+            return False
         if primary not in self.members:
             return False
         changed = (term, primary) != (self.term, self.primary)
         self.term = term
         self.primary = primary
+        self.leaders[term] = primary
+        if len(self.leaders) > MAX_LEADERS:
+            del self.leaders[min(self.leaders)]
         return changed
 
 
--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -134,6 +134,13 @@
         failure = _errors.Failure(_errors.ErrorKind.DEADLINE_BEFORE_RUN)
         return [Refuse(waiter, failure) for waiter in self.queue.expire(now)]
 
+    def refuse_all(self, failure):
+        """Refuse all waiters; returns the actions to carry out."""
+        refusals = []
+        while (waiter := self.queue.pop()) is not None:
+            refusals.append(Refuse(waiter, failure))
+        return refusals
+
     def resize(self, limit, now):
         """Change the limit; returns the actions to carry out."""
         self.limit = limit
--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -46,6 +46,7 @@
     ANSWER_TOO_LARGE = "answer_too_large"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     IDEMPOTENCY_UNAVAILABLE = "idempotency_unavailable"
+    WRITE_DISCARDED = "write_discarded"
     CONFIGURATION_STALE = "configuration_stale"
     DRAINING = "draining"
     INTERNAL = "internal"
@@ -237,6 +238,12 @@
         "idempotency keys cannot be used for this statement",
         "Set pomelograde.idempotency_key to an empty text.",
     ),
+    ErrorKind.WRITE_DISCARDED: Answer(
+        "40001",
+        _NOT_RUN,
+        "the primary failed before a majority held the write; it took no effect",
+        "Run the statement, or the whole transaction, again.",
+    ),
     ErrorKind.CONFIGURATION_STALE: Answer(
         "57P03",
         _NOT_RUN,
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -18,6 +18,7 @@
     events,
     exposition,
     gateway,
+    groups,
     metrics,
     operators,
     peer_messages,
@@ -177,6 +178,7 @@
         settings.platform.timeout_s,
         addresses.bind_host,
     )
+    shared.platform = client
     configuration_task = configuration.ConfigurationTask(shared, client)
     admission_task = admission.AdmissionTask(shared, configuration_task)
     gate = gateway.Gateway(shared, configuration_task, admission_task)
@@ -185,7 +187,8 @@
     members = membership_task.MembershipTask(shared, client, configuration_task)
     members.listeners.append(gate.on_instances_changed)
     members.listeners.append(admission_task.update)
-    shared.peers.handlers[peer_messages.PrimaryNews] = gate.on_primary_news
+    for message in groups.PEER_MESSAGES:
+        shared.peers.handlers[message] = gate.on_group_message
     return Daemon(shared, configuration_task, gate, listener, members)
 
 
--- a/pomelograde/net/context.py
+++ b/pomelograde/net/context.py
@@ -31,6 +31,8 @@
         Source of randomness.
     peers : PeerTask
         Messages to and from other instances.
+    platform : PlatformClient or None
+        The platform.
     classifier : Classifier
         Statement classes.
     events : EventRecord
@@ -47,6 +49,7 @@
     members: membership.Membership
     random: random.Random
     peers: object = None
+    platform: object = None
     classifier: routing.Classifier = attrs.field(factory=routing.Classifier)
     events: records.EventRecord = attrs.field(
         factory=lambda: records.EventRecord(time.time)
--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -282,7 +282,10 @@
             self._count_retry("discarded")
             self._restart()
             return
-        self._fail(retries.Failure(retries.ErrorKind.ACKNOWLEDGEMENT_LOST))
+        kind = retries.ErrorKind.ACKNOWLEDGEMENT_LOST
+        if survival is retries.Survival.DISCARDED:
+            kind = retries.ErrorKind.WRITE_DISCARDED
+        self._fail(retries.Failure(kind))
 
     def give_back(self, connection):
         """Return a connection to its pool."""
@@ -545,7 +548,10 @@
         if self.done:
             return
         if failure is not None:
-            self._after_loss()
+            if failure.kind is retries.ErrorKind.WRITE_DISCARDED:
+                self._after_loss()
+            else:
+                self._fail(failure)
             return
         self.session.on_written(self.position)
         token = self.session.token()
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -106,11 +106,12 @@
         for group in self.groups.values():
             group.resize()
 
-    def on_primary_news(self, message, envelope):
-        """Take a peer's word that a member leads a group."""
+    def on_group_message(self, message, envelope):
+        """Take a peer's message about a group; returns the reply, if any."""
         group = self.groups.get(message.group)
-        if group is not None:
-            group.learn(message.term, message.primary)
+        if group is None:
+            return None
+        return groups.on_message(message, group)
 
     def _on_changed(self, changed):
         self._update_services(changed.new)
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -1,16 +1,24 @@
 """One task for each database group: its members, pools and acknowledgements."""
 
+import functools
+
 import attrs
 from twisted.internet import defer, task
 
-from pomelograde.core import failover, pooling, retries, routing, sessions
-from pomelograde.net import events, pools, upstream
+from pomelograde.core import failover, pooling, routing, sessions
+from pomelograde.net import (
+    acknowledgements,
+    events,
+    floors,
+    group_watch,
+    member_links,
+    peer_messages,
+    platform,
+    pools,
+)
 
-SYSTEM_ROLE = "pomelograde"
-WATCH_INTERVAL_S = 0.25
 SWEEP_INTERVAL_S = 0.05
-ACKNOWLEDGE_WAIT_MS = 1000
-STATUS_QUERY = "SELECT * FROM pomelograde.status()"
+PRIMARY_PREFIX = "primaries/"
 
 
 @attrs.frozen
@@ -32,15 +40,6 @@
     primary: str | None
 
 
-@attrs.define(eq=False)
-class PendingAcknowledgement:
-    """A write that waits until a majority of members holds it."""
-
-    position: sessions.Position
-    deadline: float
-    done: defer.Deferred = attrs.field(factory=defer.Deferred)
-
-
 class GroupTask:
     """Owns the pools, the view and the acknowledgements of a group.
 
@@ -73,35 +72,28 @@
         self.floors = sessions.FloorHistory()
         self.patience = routing.Patience()
         self.waiting_for_primary = []
-        self.pending = []
-        self.carrier = None
-        self.probe = None
-        self.next_probe = None
-        self.watch_connections = {}
-        self.watching = set()
-        self.loops = []
+        self.abandoned = set()
+        self.links = member_links.MemberLinks(context, self)
+        self.watch = group_watch.WatchTask(context, self)
+        self.floor_task = floors.FloorTask(context, self)
+        self.acknowledgements = acknowledgements.AcknowledgementTask(context, self)
+        self.sweep = task.LoopingCall(self._sweep)
         self.update(spec)
 
     def start(self):
         """Begin watching the members."""
-        for interval_s, work in (
-            (WATCH_INTERVAL_S, self._watch),
-            (SWEEP_INTERVAL_S, self._sweep),
-        ):
-            loop = task.LoopingCall(work)
-            loop.clock = self.context.reactor
-            loop.start(interval_s)
-            self.loops.append(loop)
+        self.watch.start()
+        defer.ensureDeferred(self.load_primary())
+        self.sweep.clock = self.context.reactor
+        self.sweep.start(SWEEP_INTERVAL_S)
 
     def stop(self):
         """Stop watching and close all connections that are not in use."""
-        for loop in self.loops:
-            loop.stop()
-        self.loops = []
+        if self.sweep.running:
+            self.sweep.stop()
+        self.watch.stop()
         for pool in self.pools.values():
             pool.close()
-        for connection in self.watch_connections.values():
-            connection.close()
 
     def update(self, spec):
         """Take in a changed spec."""
@@ -110,28 +102,37 @@
         for name in [name for name in self.pools if name not in wanted]:
             self.pools.pop(name).close()
             self.view.members.pop(name, None)
+            self.links.drop(name)
+        self.view.withdrawn = {name for name in wanted if wanted[name].leaving}
         for name, member in wanted.items():
-            view = self.view.members.setdefault(
-                name, routing.MemberView(name, member.data_centre)
-            )
-            view.leaving = member.leaving
-            if name in self.pools:
-                self.pools[name].update(member)
-                continue
+            self._update_member(name, member)
+
+    def _update_member(self, name, member):
+        view = self.view.members.setdefault(
+            name, routing.MemberView(name, member.data_centre)
+        )
+        view.leaving = member.leaving
+        pool = self.pools.get(name)
+        if pool is None:
             limit = self._connection_share(member)
             self.pools[name] = pools.MemberPool(
-                self.context, member, spec.database, limit
+                self.context, member, self.spec.database, limit
             )
+            return
+        if (member.host, member.port) != (pool.spec.host, pool.spec.port):
+            self.links.drop(name)
+        pool.update(member)
 
     def resize(self):
-        """Adapt the pools to the number of live instances."""
+        """Adapt pools and watching to the live instances."""
+        self.watch.update()
         for pool in self.pools.values():
             pool.resize(self._connection_share(pool.spec))
 
     def learn(self, term, primary):
         """Take in that a member leads in a term."""
         if self.view.learn(term, primary):
-            self._on_primary_changed()
+            self.on_primary_changed()
 
     def wait_for_primary(self, deadline):
         """Return a Deferred that fires when a primary is known.
@@ -157,15 +158,7 @@
         held by a majority, and so by one of those that answer. All calls that
         come while a round is under way share the next one.
         """
-        waiting = defer.Deferred()
-        if self.probe is None:
-            self.probe = [waiting]
-            self._start_probe()
-        else:
-            if self.next_probe is None:
-                self.next_probe = []
-            self.next_probe.append(waiting)
-        return waiting
+        return self.floor_task.read()
 
     def acknowledge(self, position, connection, deadline):
         """Wait until a majority of members holds a write.
@@ -185,130 +178,70 @@
         Deferred of Failure or None
             None once the write is acknowledged.
         """
-        entry = PendingAcknowledgement(position, deadline)
-        self.pending.append(entry)
-        if self.carrier is None:
-            self.carrier = connection
-            self._carry()
-        else:
-            self.pools[connection.member].release(connection)
-        return entry.done
+        return self.acknowledgements.acknowledge(position, connection, deadline)
 
-    def _connection_share(self, member):
-        instances = max(1, len(self.context.members.live()))
-        return max(1, (member.connection_limit - len(self.pools)) // instances)
-
-    def _carry(self):
-        first = min(self.pending, key=lambda entry: entry.position)
-        position = first.position
-        asked = upstream.call(
-            self.carrier,
-            "SELECT * FROM pomelograde.wait_majority("
-            f"{position.term}, {position.index}, {ACKNOWLEDGE_WAIT_MS})",
-        )
-        asked.addCallbacks(self._on_carried, self._on_carrier_lost)
+    def abandon_unreachable(self):
+        """Give up on what was sent to members that can't be reached.
 
-    def _on_carried(self, row):
-        held = upstream.read_position(row)
-        now = self.context.now()
-        self._finish_pending(lambda entry: entry.position <= held, None)
-        late = retries.Failure(retries.ErrorKind.ACKNOWLEDGEMENT_LOST)
-        self._finish_pending(lambda entry: entry.deadline <= now, late)
-        if self.pending:
-            self._carry()
+        Notes
+        -----
+        A primary is excepted until another one replaces it: it may only be
+        slow.
+        """
+        for name, view in self.view.members.items():
+            if view.reachable or name == self.view.primary:
+                self.abandoned.discard(name)
+            elif name not in self.abandoned:
+                self.abandoned.add(name)
+                self.pools[name].abandon()
+
+    async def store_primary(self, term, primary):
+        """Write who leads into the platform's table, if it can be reached."""
+        client = self.context.platform
+        if client is None:
             return
-        carrier, self.carrier = self.carrier, None
-        pool = self.pools.get(carrier.member)
-        if pool is not None:
-            pool.release(carrier)
-
-    def _on_carrier_lost(self, reason):
-        reason.trap(upstream.UpstreamCallError)
-        carrier, self.carrier = self.carrier, None
-        if not carrier.is_lost:
-            carrier.close()
-        lost = retries.Failure(retries.ErrorKind.ACKNOWLEDGEMENT_LOST)
-        self._finish_pending(lambda entry: True, lost)
-
-    def _finish_pending(self, chosen, outcome):
-        finished = [entry for entry in self.pending if chosen(entry)]
-        self.pending = [entry for entry in self.pending if not chosen(entry)]
-        for entry in finished:
-            entry.done.callback(outcome)
-
-    def _start_probe(self):
-        defer.ensureDeferred(self._probe())
-
-    async def _probe(self):
-        asked_at = self.context.now()
-        calls = [self._member_status(name) for name in list(self.pools)]
-        needed = failover.majority(len(calls))
-        statuses = await _first_answers(calls, needed)
-        floor = max((status.position for status in statuses), default=None)
-        waiting, self.probe = self.probe, None
-        if len(statuses) < needed:
-            floor = None
-        if floor is not None:
-            self.floors.add(asked_at, floor)
-        if self.next_probe is not None:
-            self.probe, self.next_probe = self.next_probe, None
-            self._start_probe()
-        for deferred in waiting:
-            deferred.callback(floor)
-
-    def _watch(self):
-        for name in list(self.pools):
-            if name not in self.watching:
-                self.watching.add(name)
-                watched = self._member_status(name)
-                watched.addBoth(lambda _, name=name: self.watching.discard(name))
-
-    def _member_status(self, name):
-        """Return a Deferred of the member's `MemberStatus`, or None."""
-        return defer.ensureDeferred(self._ask_status(name))
-
-    async def _ask_status(self, name):
-        try:
-            connection = await self._watch_connection(name)
-            row = await upstream.call(connection, STATUS_QUERY)
-        except (upstream.UpstreamOpenError, upstream.UpstreamCallError):
-            view = self.view.members.get(name)
-            if view is not None:
-                view.reachable = False
-            return None
-        status = failover.MemberStatus(
-            name=row[0],
-            role=row[1],
-            term=int(row[2]),
-            fenced_term=int(row[3]),
-            position=sessions.Position(int(row[4]), int(row[5])),
-            leader=row[6],
-            leaving=row[7] == "t",
+        key = f"{PRIMARY_PREFIX}{self.name}"
+        found = await client.rows(key)
+        if found.is_err():
+            return
+        version = 0
+        for row in found.ok_value[1]:
+            if row.key == key and row.value is not None:
+                version = row.version
+                if row.value["term"] >= term:
+                    return
+        value = {"term": term, "primary": primary}
+        await client.commit(
+            [platform.Condition(key, version)], [platform.Write(key, value)]
         )
-        if self.view.apply(status, self.context.now()):
-            self._on_primary_changed()
-        return status
-
-    async def _watch_connection(self, name):
-        connection = self.watch_connections.get(name)
-        if connection is not None and not connection.is_lost:
-            return connection
-        connection = await upstream.open_connection(
-            self.context.reactor,
-            self.pools[name].spec,
-            SYSTEM_ROLE,
-            self.spec.database,
-            self.context.credential,
-            self.context.settings.addresses.bind_host,
+
+    async def load_primary(self):
+        """Learn from the platform's table who leads, if it can be reached."""
+        client = self.context.platform
+        if client is None:
+            return
+        key = f"{PRIMARY_PREFIX}{self.name}"
+        found = await client.rows(key)
+        if found.is_err():
+            return
+        for row in found.ok_value[1]:
+            if row.key == key and row.value is not None:
+                self.learn(row.value["term"], row.value["primary"])
+
+    def _connection_share(self, member):
+        members = self.context.members
+        names = [instance.name for instance in members.live()]
+        watchers = failover.choose_watchers(self.name, members.live())
+        return failover.connection_share(
+            member.connection_limit,
+            len(watchers),
+            member.name,
+            members.own.name,
+            names,
         )
-        other = self.watch_connections.get(name)
-        if other is not None and not other.is_lost:
-            connection.close()
-            return other
-        self.watch_connections[name] = connection
-        return connection
-
-    def _on_primary_changed(self):
+
+    def on_primary_changed(self):
+        """Tell all that wait for, or depend on, the primary."""
         view = self.view
         self.context.log.write(
             events.Event.PRIMARY_CHANGED,
@@ -318,6 +251,8 @@
         )
         for listener in self.listeners:
             listener(PrimaryChanged(self.name, view.term, view.primary))
+        self.abandon_unreachable()
+        self.acknowledgements.on_primary_changed()
         if view.primary is not None:
             waiting, self.waiting_for_primary = self.waiting_for_primary, []
             for _, deferred in waiting:
@@ -327,6 +262,7 @@
         now = self.context.now()
         for pool in self.pools.values():
             pool.expire(now)
+        self.acknowledgements.sweep(now)
         late = [entry for entry in self.waiting_for_primary if entry[0] <= now]
         if late:
             self.waiting_for_primary = [
@@ -341,22 +277,44 @@
     return pooling.Waiter(account, role, deadline, context, weight)
 
 
-def _first_answers(calls, needed):
-    """Return a Deferred of the first `needed` answers that are not None.
+@functools.singledispatch
+def on_message(message, group):
+    """Take a peer's message about a group; returns the reply, if any."""
+    raise TypeError(f"unknown message {message!r}")
 
-    It fires with fewer once all calls have ended.
-    """
-    done = defer.Deferred()
-    answers = []
-    left = [len(calls)]
-
-    def on_answer(answer):
-        left[0] -= 1
-        if answer is not None:
-            answers.append(answer)
-        if not done.called and (len(answers) >= needed or left[0] == 0):
-            done.callback(list(answers))
-
-    for call in calls:
-        call.addCallback(on_answer)
-    return done
+
+@on_message.register
+def _(message: peer_messages.PrimaryNews, group):
+    group.learn(message.term, message.primary)
+
+
+@on_message.register
+def _(message: peer_messages.GroupNews, group):
+    group.watch.on_news(message)
+
+
+@on_message.register
+def _(message: peer_messages.WitnessRequest, group):
+    answer = group.watch.witness(message.member)
+    return answer.addCallback(peer_messages.WitnessAnswer)
+
+
+@on_message.register
+def _(message: peer_messages.FloorRequest, group):
+    if not group.watch.is_watching:
+        return peer_messages.FloorAnswer(False)
+    return group.floor_task.read().addCallback(_floor_answer)
+
+
+def _floor_answer(floor):
+    if floor is None:
+        return peer_messages.FloorAnswer(False)
+    return peer_messages.FloorAnswer(True, floor.term, floor.index)
+
+
+PEER_MESSAGES = (
+    peer_messages.PrimaryNews,
+    peer_messages.GroupNews,
+    peer_messages.WitnessRequest,
+    peer_messages.FloorRequest,
+)
--- /dev/null
+++ b/pomelograde/net/member_links.py
@@ -0,0 +1,127 @@
+"""Kept connections from one instance to the members of a group."""
+
+from twisted.internet import defer
+
+from pomelograde.net import upstream
+
+SYSTEM_ROLE = "pomelograde"
+
+
+class MemberCallError(Exception):
+    """A call of a member's function failed.
+
+    Attributes
+    ----------
+    alive : bool
+        Whether the member itself answered.
+    """
+
+    def __init__(self, message, alive=False):
+        super().__init__(message)
+        self.alive = alive
+
+
+class MemberLinks:
+    """One connection of the proxy's own role to each member, when needed.
+
+    Parameters
+    ----------
+    context : InstanceContext
+        Parts of the daemon that all tasks share.
+    group : GroupTask
+        The group.
+
+    Attributes
+    ----------
+    used_at : float
+        When a call was last made, in monotonic seconds.
+    """
+
+    def __init__(self, context, group):
+        self.context = context
+        self.group = group
+        self.connections = {}
+        self.opening = {}
+        self.used_at = 0.0
+
+    def close(self):
+        """Close all connections."""
+        for name in list(self.connections):
+            self.drop(name)
+
+    def drop(self, member):
+        """Close the connection to a member; late answers reach nobody."""
+        connection = self.connections.pop(member, None)
+        if connection is not None and not connection.is_lost:
+            connection.close()
+
+    async def call(self, member, sql, timeout_s):
+        """Call a member's function.
+
+        Parameters
+        ----------
+        member : str
+            Name of the member.
+        sql : str
+            The call.
+        timeout_s : float
+            Time limit for opening a connection, and again for the answer.
+
+        Returns
+        -------
+        list of str
+            First row of the answer.
+
+        Raises
+        ------
+        MemberCallError
+            If there is no answer in time, or an error.
+        """
+        self.used_at = self.context.now()
+        try:
+            connection = await self._connection(member, timeout_s)
+            answer = upstream.call(connection, sql)
+            answer.addTimeout(timeout_s, self.context.reactor)
+            return await answer
+        except upstream.UpstreamOpenError as error:
+            raise MemberCallError(str(error), error.refused) from error
+        except upstream.UpstreamCallError as error:
+            alive = not error.sqlstate.startswith("08")
+            raise MemberCallError(str(error), alive) from error
+        except defer.TimeoutError as error:
+            raise MemberCallError("no answer in time") from error
+
+    async def _connection(self, member, timeout_s):
+        connection = self.connections.get(member)
+        if connection is not None and not connection.is_lost:
+            return connection
+        waiters = self.opening.get(member)
+        if waiters is not None:
+            waiter = defer.Deferred()
+            waiters.append(waiter)
+            return await waiter
+        self.opening[member] = []
+        try:
+            connection = await self._open(member, timeout_s)
+        except upstream.UpstreamOpenError as error:
+            for waiter in self.opening.pop(member):
+                waiter.errback(upstream.UpstreamOpenError(str(error), error.refused))
+            raise
+        self.connections[member] = connection
+        for waiter in self.opening.pop(member):
+            waiter.callback(connection)
+        return connection
+
+    async def _open(self, member, timeout_s):
+        pool = self.group.pools.get(member)
+        if pool is None:
+            raise upstream.UpstreamOpenError(f"{member} is no member", refused=True)
+        return await upstream.open_connection(
+            self.context.reactor,
+            pool.spec,
+            SYSTEM_ROLE,
+            self.group.spec.database,
+            self.context.credential,
+            self.context.settings.addresses.bind_host,
+            timeout_s,
+        )
--- a/pomelograde/net/metrics.py
+++ b/pomelograde/net/metrics.py
@@ -81,6 +81,12 @@
         self.operator_answers = self.add_counter(
             "pomelograde_operator_answers", "Answers to operators.", "status"
         )
+        self.promotions = self.add_counter(
+            "pomelograde_promotions", "Promotions started here.", "reason"
+        )
+        self.acknowledgements = self.add_counter(
+            "pomelograde_acknowledgements", "Writes that waited.", "outcome"
+        )
         self.connections = prometheus_client.Gauge(
             "pomelograde_caller_connections",
             "Open caller connections.",
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -83,6 +83,51 @@
     term: int = 0
 
 
+@attrs.frozen
+class MemberNews:
+    """What a watcher knows of a member; a term of 0 for no position."""
+
+    name: str
+    term: int
+    index: int
+    reachable: bool
+    leaving: bool
+
+
+@attrs.frozen
+class GroupNews:
+    """What a watcher knows of a group; an empty primary for none.
+
+    Attributes
+    ----------
+    term : int
+        Highest term that a primary is known for.
+    members : list of MemberNews
+        Members of the group.
+    """
+
+    group: str
+    term: int
+    primary: str
+    members: list[MemberNews]
+
+
+@attrs.frozen
+class FloorRequest:
+    """Asks for a position at or above all writes acknowledged so far."""
+
+    group: str
+
+
+@attrs.frozen
+class FloorAnswer:
+    """The position asked for, if a majority of members answered."""
+
+    known: bool
+    term: int = 0
+    index: int = 0
+
+
 @attrs.frozen
 class ConfigurationNews:
     """Configuration rows, as JSON, up to a revision."""
@@ -178,8 +223,13 @@
     BorrowRequest,
     BorrowAnswer,
     CancelStatement,
+    GroupNews,
+    FloorRequest,
+    FloorAnswer,
 )
 
+ITEMS = {"instances": InstanceNews, "members": MemberNews}
+
 
 def _camel(name):
     head, *rest = name.split("_")
@@ -248,7 +298,7 @@
     values = {}
     for name, camel in _names(cls):
         value = getattr(source, camel)
-        if name == "instances":
-            value = [_read(InstanceNews, item) for item in value]
+        if name in ITEMS:
+            value = [_read(ITEMS[name], item) for item in value]
         values[name] = value
     return cls(**values)
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -16,6 +16,9 @@
     borrowRequest @11 :BorrowRequest;
     borrowAnswer @12 :BorrowAnswer;
     cancelStatement @13 :CancelStatement;
+    groupNews @14 :GroupNews;
+    floorRequest @15 :FloorRequest;
+    floorAnswer @16 :FloorAnswer;
   }
 }
 
@@ -83,3 +86,28 @@
   processId @0 :UInt32;
   secret @1 :UInt32;
 }
+
+struct MemberNews {
+  name @0 :Text;
+  term @1 :UInt64;
+  index @2 :UInt64;
+  reachable @3 :Bool;
+  leaving @4 :Bool;
+}
+
+struct GroupNews {
+  group @0 :Text;
+  term @1 :UInt64;
+  primary @2 :Text;
+  members @3 :List(MemberNews);
+}
+
+struct FloorRequest {
+  group @0 :Text;
+}
+
+struct FloorAnswer {
+  known @0 :Bool;
+  term @1 :UInt64;
+  index @2 :UInt64;
+}
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -29,6 +29,7 @@
         self.database = database
         self.core = pooling.Pool(limit)
         self.idle = set()
+        self.open = set()
         self.closed = False
 
     def take_at_once(self, role):
@@ -87,6 +88,19 @@
         for connection in list(self.idle):
             connection.close()
 
+    def abandon(self):
+        """Give up on a member that can't be reached.
+
+        Notes
+        -----
+        All waiters are refused, so that they try elsewhere, and connections
+        in use are closed, since their answers would come late or never.
+        """
+        failure = retries.Failure(upstream.OPEN_FAILURE, self.spec.name)
+        self._run(self.core.refuse_all(failure))
+        for connection in list(self.open):
+            connection.close()
+
     def close(self):
         """Close the pool; connections in use are closed when given back."""
         self.closed = True
@@ -101,6 +115,7 @@
         now = self.context.now()
         self.context.log.write(events.Event.UPSTREAM_OPENED, member=self.spec.name)
         self.idle.add(connection)
+        self.open.add(connection)
         self._run(self.core.opened(connection, connection.role, now))
 
     def _on_open_failed(self, reason, role):
@@ -115,6 +130,7 @@
     def _on_closed(self, connection):
         was_idle = connection in self.idle
         self.idle.discard(connection)
+        self.open.discard(connection)
         now = self.context.now()
         self._run(self.core.lost(connection, connection.role, was_idle, now))
 
@@ -138,6 +154,7 @@
 @_carry_out.register
 def _(action: pooling.Close, pool):
     pool.idle.discard(action.connection)
+    pool.open.discard(action.connection)
     action.connection.on_closed = None
     action.connection.close()
 
--- a/pomelograde/net/upstream.py
+++ b/pomelograde/net/upstream.py
@@ -146,7 +146,7 @@
                 self.process_id, self.secret = struct.unpack_from(">II", frame, 5)
             elif kind == ERROR:
                 fields = _frames.read_error(frame)
-                self._fail(f"{self.member}: {fields.get('M', '')}")
+                self._fail(f"{self.member}: {fields.get('M', '')}", refused=True)
                 self.close()
             elif kind == READY:
                 self.is_ready = True
@@ -172,14 +172,24 @@
             self._fail(f"{self.member} asks for an unknown authentication")
             self.close()
 
-    def _fail(self, text):
+    def _fail(self, text, refused=False):
         ready, self.ready = self.ready, None
         if ready is not None:
-            ready.errback(UpstreamOpenError(text))
+            ready.errback(UpstreamOpenError(text, refused))
 
 
 class UpstreamOpenError(Exception):
-    """An upstream connection could not be opened."""
+    """An upstream connection could not be opened.
+
+    Attributes
+    ----------
+    refused : bool
+        Whether the member itself answered, and so is alive.
+    """
+
+    def __init__(self, message, refused=False):
+        super().__init__(message)
+        self.refused = refused
 
 
 class FunctionPart:
--- a/pomelograde/standins/group.py
+++ b/pomelograde/standins/group.py
@@ -268,7 +268,9 @@
         known = (member.role, member.term, member.leader)
         if known == ("replica", term, leader_name):
             return True
-        member.fenced_term = term
+        if term > member.fenced_term:
+            member.fenced_term = term
+            member.fenced_by = ""
         member.term = term
         member.role = "replica"
         member.leader = leader_name
--- /dev/null
+++ b/tests/core/failover/simulation.py
@@ -0,0 +1,183 @@
+"""Promoters that race over an unreliable network, without sockets."""
+
+import functools
+import random
+
+from twisted.internet import task
+
+from pomelograde.core import failover, routing
+from pomelograde.standins import group as groups
+
+MEMBERS = ("a", "b", "c")
+
+
+class NullStore:
+    """Stands in for a member's data."""
+
+    def replay(self, statements):
+        """Do nothing."""
+
+    def copy_from(self, other):
+        """Do nothing."""
+
+
+class Candidate:
+    """A promoter with its own view and the messages that it has under way."""
+
+    def __init__(self, name, seed, rank):
+        self.holder = name
+        self.view = failover.GroupView(
+            "g", {member: routing.MemberView(member, "dc") for member in MEMBERS}
+        )
+        self.promoter = failover.Promoter(self.view, random.Random(seed), rank)
+        self.requests = []
+        self.alive = True
+        self.max_steps = None
+
+
+class Simulation:
+    """A group, its promoters and the requests between them."""
+
+    def __init__(self, promoters=3, seed=7):
+        self.clock = task.Clock()
+        self.random = random.Random(seed)
+        members = [groups.Member(name, "dc", NullStore()) for name in MEMBERS]
+        self.group = groups.Group(self.clock, "g", members)
+        self.candidates = []
+        for number in range(promoters):
+            self.add_candidate(f"p{number}/1", number)
+        self.acknowledged = {}
+        self.acknowledgers = {}
+        self.promoted = {}
+        self.promotions = 0
+
+    def add_candidate(self, holder, rank):
+        """Start one more promoter."""
+        seed = self.random.random()
+        self.candidates.append(Candidate(holder, seed, rank))
+        return self.candidates[-1]
+
+    def feed(self, candidate, event):
+        """Hand an event to a promoter; its actions become requests."""
+        if candidate.alive:
+            actions = candidate.promoter.handle(event, self.clock.seconds())
+            candidate.requests.extend(actions)
+
+    def probe(self, candidate, name):
+        """Ask a member for its status, as far as it answers."""
+        member = self.group.members[name]
+        if member.is_down():
+            self.feed(candidate, failover.Silent(name))
+            return
+        status = failover.MemberStatus(
+            name,
+            member.role,
+            member.term,
+            member.fenced_term,
+            member.position,
+            member.leader,
+        )
+        self.feed(candidate, failover.Answered(status))
+
+    def deliver(self, candidate, index=0, lose_answer=False):
+        """Carry out one request of a promoter."""
+        if candidate.requests:
+            request = candidate.requests.pop(index % len(candidate.requests))
+            answer = _perform(request, self, candidate)
+            if answer is not None and not lose_answer:
+                self.feed(candidate, answer)
+
+    def write(self, name):
+        """Commit on a member that takes itself for the primary."""
+        member = self.group.members[name]
+        writable = member.role == "primary" and member.fenced_term <= member.term
+        if writable and not member.is_down():
+            self.group.append(member, ())
+
+    def observe(self):
+        """Note what each member acknowledges now."""
+        for member in self.group.members.values():
+            if member.role == "primary":
+                assert self.promoted.setdefault(member.term, member.name) == member.name
+            held = self.group.held_by_majority(member)
+            if held.index and not member.is_down():
+                owner = self.acknowledgers.setdefault(held.term, member.name)
+                assert owner == member.name, "two members acknowledge in a term"
+                for index in range(held.index):
+                    term = member.log[index].term
+                    known = self.acknowledged.setdefault(index, term)
+                    assert known == term, "an acknowledged entry was replaced"
+
+    def settle(self, seconds=6.0):
+        """End all faults and let the promoters finish."""
+        for member in self.group.members.values():
+            member.faults.paused = member.faults.killed = False
+        self.group.heal()
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.step(0.1)
+
+    def step(self, interval_s=0.05):
+        """Let all promoters probe, and carry out all they ask for."""
+        self.clock.advance(interval_s)
+        for candidate in self.candidates:
+            for name in MEMBERS:
+                self.probe(candidate, name)
+            self.feed(candidate, failover.Tick())
+            while candidate.alive and candidate.requests:
+                self.deliver(candidate)
+        self.observe()
+
+
+@functools.singledispatch
+def _perform(request, simulation, candidate):
+    raise TypeError(f"unknown request {request!r}")
+
+
+@_perform.register
+def _(request: failover.ProbeFresh, simulation, candidate):
+    if simulation.group.members[request.member].is_down():
+        return failover.Unreachable(request.member)
+    simulation.probe(candidate, request.member)
+    return None
+
+
+@_perform.register
+def _(request: failover.AskWitnesses, simulation, candidate):
+    return failover.Witnessed(request.member, False)
+
+
+@_perform.register
+def _(request: failover.Fence, simulation, candidate):
+    member = simulation.group.members[request.member]
+    if member.is_down():
+        return None
+    done = simulation.group.fence(member, request.term, candidate.holder)
+    simulation.observe()
+    return failover.FenceAnswered(
+        member.name, request.term, done, member.fenced_term, member.position
+    )
+
+
+@_perform.register
+def _(request: failover.Promote, simulation, candidate):
+    member = simulation.group.members[request.member]
+    if member.is_down():
+        return failover.PromoteAnswered(member.name, request.term, False)
+    done = simulation.group.promote(member, request.term, candidate.holder)
+    simulation.promotions += done
+    simulation.observe()
+    return failover.PromoteAnswered(member.name, request.term, done)
+
+
+@_perform.register
+def _(request: failover.Follow, simulation, candidate):
+    member = simulation.group.members[request.member]
+    if not member.is_down():
+        simulation.group.follow(member, request.term, request.leader)
+        simulation.observe()
+
+
+@_perform.register
+def _(request: failover.Publish, simulation, candidate):
+    return None
