Lease rates in the table and move tokens between instances

Cause: each instance divided all rates by the instances that it saw, so that the sides of a partition exceeded the rate together, a new instance started with a full bucket, and an account whose callers sat at one instance got a seventh of its rate. Change: parts of all rates are leased in the table, one row an instance and a ledger row; tokens move between instances on demand; requests wait first in, first out, and are refused at once when they can't be in time. A request at an instance without a share gets no_rate_share.

--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -1,7 +1,36 @@
 """Rates and bursts of client accounts."""
 
-from pomelograde.core.limits import _bucket
+from pomelograde.core.limits import _bucket, _lease, _share
 
+LOAN_S = _lease.LOAN_S
+PARTS = _lease.PARTS
+PREFIX = _lease.PREFIX
+
+Admit = _share.Admit
+Borrow = _share.Borrow
+Commit = _lease.Commit
+Expire = _share.Expire
+Loan = _lease.Loan
+PeerView = _share.PeerView
+Share = _share.Share
+ShareLease = _lease.ShareLease
+TableRow = _lease.TableRow
 TokenBucket = _bucket.TokenBucket
+Waiter = _share.Waiter
 
-__all__ = ["TokenBucket"]
+__all__ = [
+    "LOAN_S",
+    "PARTS",
+    "PREFIX",
+    "Admit",
+    "Borrow",
+    "Commit",
+    "Expire",
+    "Loan",
+    "PeerView",
+    "Share",
+    "ShareLease",
+    "TableRow",
+    "TokenBucket",
+    "Waiter",
+]
--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -32,6 +32,7 @@
     UNSUPPORTED = "unsupported"
     UNKNOWN_STATEMENT = "unknown_statement"
     RATE_EXCEEDED = "rate_exceeded"
+    NO_RATE_SHARE = "no_rate_share"
     QUEUE_FULL = "queue_full"
     DEADLINE_BEFORE_RUN = "deadline_before_run"
     DEADLINE_AFTER_SEND = "deadline_after_send"
@@ -163,6 +164,12 @@
         "client account is over its rate",
         "Retry after the stated time.",
     ),
+    ErrorKind.NO_RATE_SHARE: Answer(
+        "57P03",
+        _NOT_RUN,
+        "instance holds no share of the client account's rate",
+        "Connect again; the balancer picks another instance.",
+    ),
     ErrorKind.QUEUE_FULL: Answer(
         "53000",
         _NOT_RUN,
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -103,6 +103,7 @@
         while self.gateway.sessions and self.context.now() < deadline:
             await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
         await left
+        await self.gateway.admission.hand_back()
         self.configuration.stop()
         self.gateway.stop()
         self.membership.stop()
@@ -180,7 +181,7 @@
     )
     shared.platform = client
     configuration_task = configuration.ConfigurationTask(shared, client)
-    admission_task = admission.AdmissionTask(shared, configuration_task)
+    admission_task = admission.AdmissionTask(shared, configuration_task, client)
     gate = gateway.Gateway(shared, configuration_task, admission_task)
     listener = callers.CallerListener(shared, gate, _tls_contexts(shared))
     shared.peers.handlers[peer_messages.CancelStatement] = listener.on_peer_cancel
--- a/pomelograde/daemon/settings.py
+++ b/pomelograde/daemon/settings.py
@@ -149,6 +149,9 @@
         Most prepared statements of one caller.
     pipelined_bytes : int
         Most bytes of statements that one caller may have waiting.
+    rate_lease_s : float
+        Time for which this instance may use its share of the rates without an
+        answer of the platform.
     """
 
     caller_connections: int = attrs.field(default=10_000, validator=checks.positive)
@@ -157,6 +160,7 @@
     frame_bytes: int = attrs.field(default=16_777_216, validator=checks.positive)
     prepared_statements: int = attrs.field(default=1000, validator=checks.positive)
     pipelined_bytes: int = attrs.field(default=33_554_432, validator=checks.positive)
+    rate_lease_s: float = attrs.field(default=600.0, validator=checks.positive)
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/core/limits/test_fleet_rates.py
@@ -0,0 +1,431 @@
+"""Rates over several instances, through lost answers, pauses and restarts."""
+
+import random
+
+import attrs
+import hypothesis
+import testtools
+from hypothesis import stateful, strategies
+
+from pomelograde.core import limits
+
+RATE_PER_S = 10.0
+BURST = 6.0
+LEASE_S = 10.0
+DRIFTS = (0.0, 0.01, -0.01)
+FASTEST = 1.01
+
+
+class Table:
+    """Rows with versions, and conditional commits."""
+
+    def __init__(self):
+        self.version = 0
+        self.rows = {}
+
+    def read(self, after):
+        return [row for row in self.rows.values() if row.version > after]
+
+    def commit(self, commit):
+        """Return the version written, or the rows of the conditions."""
+        current = [self.current(key) for key, _ in commit.conditions]
+        for row, (_, version) in zip(current, commit.conditions, strict=True):
+            if version != (0 if row.value is None else row.version):
+                return current
+        self.version += 1
+        for key, value in commit.writes:
+            self.rows[key] = limits.TableRow(key, value, self.version)
+        return self.version
+
+    def current(self, key):
+        return self.rows.get(key, limits.TableRow(key, None, 0))
+
+
+@attrs.define(eq=False)
+class Instance:
+    """An instance's lease and share, with a clock of its own."""
+
+    name: str
+    drift: float
+    lease: limits.ShareLease
+    share: limits.Share
+    seen: int = 0
+    answers: list = attrs.field(factory=list)
+    asked: list = attrs.field(factory=list)
+
+
+class Fleet:
+    """Instances, a table and the times of all admissions."""
+
+    def __init__(self, count):
+        self.now = 100.0
+        self.table = Table()
+        self.late = []
+        self.starts = 0
+        self.live = count
+        self.admitted = []
+        self.instances = [self.start(number) for number in range(count)]
+
+    def start(self, number):
+        self.starts += 1
+        drift = DRIFTS[number % len(DRIFTS)]
+        clock = self.now * (1.0 + drift)
+        lease = limits.ShareLease(f"{number}/{self.starts}", LEASE_S, clock)
+        return Instance(str(number), drift, lease, limits.Share(clock))
+
+    def clock(self, instance):
+        return self.now * (1.0 + instance.drift)
+
+    def resize(self, instance):
+        part = instance.lease.usable(self.clock(instance)) / limits.PARTS
+        instance.share.resize(RATE_PER_S, BURST, part, self.clock(instance))
+
+    def read(self, instance):
+        rows = self.table.read(instance.seen)
+        instance.seen = self.table.version
+        instance.lease.on_read_back(rows, self.clock(instance))
+        self.resize(instance)
+
+    def send_commit(self, instance, fate):
+        """Plan a commit; its fate is ok, lost, dropped or late."""
+        now = self.clock(instance)
+        nonce = f"{instance.name}-{self.now}"
+        commit = instance.lease.plan(self.live, nonce, now)
+        self.resize(instance)
+        if commit is None:
+            return
+        outcome = None
+        if fate in ("ok", "lost"):
+            outcome = self.table.commit(commit)
+        if fate == "late":
+            self.late.append(commit)
+        instance.answers.append(outcome if fate == "ok" else None)
+
+    def receive_answers(self, instance):
+        now = self.clock(instance)
+        for outcome in instance.answers:
+            if isinstance(outcome, int):
+                instance.lease.on_committed(outcome, now)
+            elif outcome is None:
+                instance.lease.on_unavailable()
+            else:
+                instance.lease.on_conflict(outcome, now)
+        instance.answers.clear()
+        self.resize(instance)
+
+    def poll(self, instances, fate="ok"):
+        """Read, commit and take the answer, one instance after the other."""
+        for instance in instances:
+            self.receive_answers(instance)
+            self.read(instance)
+            self.send_commit(instance, fate)
+            self.receive_answers(instance)
+
+    def demand(self, instance, count):
+        now = self.clock(instance)
+        if not instance.lease.usable(now):
+            return 0
+        taken = sum(instance.share.take(now) for _ in range(count))
+        self.admitted.extend([self.now] * taken)
+        return taken
+
+    def borrow_parts(self, instance, lender, lost):
+        """Ask for a loan; the answer may be lost."""
+        now = self.clock(instance)
+        if not instance.lease.needs_loan(now):
+            return
+        loan = lender.lease.lend(instance.lease.key, 5.0, self.clock(lender))
+        self.resize(lender)
+        self.resize(instance)
+        if not lost:
+            instance.lease.on_loan(loan.parts, now + loan.until)
+        self.resize(instance)
+
+    def ask(self, instance):
+        now = self.clock(instance)
+        names = [other.name for other in self.instances if other is not instance]
+        instance.asked += [
+            (action, self.lend(action)) for action in instance.share.borrow(names, now)
+        ]
+
+    def lend(self, action):
+        lender = self.instances[int(action.peer)]
+        now = self.clock(lender)
+        return lender.share.lend(action.amount, now) if lender.lease.usable(now) else 0
+
+    def receive_loans(self, instance, lost):
+        now = self.clock(instance)
+        for action, given in instance.asked:
+            instance.share.on_borrowed(action, 0.0 if lost else given, now)
+        instance.asked.clear()
+
+    def step_greedily(self, source, instance):
+        """Let one instance do what it may, with callers that take all."""
+        if source.random() < 0.3:
+            self.receive_answers(instance)
+            self.read(instance)
+            self.send_commit(instance, source.choice(FATES))
+            if source.random() < 0.9:
+                self.receive_answers(instance)
+        if source.random() < 0.3:
+            self.receive_loans(instance, lost=source.random() < 0.1)
+            self.ask(instance)
+        if source.random() < 0.1:
+            lender = source.choice(self.instances)
+            if lender is not instance:
+                self.borrow_parts(instance, lender, lost=source.random() < 0.3)
+        self.demand(instance, 100)
+
+    def excess(self):
+        """Return the most that any window has above burst and rate."""
+        worst = lowest = 0.0
+        for count, at in enumerate(self.admitted):
+            allowed = RATE_PER_S * FASTEST * at
+            lowest = min(lowest, count - allowed) if count else -allowed
+            worst = max(worst, count + 1 - allowed - lowest - BURST)
+        return worst
+
+
+FATES = ("ok", "ok", "ok", "ok", "ok", "ok", "lost", "dropped", "late")
+STEP_S = 0.05
+RUN_S = 90.0
+SEEDS = 12
+
+
+def run_greedily(seed):
+    """Run instances that pause, are cut off, die and restart."""
+    source = random.Random(seed)
+    fleet = Fleet(3)
+    fleet.poll(fleet.instances)
+    until = [(0.0, "runs")] * 3
+    while fleet.now < 100.0 + RUN_S:
+        fleet.now += STEP_S
+        if fleet.late and source.random() < 0.02:
+            fleet.table.commit(fleet.late.pop())
+        for number in range(3):
+            if fleet.now >= until[number][0]:
+                state = source.choice(["runs", "runs", "pauses", "cut off", "dies"])
+                until[number] = (fleet.now + source.uniform(1.0, 15.0), state)
+                if state == "dies":
+                    fleet.instances[number] = fleet.start(number)
+            instance = fleet.instances[number]
+            if until[number][1] == "cut off":
+                fleet.demand(instance, 100)
+            elif until[number][1] != "pauses":
+                fleet.step_greedily(source, instance)
+    return fleet
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Any order of polls, faults and demand."""
+
+    number = strategies.integers(0, 2)
+    fate = strategies.sampled_from(["ok", "ok", "ok", "lost", "dropped", "late"])
+    pause_s = strategies.sampled_from([0.05, 0.4, 2.0, 7.0, 13.0])
+
+    @stateful.initialize()
+    def begin(self):
+        self.fleet = Fleet(3)
+        self.fleet.poll(self.fleet.instances)
+
+    @stateful.rule(number=number, fate=fate, receive=strategies.booleans())
+    def poll_with_fate(self, number, fate, receive):
+        instance = self.fleet.instances[number]
+        self.fleet.read(instance)
+        self.fleet.send_commit(instance, fate)
+        if receive:
+            self.fleet.receive_answers(instance)
+
+    @stateful.rule()
+    def poll_all(self):
+        self.fleet.poll(self.fleet.instances)
+
+    @stateful.rule()
+    def late_commits_arrive(self):
+        while self.fleet.late:
+            self.fleet.table.commit(self.fleet.late.pop())
+
+    @stateful.rule(number=number)
+    def answers_arrive(self, number):
+        self.fleet.receive_answers(self.fleet.instances[number])
+
+    @stateful.rule(pause_s=pause_s)
+    def time_passes(self, pause_s):
+        self.fleet.now += pause_s
+
+    @stateful.rule(number=number, count=strategies.integers(1, 40))
+    def callers_send(self, number, count):
+        self.fleet.demand(self.fleet.instances[number], count)
+
+    @stateful.rule(number=number)
+    def ask_peers(self, number):
+        self.fleet.ask(self.fleet.instances[number])
+
+    @stateful.rule(number=number, lost=strategies.booleans())
+    def loans_arrive(self, number, lost):
+        self.fleet.receive_loans(self.fleet.instances[number], lost)
+
+    @stateful.rule(number=number)
+    def kill_and_restart(self, number):
+        self.fleet.instances[number] = self.fleet.start(number)
+
+    @stateful.rule(number=number, fate=fate)
+    def hand_back(self, number, fate):
+        instance = self.fleet.instances[number]
+        self.fleet.receive_answers(instance)
+        commit = instance.lease.hand_back("bye", self.fleet.clock(instance))
+        self.fleet.resize(instance)
+        if commit is not None and fate in ("ok", "lost"):
+            self.fleet.table.commit(commit)
+        elif commit is not None and fate == "late":
+            self.fleet.late.append(commit)
+        self.fleet.instances[number] = self.fleet.start(number)
+
+    @stateful.invariant()
+    def never_above_rate_and_burst(self):
+        if hasattr(self, "fleet"):
+            assert self.fleet.excess() <= 1e-6
+
+    @stateful.invariant()
+    def all_parts_add_up(self):
+        if hasattr(self, "fleet"):
+            rows = [row.value for row in self.fleet.table.rows.values() if row.value]
+            total = sum(row.get("parts", 0) + row.get("free", 0) for row in rows)
+            assert total == limits.PARTS
+
+
+class FleetRateTests(testtools.TestCase):
+    def test_no_window_is_above_rate_and_burst(self):
+        stateful.run_state_machine_as_test(
+            FleetMachine,
+            settings=hypothesis.settings(
+                max_examples=300,
+                stateful_step_count=50,
+                derandomize=True,
+                deadline=None,
+            ),
+        )
+
+    def test_greedy_callers_get_no_more_through_faults(self):
+        admitted = 0
+        for seed in range(SEEDS):
+            fleet = run_greedily(seed)
+            self.assertLessEqual(fleet.excess(), 1e-6, f"seed {seed}")
+            admitted += len(fleet.admitted)
+        self.assertGreater(admitted, SEEDS * RATE_PER_S * RUN_S * 0.25)
+
+    def test_cut_off_holder_stops_before_its_parts_are_used_by_others(self):
+        fleet = self.settle(12.0)
+        cut_off, *rest = fleet.instances
+        fleet.live = len(rest)
+        for _ in range(600):
+            fleet.now += STEP_S
+            fleet.poll(rest)
+            for instance in rest:
+                fleet.ask(instance)
+                fleet.receive_loans(instance, lost=False)
+            for instance in fleet.instances:
+                fleet.demand(instance, 100)
+        self.assertEqual(0, cut_off.lease.usable(fleet.clock(cut_off)))
+        self.assertGreater(sum(one.lease.parts for one in rest), 0.9 * limits.PARTS)
+        self.assertLessEqual(fleet.excess(), 1e-6)
+
+    def test_tokens_on_the_way_count(self):
+        fleet = self.settle(12.0)
+        borrower = fleet.instances[0]
+        clock = fleet.clock(borrower)
+        fleet.demand(borrower, 100)
+        fleet.ask(borrower)
+        fleet.now += 5.0
+        clock = fleet.clock(borrower)
+        borrower.share.bucket.refill(clock)
+        for instance in fleet.instances[1:]:
+            instance.share.bucket.refill(fleet.clock(instance))
+        on_the_way = sum(given for _, given in borrower.asked)
+        self.assertGreater(on_the_way, 0.0)
+        tokens = sum(one.share.bucket.tokens for one in fleet.instances)
+        self.assertLessEqual(tokens + on_the_way, BURST + 1e-6)
+
+    def test_instance_without_the_table_borrows_from_a_peer(self):
+        fleet = self.settle(12.0)
+        newcomer = fleet.instances[0] = fleet.start(0)
+        lender = fleet.instances[1]
+        for step in range(200):
+            fleet.now += STEP_S
+            if step % 20 == 0:
+                fleet.poll(fleet.instances[1:])
+                fleet.borrow_parts(newcomer, lender, lost=False)
+            fleet.demand(newcomer, 100)
+            fleet.demand(lender, 100)
+        usable = newcomer.lease.usable(fleet.clock(newcomer))
+        self.assertAlmostEqual(limits.PARTS / 6, usable, delta=2.0)
+        self.assertGreater(newcomer.lease.borrowed.until, fleet.clock(newcomer))
+        self.assertLessEqual(fleet.excess(), 1e-6)
+
+    def test_parts_are_lowered_before_they_are_given_back(self):
+        fleet = Fleet(1)
+        for _ in range(20):
+            fleet.poll(fleet.instances)
+            fleet.now += 0.5
+        (only,) = fleet.instances
+        self.assertEqual(limits.PARTS, only.lease.parts)
+        fleet.live = 2
+        fleet.read(only)
+        fleet.send_commit(only, "lost")
+        self.assertEqual(
+            limits.PARTS // 2, fleet.table.rows[only.lease.key].value["parts"]
+        )
+        self.assertEqual(limits.PARTS // 2, only.lease.parts)
+
+    def settle(self, seconds=8.0):
+        fleet = Fleet(3)
+        for _ in range(int(seconds * 2)):
+            fleet.poll(fleet.instances)
+            fleet.now += 0.5
+        return fleet
+
+    def test_one_instance_gets_the_whole_rate_from_its_peers(self):
+        fleet = self.settle()
+        first = fleet.instances[0]
+        done = 0
+        for step in range(4000):
+            fleet.now += 0.005
+            if step % 200 == 0:
+                fleet.poll(fleet.instances)
+            if step % 20 == 0:
+                done += fleet.demand(first, 1)
+            if first.share.may_be_short(fleet.clock(first)):
+                fleet.ask(first)
+                fleet.receive_loans(first, lost=False)
+        self.assertEqual(200, done)
+        self.assertLessEqual(fleet.excess(), 1e-6)
+
+    def test_paused_holder_stops_by_itself_and_its_parts_are_taken(self):
+        fleet = self.settle()
+        paused, *rest = fleet.instances
+        for _ in range(30):
+            fleet.now += 0.5
+            fleet.poll(rest)
+        self.assertEqual(0, fleet.demand(paused, 10))
+        held = sum(instance.lease.parts for instance in rest)
+        self.assertGreater(held, limits.PARTS * 0.6)
+        self.assertNotIn(
+            paused.lease.key, {k for k, r in fleet.table.rows.items() if r.value}
+        )
+
+    def test_request_that_cannot_be_in_time_is_refused_at_once(self):
+        fleet = self.settle()
+        share = fleet.instances[0].share
+        now = fleet.clock(fleet.instances[0])
+        while share.take(now):
+            pass
+        for name in ("1", "2"):
+            share.peers[name] = limits.PeerView(ask_at=now + 1.0)
+        waiter = share.wait(now + 10.0, now, None)
+        self.assertIsInstance(waiter, limits.Waiter)
+        retry_after_s = 0.0
+        for _ in range(40):
+            outcome = share.wait(now + 10.0, now, None)
+            if not isinstance(outcome, limits.Waiter):
+                retry_after_s = outcome
+        self.assertGreater(retry_after_s, 1.0)
