Count the statements that a stand-in member runs

Cause: whether a leaving member still gets work could not be seen, and a fleet could run no other program than the daemon's own. Change: members count statements of callers and show them on the control address; `start_daemon` takes the program to run.

--- a/pomelograde/standins/group.py
+++ b/pomelograde/standins/group.py
@@ -63,6 +63,8 @@
         Highest term that it accepted, and for whom.
     role : str
         "primary", "replica" or "fenced".
+    statements : int
+        Statements that callers have had run here.
     """
 
     name: str
@@ -87,6 +89,7 @@
     write_owner: object = None
     write_queue: collections.deque = attrs.field(factory=collections.deque)
     running: int = 0
+    statements: int = 0
     slot_queue: collections.deque = attrs.field(factory=collections.deque)
 
     @property
--- a/pomelograde/standins/host.py
+++ b/pomelograde/standins/host.py
@@ -194,6 +194,7 @@
             "slots": one.slots,
             "connection_limit": one.connection_limit,
             "leaving": one.leaving,
+            "statements": one.statements,
         }
 
 
--- a/pomelograde/standins/member.py
+++ b/pomelograde/standins/member.py
@@ -388,6 +388,7 @@
             self._check_alive()
             self._check_writable(sql)
         await member.take_slot()
+        member.statements += 1
         try:
             if member.service_s > 0.0:
                 await self._sleep(member.service_s)
--- a/pomelograde/standins/processes.py
+++ b/pomelograde/standins/processes.py
@@ -17,6 +17,7 @@
 STOP_TIMEOUT_S = 10.0
 UPSTREAM_PASSWORD = "stand-in-upstream"
 OPERATOR_TOKEN = "demo-operator-token"
+DAEMON_PROGRAM = ("-m", "pomelograde.daemon.main")
 
 _RESERVED = []
 
@@ -83,8 +84,16 @@
         port = read_announcement(self.spawn(arguments))["control_port"]
         return f"http://127.0.0.1:{port}"
 
-    def start_daemon(self, settings):
-        """Start a daemon; returns the child and its settings file."""
+    def start_daemon(self, settings, program=DAEMON_PROGRAM):
+        """Start a daemon; returns the child.
+
+        Parameters
+        ----------
+        settings : dict
+            Settings as a JSON value.
+        program : tuple of str
+            Arguments of the interpreter that run a daemon.
+        """
         name = settings["instance"]
         host = settings["addresses"]["host"]
         if "peers" not in settings:
@@ -94,7 +103,7 @@
         log = (self.directory / f"{settings['instance']}.log").open("ab")
         self.exits.callback(log.close)
         child = subprocess.Popen(
-            [sys.executable, "-m", "pomelograde.daemon.main", f"--settings={path}"],
+            [sys.executable, *program, f"--settings={path}"],
             stderr=log,
         )
         self.children.append(child)
