--- a/measure/callers.py
+++ b/measure/callers.py
@@ -31,13 +31,16 @@
         Who calls.
     plan : Plan
         Where and how long.
+    ends_at : float
+        Monotonic time after which it makes no request.
     record : callable
         Takes each `Operation`.
     """
 
-    def __init__(self, caller, plan, record):
+    def __init__(self, caller, plan, ends_at, record):
         self.caller = caller
         self.plan = plan
+        self.ends_at = ends_at
         self.record = record
         self.choices = workload.Choices(caller, plan.seed)
         self.instance = plan.instances[caller.home % len(plan.instances)]
@@ -46,7 +49,7 @@
 
     async def run(self):
         """Make requests until the plan ends."""
-        while time.monotonic() < self.plan.ends_at:
+        while time.monotonic() < self.ends_at:
             await asyncio.sleep(self.choices.think_s())
             if not await self._connect():
                 continue
@@ -79,7 +82,8 @@
             f"connect_timeout={CONNECT_TIMEOUT_S}",
         ]
         if caller.mix.deadline_s > 0.0:
-            words.append(f"options='-c pomelograde.deadline={caller.mix.deadline_s}'")
+            deadline_ms = caller.mix.deadline_s * 1000.0
+            words.append(f"options='-c pomelograde.deadline={deadline_ms:g}ms'")
         return " ".join(words)
 
     async def _move(self):
@@ -162,16 +166,18 @@
             self._pick_instance()
 
 
-async def _run_all(plan):
+async def _run_all(plan, ends_at):
     with pathlib.Path(plan.path).open("w", encoding="utf-8") as file:
 
         def record(one):
             file.write(history.dump_line(one))
 
-        tasks = [CallerTask(caller, plan, record).run() for caller in plan.callers]
+        tasks = [
+            CallerTask(caller, plan, ends_at, record).run() for caller in plan.callers
+        ]
         await asyncio.gather(*tasks)
 
 
-def run(plan):
-    """Run all callers of a plan; writes the history to the plan's file."""
-    asyncio.run(_run_all(plan))
+def run(plan, ends_at):
+    """Run all callers until a monotonic time; writes the history to a file."""
+    asyncio.run(_run_all(plan, ends_at))
--- a/measure/checkers/__init__.py
+++ b/measure/checkers/__init__.py
@@ -18,6 +18,9 @@
 )
 
 Violation = _violation.Violation
+LONGEST_LIMIT_S = max(
+    _keys.WITHDRAWN_LIMIT_S, _configuration.IN_FORCE_LIMIT_S, _leaving.LEAVING_LIMIT_S
+)
 excess_admitted = _limits.excess_admitted
 
 CHECKS = {
--- a/measure/experiments/__init__.py
+++ b/measure/experiments/__init__.py
@@ -1,10 +1,13 @@
 """Experiments, each of which yields some of the figures."""
 
-from measure.experiments import _failover, _throughput
+from measure.experiments import _control, _failover, _service, _throughput
 
+measure_idle = _control.measure_idle
 run_failovers = _failover.run
 
 EXPERIMENTS = (
-    (("forwarder_ratio", "added_latency_ms"), _throughput.run),
+    (_throughput.KEYS, _throughput.run),
+    (_service.KEYS, _service.run),
+    (_control.KEYS, _control.run),
     (_failover.KEYS, _failover.run),
 )
--- a/measure/experiments/_throughput.py
+++ b/measure/experiments/_throughput.py
@@ -2,6 +2,8 @@
 
 from measure import figures, throughput
 
+KEYS = ("forwarder_ratio", "added_latency_ms")
+
 
 def run(seconds):
     """Measure `forwarder_ratio` and `added_latency_ms`.
--- a/measure/faults.py
+++ b/measure/faults.py
@@ -16,7 +16,7 @@
         "killed", "paused" or "isolated". An isolated member is cut off from
         the other members and from the instances of other data centres.
     """
-    fleet.change_member(service, member, faults=_faults(fleet, service, member, kind))
+    fleet.change_member(service, member, faults=values(fleet, service, member, kind))
 
 
 def restore_member(fleet, service, member):
@@ -24,7 +24,8 @@
     fleet.change_member(service, member, faults=NO_FAULTS)
 
 
-def _faults(fleet, service, member, kind):
+def values(fleet, service, member, kind):
+    """Return the faults that make up a kind, as a JSON value."""
     if kind != "isolated":
         return {kind: True}
     found = {one["name"]: one for one in fleet.members(service)}
--- a/measure/fleets.py
+++ b/measure/fleets.py
@@ -1,10 +1,8 @@
 """Fleets of a deployment's size, and changes made to them."""
 
-import concurrent.futures
 import contextlib
 import itertools
 import json
-import pathlib
 import subprocess
 import sys
 import time
@@ -42,6 +40,8 @@
         Factor on the client accounts' rates and bursts.
     log_level : str
         Lowest level that the instances log.
+    program : tuple of str
+        Arguments of the interpreter that run a daemon; empty for the usual one.
     """
 
     deployment: deployments.Deployment
@@ -50,6 +50,7 @@
     service_s: float = 0.0
     rate_scale: float = 1.0
     log_level: str = "warning"
+    program: tuple = ()
 
 
 @attrs.define
@@ -105,9 +106,9 @@
         headers = [("Authorization", f"Bearer {processes.OPERATOR_TOKEN}")]
         return http.send(method, url, body, headers, timeout_s)
 
-    def status(self, number):
+    def status(self, number, timeout_s=5.0):
         """Return what an instance says of itself."""
-        return self.operate("GET", "/v1/status", number=number)
+        return self.operate("GET", "/v1/status", None, number, timeout_s)
 
     def change_member(self, service, member, **change):
         """Switch faults of a member."""
@@ -122,6 +123,10 @@
         cuts = [list(pair) for pair in pairs]
         return http.post(f"{self.links_url}/links", {"cuts": cuts})
 
+    def silence(self):
+        """Make all relayed connections silent for good; new ones work."""
+        return http.post(f"{self.links_url}/links", {"silence": True})
+
     def cut_off(self, place):
         """Cut a data centre off from the others, the platform and members there."""
         others = [one for one in self.deployment.data_centres if one != place]
@@ -167,7 +172,8 @@
 
     def start_daemon(self, number):
         """Start an instance by its number, again if it has ended."""
-        child = self.running.start_daemon(self.daemon_settings[number])
+        program = self.settings.program or processes.DAEMON_PROGRAM
+        child = self.running.start_daemon(self.daemon_settings[number], program)
         self.daemons[number : number + 1] = [child]
         return child
 
@@ -192,24 +198,30 @@
         Leaving the context waits until the callers have ended.
         """
         run = next(self.runs)
-        with concurrent.futures.ThreadPoolExecutor(CALLER_PROCESSES) as pool:
-            paths = []
-            futures = []
-            for number in range(CALLER_PROCESSES):
-                path = self.running.directory / f"history-{run}-{number}.jsonl"
-                plan = workload.Plan(
-                    callers=callers[number::CALLER_PROCESSES],
-                    instances=self.instances(),
-                    client_delay_s=self.deployment.client_delay_s,
-                    ends_at=time.monotonic() + seconds,
-                    seed=seed_number,
-                    path=str(path),
-                )
-                paths.append(path)
-                futures.append(pool.submit(_run_plan, plan, path))
+        paths = []
+        children = []
+        for number in range(CALLER_PROCESSES):
+            path = self.running.directory / f"history-{run}-{number}.jsonl"
+            plan = workload.Plan(
+                callers=callers[number::CALLER_PROCESSES],
+                instances=self.instances(),
+                client_delay_s=self.deployment.client_delay_s,
+                seed=seed_number,
+                path=str(path),
+            )
+            paths.append(path)
+            children.append(_start_callers(plan, path))
+        for child in children:
+            child.stdout.readline()
+        ends_at = time.monotonic() + seconds
+        for child in children:
+            child.stdin.write(f"{ends_at}\n")
+            child.stdin.flush()
+        try:
             yield paths
-            for future in futures:
-                future.result()
+        finally:
+            for child in children:
+                child.communicate()
 
     def rows_at_rest(self):
         """Return the rows of all services once their members agree.
@@ -221,7 +233,7 @@
         """
         rows = []
         for service in self.deployment.services:
-            rows += _read_rows(service, self.wait_settled(service))
+            rows += _read_rows(self, service, self.wait_settled(service))
         return rows
 
     def wait_settled(self, service, timeout_s=SETTLE_TIMEOUT_S):
@@ -244,14 +256,22 @@
         raise TimeoutError(f"members of {service} do not agree: {members}")
 
 
-def _run_plan(plan, path):
-    plan_path = pathlib.Path(path).with_suffix(".plan.json")
+def _start_callers(plan, path):
+    plan_path = path.with_suffix(".plan.json")
     plan_path.write_text(json.dumps(cattrs.unstructure(plan)))
     arguments = ["-m", "measure", "program", "callers", f"--plan={plan_path}"]
-    subprocess.run([sys.executable, *arguments], check=True)
+    return subprocess.Popen(
+        [sys.executable, *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
 
 
-def _read_rows(service, primary):
+def _read_rows(fleet, service, primary):
+    fleet.change_member(
+        service, primary["name"], connection_limit=primary["connections"] + 10
+    )
     dsn = (
         f"host={primary['host']} port={primary['port']} dbname=main user=pomelograde "
         f"password={processes.UPSTREAM_PASSWORD}"
@@ -286,13 +306,15 @@
 
 
 @contextlib.contextmanager
-def run_fleet(settings):
+def run_fleet(settings, prepare=None):
     """Run stand-ins and instances of a deployment.
 
     Parameters
     ----------
     settings : FleetSettings
         Sizes.
+    prepare : callable, default=None
+        Called with the fleet before its instances start.
 
     Yields
     ------
@@ -306,6 +328,8 @@
         fleet = Fleet(running, settings, url, control)
         _write_configuration(fleet, described["groups"])
         platform_url = _start_links(fleet)
+        if prepare is not None:
+            prepare(fleet)
         for number in range(settings.instances):
             fleet.daemon_settings.append(_daemon_settings(fleet, number, platform_url))
             fleet.start_daemon(number)
--- a/measure/programs.py
+++ b/measure/programs.py
@@ -58,13 +58,14 @@
 def run_callers(plan):
     """Run callers and write their history."""
     value = json.loads(pathlib.Path(plan).read_text("utf-8"))
-    callers.run(cattrs.structure(value, workload.Plan))
+    found = cattrs.structure(value, workload.Plan)
+    callers.run(found, ends_at=float(_wait_for_start()))
 
 
 def _wait_for_start():
-    click.echo("connected")
+    click.echo("ready")
     sys.stdout.flush()
-    sys.stdin.readline()
+    return sys.stdin.readline()
 
 
 def _listen(factory):
--- a/measure/workload.py
+++ b/measure/workload.py
@@ -85,8 +85,6 @@
         Instances that they use.
     client_delay_s : float
         One-way delay between a caller and an instance.
-    ends_at : float
-        Monotonic time after which no request is made.
     seed : int
         Seed of all random choices.
     path : str
@@ -96,7 +94,6 @@
     callers: list[Caller]
     instances: list[Instance]
     client_delay_s: float
-    ends_at: float
     seed: int
     path: str
 
