Keep evidence and changes coming through silent and slow connections

Cause: a kept connection to the platform that had gone silent failed the first change with 503; with answers after 1 s a poll began only when the one before had ended, so that the evidence of an instance grew older than 2.5 s and it refused requests. Change: a read that gets no answer within 4 times the last latency (0.5 s at least) is repeated over a fresh connection; polls overlap; a peer that is silent is asked again at once over a fresh connection; the body of an answer counts against the time limit too. Ruled out: a hedge on every read, which would double reads while the platform is slow.

--- a/pomelograde/net/_propagation.py
+++ b/pomelograde/net/_propagation.py
@@ -7,7 +7,7 @@
 from pomelograde.net import _rows, events, peer_messages, peers, timers
 
 ASK_INTERVAL_S = 0.5
-ASK_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 0.5
 POLLER_SILENT_S = 1.0
 ASK_ALL_AGE_S = 1.25  # age of evidence above which all peers are asked
 LIST_INTERVAL_S = 5.0
@@ -172,7 +172,7 @@
         request = peer_messages.ConfigurationRequest(after)
         answer = resources.Answer(asked_at)
         try:
-            news = await self.context.peers.request(instance, request, ASK_TIMEOUT_S)
+            news = await self._exchange(instance, request)
         except peers.PeerUnreachableError as error:
             refused = isinstance(error.__cause__, net_error.ConnectionRefusedError)
             if not refused:
@@ -188,6 +188,15 @@
         self.configuration.evidence.on_peer(instance.name, answer, revision)
         self._weigh()
 
+    async def _exchange(self, instance, request):
+        """Ask a peer, and again over a fresh connection if it is silent."""
+        try:
+            return await self.context.peers.request(instance, request, ASK_TIMEOUT_S)
+        except peers.PeerUnreachableError as error:
+            if not isinstance(error.__cause__, defer.TimeoutError):
+                raise
+        return await self.context.peers.request(instance, request, ASK_TIMEOUT_S)
+
     def _take(self, news, asked_at):
         batch, body = _rows.decode_news(news, self.configuration.on_rejected)
         self.configuration.take(batch, whole=batch.after == 0)
--- a/pomelograde/net/configuration.py
+++ b/pomelograde/net/configuration.py
@@ -24,6 +24,7 @@
 
 START_RETRY_S = 0.25
 AWAIT_LOG_INTERVAL_S = 5.0
+MAX_POLLS = 8  # under way at once, while the platform is slow
 LOGGED_CHANGES = 32  # of one batch
 
 
@@ -84,6 +85,7 @@
         self.available = True
         self.stopped = False
         self.loop = None
+        self.polls = 0
         self.propagation.attach()
 
     @property
@@ -217,9 +219,14 @@
         )
 
     def _poll(self):
-        if not self.propagation.polls_platform():
-            return None
-        return defer.ensureDeferred(self._poll_platform())
+        if self.polls < MAX_POLLS and self.propagation.polls_platform():
+            self.polls += 1
+            polled = defer.ensureDeferred(self._poll_platform())
+            polled.addBoth(self._on_polled)
+
+    def _on_polled(self, outcome):
+        self.polls -= 1
+        return outcome
 
     async def _poll_platform(self):
         answer = await self.refresh()
--- a/pomelograde/net/platform.py
+++ b/pomelograde/net/platform.py
@@ -15,6 +15,9 @@
 from twisted.web import client as web_client
 
 REQUEST_TIMEOUT_S = 2.0
+MIN_READ_LIMIT_S = 0.5  # for a read over a kept connection
+READ_LIMIT_FACTOR = 4.0  # times the latency of the last answer
+NO_ANSWER = "no answer"
 
 
 @attrs.frozen
@@ -97,6 +100,7 @@
         self.reactor = reactor
         self.base_url = base_url
         self.timeout_s = timeout_s
+        self.last_latency_s = 0.0
         self.pool = web_client.HTTPConnectionPool(reactor, persistent=True)
         self.client = treq.client.HTTPClient(
             web_client.Agent(
@@ -184,26 +188,52 @@
         return answer.map(lambda pair: pair[1]["instances"])
 
     async def _request(self, method, path, body=None):
-        data = None if body is None else json.dumps(body).encode("utf-8")
+        if method != "GET":
+            return await self._attempt(method, path, body, self.timeout_s)
+        limit_s = min(self.timeout_s, self._expected_s())
+        answer = await self._attempt(method, path, body, limit_s)
+        if answer.is_ok() or answer.err_value.reason != NO_ANSWER:
+            return answer
+        # The kept connection may be silent for good, so another is opened.
+        return await self._attempt(method, path, body, self.timeout_s)
+
+    def _expected_s(self):
+        return max(MIN_READ_LIMIT_S, READ_LIMIT_FACTOR * self.last_latency_s)
+
+    async def _attempt(self, method, path, body, limit_s):
+        started_at = self.reactor.seconds()
+        exchange = defer.ensureDeferred(self._exchange(method, path, body))
         try:
-            response = await self.client.request(
-                method,
-                self.base_url + path,
-                data=data,
-                headers={"Content-Type": "application/json"},
-                timeout=self.timeout_s,
-            )
-            content = await treq.content(response)
+            code, content = await exchange.addTimeout(limit_s, self.reactor)
         except (
-            net_error.ConnectError,
-            net_error.ConnectionClosed,
             defer.CancelledError,
             defer.TimeoutError,
             web_client.ResponseFailed,
             web_client.ResponseNeverReceived,
             web_client.RequestTransmissionFailed,
-        ) as error:
+        ):
+            self.pool.closeCachedConnections()
+            return result.Err(Unavailable(NO_ANSWER))
+        except (net_error.ConnectError, net_error.ConnectionClosed) as error:
             return result.Err(Unavailable(type(error).__name__))
-        if response.code >= 500:
-            return result.Err(Unavailable(f"status {response.code}"))
-        return result.Ok((response.code, json.loads(content) if content else None))
+        self.last_latency_s = self.reactor.seconds() - started_at
+        return _read_answer(code, content)
+
+    async def _exchange(self, method, path, body):
+        response = await self.client.request(
+            method,
+            self.base_url + path,
+            data=None if body is None else json.dumps(body).encode("utf-8"),
+            headers={"Content-Type": "application/json"},
+        )
+        return response.code, await treq.content(response)
+
+
+def _read_answer(code, content):
+    if code >= 500:
+        return result.Err(Unavailable(f"status {code}"))
+    try:
+        value = json.loads(content) if content else None
+    except ValueError:
+        return result.Err(Unavailable("answer is not JSON"))
+    return result.Ok((code, value))
