Replicate each entry one lag late, and let a promoter outwait leases alone

Under the lease policy a second watcher saw a fenced majority without a primary while the first one waited for leases, and fenced a higher term: no write for 5 s after a kill.

Change: a follower fetches what the leader had one lag ago. The time that a watcher gives another promoter includes the leases.

Conclusion: latencies under lag can be compared between policies now.

--- a/pomelograde/core/failover/_promoter.py
+++ b/pomelograde/core/failover/_promoter.py
@@ -188,7 +188,8 @@
         elif self.unsettled_since is None:
             self.unsettled_since = now
         if self.unsettled_since is not None:
-            if now - self.unsettled_since < UNSETTLED_GRACE_S + delay_s:
+            grace_s = UNSETTLED_GRACE_S + self.lease_s + delay_s
+            if now - self.unsettled_since < grace_s:
                 return None
             return Reason.NO_PRIMARY if primary is None else Reason.UNSETTLED
         if primary.reachable is False:
--- a/pomelograde/standins/group.py
+++ b/pomelograde/standins/group.py
@@ -182,8 +182,16 @@
         member.log.append(Entry(member.term, tuple(statements)))
         self._spread(member)
 
-    def pull(self, member):
-        """Let a follower fetch what its leader has and lag allows."""
+    def pull(self, member, end):
+        """Let a follower fetch its leader's entries below an index.
+
+        Parameters
+        ----------
+        member : Member
+            The follower.
+        end : int
+            Length of the leader's log one replication lag ago.
+        """
         leader = self.members.get(member.leader)
         if leader is None or leader is member or not self.connected(member, leader):
             return
@@ -191,7 +199,7 @@
             return
         if member.fenced_term > leader.term:
             return
-        for entry in leader.log[len(member.log) :]:
+        for entry in leader.log[len(member.log) : end]:
             member.log.append(entry)
             member.store.replay(entry.statements)
         leader.acknowledged[member.name] = len(member.log)
@@ -201,7 +209,7 @@
         """Let all followers catch up after a fault has ended."""
         for member in self.members.values():
             if member.role == "replica":
-                self.reactor.callLater(member.lag_s, self.pull, member)
+                self._schedule_pull(member)
 
     def held_by_majority(self, member):
         """Return the highest position that a majority holds, on a primary."""
@@ -278,7 +286,7 @@
         member.role = "replica"
         member.leader = leader_name
         self._rewind(member, leader)
-        self.reactor.callLater(member.lag_s, self.pull, member)
+        self._schedule_pull(member)
         return True
 
     def _rewind(self, member, leader):
@@ -291,13 +299,16 @@
             member.log = list(leader.log)
             member.store.copy_from(leader.store)
 
+    def _schedule_pull(self, member):
+        leader = self.members.get(member.leader)
+        if leader is not None:
+            end = len(leader.log)
+            self.reactor.callLater(member.lag_s, self.pull, member, end)
+
     def _spread(self, leader):
         for member in self.members.values():
             if member.role == "replica" and member.leader == leader.name:
-                if member.lag_s > 0.0:
-                    self.reactor.callLater(member.lag_s, self.pull, member)
-                else:
-                    self.reactor.callLater(0, self.pull, member)
+                self._schedule_pull(member)
         self._release_waiters(leader)
 
     def _release_waiters(self, member):
--- a/tests/core/failover/test_lease.py
+++ b/tests/core/failover/test_lease.py
@@ -33,14 +33,16 @@
         self.assertFalse(self.lease.is_held(0.1))
 
     def test_promoter_waits_after_the_majority_is_fenced(self):
-        made = simulation.Simulation(1)
-        made.candidates[0].promoter.lease_s = failover.LEASE_S
+        made = simulation.Simulation(3)
+        for candidate in made.candidates:
+            candidate.promoter.lease_s = failover.LEASE_S
         for _ in range(3):
             made.step()
         made.group.members["a"].faults.killed = True
         fenced_at = promoted_at = None
         while promoted_at is None:
             made.step()
+            self.assertTrue(made.clock.seconds() < 5.0)
             now = made.clock.seconds()
             if fenced_at is None and made.group.members["b"].fenced_term == 2:
                 fenced_at = now
--- /dev/null
+++ b/tests/standins/test_group.py
@@ -0,0 +1,22 @@
+"""Tests of the stand-in group's replication."""
+
+import testtools
+from twisted.internet import task
+
+from pomelograde.standins import group
+from tests.core.failover import simulation
+
+
+class ReplicationTests(testtools.TestCase):
+    def test_each_entry_takes_the_whole_lag(self):
+        clock = task.Clock()
+        store = simulation.NullStore()
+        members = [group.Member(n, "dc", store, lag_s=1.0) for n in "abc"]
+        made = group.Group(clock, "g", members)
+        made.append(members[0], ())
+        clock.advance(0.9)
+        made.append(members[0], ())
+        clock.advance(0.2)
+        self.assertEqual(2, members[1].position.index)
+        clock.advance(0.8)
+        self.assertEqual(3, members[1].position.index)
