--- a/measure/experiments/_failover.py
+++ b/measure/experiments/_failover.py
@@ -209,4 +209,7 @@
     for name, violations in checked.items():
         for violation in violations[:3]:
             click.echo(f"{name}: {violation.text}")
+    if any(checked.values()):
+        path = history.store(recorded, f"{deployment.name}-failover")
+        click.echo(f"history: {path}")
     return found
--- a/measure/fleets.py
+++ b/measure/fleets.py
@@ -287,6 +287,9 @@
     )
     numbers = ", ".join(f"({n})" for n in range(_answers.ECHO_ROWS))
     for group in groups:
+        ports = processes.free_ports(len(group["members"]))
+        for member, port in zip(group["members"], ports, strict=True):
+            member["port"] = port
         group["setup"] += [
             *workload.TABLE_SETUP,
             f"INSERT INTO numbers (n) VALUES {numbers}",
--- a/measure/history.py
+++ b/measure/history.py
@@ -12,6 +12,8 @@
 import attrs
 import cattrs
 
+FAILURES = "build/failures"
+
 
 class Action(enum.Enum):
     """What an operation does."""
@@ -183,6 +185,15 @@
     return json.dumps({"kind": type(record).__name__, **value}) + "\n"
 
 
+def store(found, name):
+    """Write a history to a new file below `FAILURES`; returns its path."""
+    folder = pathlib.Path(FAILURES)
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{name}-{len(list(folder.iterdir()))}.jsonl"
+    path.write_text("".join(map(dump_line, found.records)), "utf-8")
+    return path
+
+
 def load(paths):
     """Read histories from files of JSON lines; returns one `History`."""
     found = History()
