--- a/measure/stepper.py
+++ b/measure/stepper.py
@@ -32,9 +32,11 @@
         """Strike if the step is the wanted one."""
         if self.struck or step != self.wanted:
             return
-        self.struck = True
         mark = pathlib.Path(self.plan["mark"])
-        if mark.with_suffix(".armed").exists() and self._is_first(mark):
+        if not mark.with_suffix(".armed").exists():
+            return
+        self.struck = True
+        if self._is_first(mark):
             self._strike()
 
     def _is_first(self, mark):
