Believe only the known primary about entries of earlier terms

Cause: a write that was in flight to the replaced primary when the next one became known made its own connection the carrier of all questions; the carrier asked the replaced primary whether it has its own entry, which it has, and the write was acknowledged although no later primary has it. Ruled out: the stand-ins' logs (a later term's index is never read as the earlier one's) and a repeated write (its row would be there). Change: a connection becomes the carrier only if its member is the known primary, and the queue ignores what other members say of an entry. Test: a replaced primary is not believed; red without the check, green with it. The calls of on_holds in two older tests name the member that answers.

--- a/pomelograde/core/failover/_acknowledgements.py
+++ b/pomelograde/core/failover/_acknowledgements.py
@@ -129,15 +129,27 @@
             lambda write: Outcome.HELD if write.member == member else Outcome.UNKNOWN,
         )
 
-    def on_holds(self, position, is_held):
+    def on_holds(self, member, position, is_held):
         """Take in whether the primary of a later term has an entry.
 
+        Parameters
+        ----------
+        member : str
+            Member that answered; only the known primary is believed, since a
+            replaced one still has entries that the group has discarded.
+        position : Position
+            Position of the entry.
+        is_held : bool
+            Whether the member has it.
+
         Returns
         -------
         list of Settle
             Answers for the writes that this decides.
         """
-        if self.confirmed_term != self.view.term or position.term >= self.view.term:
+        if member != self.view.primary or self.confirmed_term != self.view.term:
+            return []
+        if position.term >= self.view.term:
             return []
         outcome = Outcome.HELD if is_held else Outcome.DISCARDED
 
--- a/pomelograde/net/acknowledgements.py
+++ b/pomelograde/net/acknowledgements.py
@@ -62,7 +62,8 @@
         done = defer.Deferred()
         write = failover.PendingWrite(position, connection.member, deadline, done)
         self.queue.add(write)
-        if self.carrier is None and not connection.is_lost:
+        leads = connection.member == self.group.view.primary
+        if self.carrier is None and leads and not connection.is_lost:
             self.carrier = connection
             self._ask()
         else:
@@ -126,7 +127,9 @@
         if carrier is not self.carrier:
             return
         if isinstance(question, failover.AskHolds):
-            self._settle(self.queue.on_holds(question.position, row[0] == "t"))
+            is_held = row[0] == "t"
+            position = question.position
+            self._settle(self.queue.on_holds(carrier.member, position, is_held))
             self._ask()
             return
         held = upstream.read_position(row)
--- a/tests/core/failover/test_acknowledgements.py
+++ b/tests/core/failover/test_acknowledgements.py
@@ -49,13 +49,21 @@
         self.assertEqual(
             failover.AskMajority(position(2, 1)), self.queue.next_question()
         )
-        self.assertEqual([], self.queue.on_holds(position(1, 5), True))
+        self.assertEqual([], self.queue.on_holds("b", position(1, 5), True))
         self.queue.on_majority("b", position(2, 6))
-        held = self.queue.on_holds(position(1, 5), True)
+        held = self.queue.on_holds("b", position(1, 5), True)
         self.assertEqual([(5, OUTCOMES.HELD)], self.outcomes(held))
-        lost = self.queue.on_holds(position(1, 6), False)
+        lost = self.queue.on_holds("b", position(1, 6), False)
         self.assertEqual([(6, OUTCOMES.DISCARDED)], self.outcomes(lost))
 
+    def test_replaced_primary_is_not_believed_about_its_own_entries(self):
+        self.add(1, 5)
+        self.view.learn(2, "b")
+        self.queue.on_majority("b", position(2, 6))
+        self.assertEqual([], self.queue.on_holds("a", position(1, 5), True))
+        lost = self.queue.on_holds("b", position(1, 5), False)
+        self.assertEqual([(5, OUTCOMES.DISCARDED)], self.outcomes(lost))
+
     def test_entry_of_a_member_that_did_not_lead_stays_unknown(self):
         self.add(1, 5, member="c")
         settled = self.queue.on_majority("a", position(1, 5))
