--- a/measure/experiments/_failover.py
+++ b/measure/experiments/_failover.py
@@ -18,12 +18,10 @@
 )
 KINDS = ("killed", "isolated", "paused")
 CALLERS = 36
-RESUME_TIMEOUT_S = 15.0
 WARM_UP_S = 3.0
 FAULT_S = 4.0
 PAUSE_S = 1.0
 CYCLE_S = 9.0
-DEFAULT_COUNT = 50
 MIX = workload.Mix(
     write=0.5, transaction=0.05, echo=0.05, think_s=0.03, move_every=50, deadline_s=8.0
 )
--- a/measure/throughput/_forwarder.py
+++ b/measure/throughput/_forwarder.py
@@ -24,7 +24,6 @@
     def __init__(self, pool):
         self.pool = pool
         self.caller = None
-        self.is_open = False
         self.reader = _frames.FrameReader()
 
     def connectionMade(self):  # noqa: N802
--- a/measure/throughput/_synthetic.py
+++ b/measure/throughput/_synthetic.py
@@ -36,7 +36,6 @@
         self.factory = factory
         self.reader = None
         self.scram = None
-        self.is_open = False
 
     def connectionMade(self):  # noqa: N802
         """Turn off delayed sending."""
