Answer callers of a stopping instance, and hand its share back for sure

Cause: a caller whose next statement crossed the close of its connection lost the 57P01 that said not run (1 to 4 of 6 callers under load saw a bare connection error); new connections were refused without an answer; giving the share back was not tried again when another instance changed the ledger at the same time, so a third of all rates stayed idle. Change: a session that ends at a transaction boundary waits 0.1 s for the next statement and answers that; the socket is closed for writing first and bytes that still come are discarded; the caller port answers until the last caller is gone; the share is handed back again after a conflict, and instances leave less than 1 % of their target in the ledger. Conclusion: every statement in flight is answered, and the next is told to connect elsewhere.

--- a/pomelograde/core/limits/_lease.py
+++ b/pomelograde/core/limits/_lease.py
@@ -11,6 +11,7 @@
 LOAN_S = 10.0
 RENEWALS = 20  # renewals in the time of a lease
 TOLERANCE = 0.05  # share of the target that is left as it is
+LEAST_TAKE = 0.01  # share of the target below which free parts are left
 FIRST_TAKE = 0.25  # share of the free parts that a new instance takes at most
 SETTLING_S = 5.0  # time after the start in which it takes no more than that
 
@@ -326,7 +327,8 @@
             if held:
                 return held
             free = int(free * FIRST_TAKE)
-        return min(target, held + free)
+        taken = min(target - held, free)
+        return held + taken if taken > target * LEAST_TAKE else held
 
     def _commit(self, wanted, nonce, now):
         self.parts = min(self.parts, wanted)
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -95,13 +95,13 @@
         self.context.log.write(events.Event.DAEMON_STOPPING)
         if "caller" not in self.ports:
             self.configuration.stop()
-        else:
-            await defer.maybeDeferred(self.ports["caller"].stopListening)
         left = self.membership.leave()
         self.gateway.drain()
         deadline = self.context.now() + self.context.settings.drain_timeout_s
-        while self.gateway.sessions and self.context.now() < deadline:
+        while self._has_callers() and self.context.now() < deadline:
             await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
+        if "caller" in self.ports:
+            await defer.maybeDeferred(self.ports["caller"].stopListening)
         await left
         await self.gateway.admission.hand_back()
         self.configuration.stop()
@@ -122,6 +122,9 @@
             f"{name}_port": port.getHost().port for name, port in self.ports.items()
         }
 
+    def _has_callers(self):
+        return bool(self.gateway.sessions or self.listener.lingering)
+
     def _drain(self):
         self.context.reactor.callLater(0.0, self.context.reactor.stop)
 
--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -177,15 +177,13 @@
         """Give this instance's share back for good."""
         if self.polling is not None:
             await self.polling
-        commit = self.lease.hand_back(self._nonce(), self.clock())
-        self._resize()
-        if commit is not None and await self._commit(commit):
-            return
-        if commit is not None:
-            await self._read()
+        for _ in range(MAX_COMMITS):
             commit = self.lease.hand_back(self._nonce(), self.clock())
-            if commit is not None:
-                await self._commit(commit)
+            self._resize()
+            if commit is None or await self._commit(commit) is False:
+                return
+            if not self.lease.row.version:
+                return
 
     def _may_hold(self, now):
         """Return whether a share is held or still to be expected."""
--- a/pomelograde/net/callers.py
+++ b/pomelograde/net/callers.py
@@ -87,8 +87,24 @@
         elif self.reader is not None:
             self._read_authentication(data)
 
+    def finish(self):
+        """Close, and discard what the caller has sent meanwhile.
+
+        Notes
+        -----
+        Closing a socket with unread bytes resets the connection, and the
+        caller may then never see what was written last.
+        """
+        if self.secure:
+            self.transport.loseConnection()
+            return
+        self.listener.lingering.add(self)
+        self.transport.loseWriteConnection()
+        self.context.reactor.callLater(LINGER_S, self.transport.loseConnection)
+
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Let go of everything."""
+        self.listener.lingering.discard(self)
         self._end_startup()
         self.listener.cancel_keys.pop(self.process_id, None)
         if self.session is not None:
@@ -339,6 +355,7 @@
         self.gateway = gateway
         self.tls_contexts = tls_contexts
         self.starting = set()
+        self.lingering = set()
         self.cancel_keys = {}
         self.decoy_seed = context.random.randbytes(SALT_BYTES)
 
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -15,6 +15,7 @@
     exchanges,
 )
 
+CLOSE_DELAY_S = 0.1
 _CLASS = routing.StatementClass
 _ENDS = frozenset((_CLASS.COMMIT, _CLASS.ROLLBACK))
 _READ_ONLY = frozenset(
@@ -271,7 +272,7 @@
         self._note_refusal(failure)
         self.write(_frames.error_response(failure))
         self.on_closed()
-        self.caller.transport.loseConnection()
+        self.caller.finish()
 
     def on_closed(self):
         """Let go of everything; the caller is gone."""
@@ -323,13 +324,26 @@
         if exchange is not None:
             self.gateway.exchanges.discard(exchange)
         if self.closing is not None and status == b"I":
-            self.fail(self.closing)
+            self._close_after_answer()
             return
         if self.batches:
             self._next()
         elif self.reading_stopped:
             self._check_backlog()
 
+    def _close_after_answer(self):
+        """Close as the answer to the next batch, or soon without one.
+
+        Notes
+        -----
+        A driver that reads the error together with the answer before it takes
+        it for a notice, and its next statement fails without a reason.
+        """
+        if self.batches:
+            self.fail(self.closing)
+            return
+        self.context.reactor.callLater(CLOSE_DELAY_S, self.fail, self.closing)
+
     def _note_refusal(self, failure):
         self.context.decisions.note(
             self.account,
@@ -391,7 +405,9 @@
     def _enqueue(self, batch, size):
         self.batches.append((batch, size))
         self.waiting_bytes += size
-        if self.exchange is None:
+        if self.closing is not None and self.exchange is None and not self.connection:
+            self.fail(self.closing)
+        elif self.exchange is None:
             self._next()
         else:
             self._check_backlog()
--- /dev/null
+++ b/tests/net/test_peers.py
@@ -0,0 +1,90 @@
+"""Who may send messages to an instance, with real processes."""
+
+import socket
+import ssl
+import struct
+import time
+
+import pytest
+import testtools
+
+from pomelograde.net import peer_messages
+from pomelograde.standins import certificates
+from tests import fleets
+
+LIVE = 0
+PATIENCE_S = 3.0
+
+
+def heartbeat(sender, name):
+    """Return the bytes of a heartbeat that speaks for an instance."""
+    news = peer_messages.InstanceNews(
+        name, "catania", "default", 1, "127.0.0.1", 9, beat=1, state=LIVE
+    )
+    message = peer_messages.Heartbeat(0, 0, [news])
+    envelope = peer_messages.Envelope(sender, 1, 0, False, message)
+    data = peer_messages.encode(envelope)
+    return struct.pack(">I", len(data)) + data
+
+
+@pytest.mark.xdist_group("peers")
+class PeerTests(testtools.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.running = fleets.run_fleet(2)
+        cls.fleet = cls.running.__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.running.__exit__(None, None, None)
+        super().tearDownClass()
+
+    def send(self, data, files=None):
+        """Send bytes to the first instance, with a certificate or without."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        if files is not None:
+            context.load_cert_chain(*files)
+        address = ("127.0.0.1", self.fleet.port(0, "peer"))
+        try:
+            plain = socket.create_connection(address, PATIENCE_S)
+            with context.wrap_socket(plain) as connection:
+                connection.sendall(data)
+                connection.settimeout(0.5)
+                connection.recv(1)
+        except (ssl.SSLError, OSError):
+            pass
+
+    def is_known(self, name, within_s):
+        end = time.monotonic() + within_s
+        while time.monotonic() < end:
+            if name in self.fleet.operate("GET", "/v1/status")["instances"]:
+                return True
+            time.sleep(0.05)
+        return False
+
+    def test_member_of_the_fleet_is_heard(self):
+        files = self.fleet.running.authority.issue("new")
+        self.send(heartbeat("new", "new"), files)
+        self.assertTrue(self.is_known("new", PATIENCE_S))
+
+    def test_nobody_without_a_certificate_is_heard(self):
+        self.send(heartbeat("bare", "bare"))
+        self.assertFalse(self.is_known("bare", 1.0))
+
+    def test_certificate_of_another_authority_is_refused(self):
+        directory = self.fleet.running.directory / "foreign"
+        directory.mkdir()
+        files = certificates.make_authority(directory).issue("foreign")
+        self.send(heartbeat("foreign", "foreign"), files)
+        self.assertFalse(self.is_known("foreign", 1.0))
+
+    def test_sender_with_the_name_of_another_is_refused(self):
+        other = self.fleet.settings[1]["instance"]
+        files = self.fleet.running.authority.issue("thief")
+        self.send(heartbeat(other, "stolen"), files)
+        self.assertFalse(self.is_known("stolen", 1.0))
+        log = self.fleet.running.directory / f"{self.fleet.settings[0]['instance']}.log"
+        self.assertIn("PEER_REFUSED", log.read_text("utf-8"))
