Reload the certificates of peers without a restart

Cause: SIGHUP loaded the certificate towards callers and operators only; the one that instances show each other stayed until a restart. Change: each new peer connection takes the certificate that was last loaded. Seen: tests/net/test_peers.py replaces it in a running instance, which then shows the new one and still hears a member of the fleet. Conclusion: certificates of the fleet can be renewed in place.

--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -86,7 +86,9 @@
         self.context.log.write(events.Event.DAEMON_READY, **self.port_numbers())
 
     def reload_certificates(self):
-        """Load the certificate towards callers and operators again."""
+        """Load all certificates again."""
+        if self.context.peers.tls is not None:
+            self.context.peers.reload()
         if self.listener.tls_contexts is not None:
             self.listener.tls_contexts.reload()
 
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -4,6 +4,7 @@
 
 import attrs
 import capnp
+from OpenSSL import SSL
 from twisted.internet import defer, endpoints, protocol, ssl
 from twisted.internet import error as net_error
 from twisted.protocols import basic
@@ -56,6 +57,23 @@
         )
 
 
+class ServerContexts:
+    """Gives each accepted connection the certificate that was last loaded.
+
+    Parameters
+    ----------
+    task : PeerTask
+        Owner of the certificates.
+    """
+
+    def __init__(self, task):
+        self.task = task
+
+    def getContext(self):  # noqa: N802
+        """Return the TLS context of a new connection."""
+        return self.task.server_options.getContext()
+
+
 class PeerProtocol(basic.Int32StringReceiver):
     """One connection between two instances.
 
@@ -129,6 +147,7 @@
         self.connecting = {}
         self.waiting = {}
         self.request_ids = itertools.count(1)
+        self.server_options = None if tls is None else tls.server_options()
 
     def buildProtocol(self, addr):  # noqa: N802
         """Return the protocol of an accepted connection."""
@@ -137,9 +156,29 @@
     def listen(self, host, port):
         """Listen for peers; returns the port."""
         return self.context.reactor.listenSSL(
-            port, self, self.tls.server_options(), interface=host
+            port, self, ServerContexts(self), interface=host
         )
 
+    def reload(self):
+        """Load the certificates again; those that can't be used change nothing.
+
+        Notes
+        -----
+        Open connections keep theirs; new ones in either direction use the new.
+        """
+        settings = self.context.settings.peers
+        try:
+            loaded = PeerTls.load(settings)
+            options = loaded.server_options()
+            options.getContext()
+        except (OSError, SSL.Error) as error:
+            self.context.log.write(events.Event.CERTIFICATE_REJECTED, reason=str(error))
+            return
+        self.tls = loaded
+        self.server_options = options
+        file = settings.certificate_file
+        self.context.log.write(events.Event.CERTIFICATE_LOADED, file=file)
+
     def stop(self):
         """Close all connections."""
         for connection in list(self.connections.values()):
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -1,5 +1,6 @@
 """Who may send messages to an instance, with real processes."""
 
+import signal
 import socket
 import ssl
 import struct
@@ -57,6 +58,23 @@
         except (ssl.SSLError, OSError):
             pass
 
+    def served_certificate(self):
+        address = ("127.0.0.1", self.fleet.port(0, "peer"))
+        return ssl.get_server_certificate(address, timeout=PATIENCE_S)
+
+    def test_certificate_is_replaced_without_a_restart(self):
+        before = self.served_certificate()
+        name = self.fleet.settings[0]["instance"]
+        self.fleet.running.authority.issue(name)
+        self.fleet.daemons[0].send_signal(signal.SIGHUP)
+        end = time.monotonic() + PATIENCE_S
+        while time.monotonic() < end and self.served_certificate() == before:
+            time.sleep(0.05)
+        self.assertNotEqual(before, self.served_certificate())
+        files = self.fleet.running.authority.issue("late")
+        self.send(heartbeat("late", "late"), files)
+        self.assertTrue(self.is_known("late", PATIENCE_S))
+
     def is_known(self, name, within_s):
         end = time.monotonic() + within_s
         while time.monotonic() < end:
