--- a/tests/net/test_configuration.py
+++ b/tests/net/test_configuration.py
@@ -107,6 +107,18 @@
             connection.execute("SELECT 1")
 
 
+@pytest.mark.xdist_group("killed")
+class KilledInstanceTests(FleetCase):
+    def test_killed_instance_does_not_stop_the_others_in_an_outage(self):
+        with self.fleet.connect(0) as connection:
+            self.fleet.change_platform(outage=True)
+            self.fleet.daemons[2].kill()
+            end = time.monotonic() + 6.0
+            while time.monotonic() < end:
+                connection.execute("SELECT 1")
+                time.sleep(0.05)
+
+
 @pytest.mark.xdist_group("evidence")
 class EvidenceTests(FleetCase):
     def test_paused_instance_refuses_a_key_withdrawn_meanwhile(self):
