Explain each refusal to operators, checked against the code; read lone frames at once

A data chunk that is one whole frame, as a caller's statement nearly always is, skips the reader's loop.

--- a/pomelograde/net/_frames.py
+++ b/pomelograde/net/_frames.py
@@ -82,6 +82,10 @@
         """
         if self.failure is not None:
             return []
+        if not self.buffer and len(data) >= 5:
+            kind, length = HEADER.unpack_from(data)
+            if MIN_LENGTH <= length == len(data) - 1 <= self.max_frame_bytes:
+                return [(kind, data)]
         buffer = self.buffer + data if self.buffer else data
         frames = []
         start = 0
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from pomelograde.core import retries
 from pomelograde.net import events
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -68,3 +69,13 @@
             if not ast.get_docstring(ast.parse(path.read_text("utf-8")))
         ]
         self.assertEqual([], faults)
+
+    def test_every_refusal_is_on_the_operators_page(self):
+        text = (ROOT / "docs" / "operators" / "refusals.md").read_text("utf-8")
+        pattern = r"^\| `(\w+)` \| (\w+) \| ([a-z ]+) \|"
+        page = re.findall(pattern, text, re.MULTILINE)
+        expected = [
+            (kind.value, answer.sqlstate, answer.execution.value)
+            for kind, answer in retries.ANSWERS.items()
+        ]
+        self.assertEqual(sorted(expected), sorted(page))
