Let a position seen on a connection prove later reads on it

Cause: each replica read asked for the member's position, which doubled the frames of a statement: half of the hot path. Change: a member that discards entries ends its connections first (PostgreSQL has to restart for it; the contract says so and the stand-in does it), so a position that was read on a connection holds while the connection lives; the check travels again only when the bookmark has moved past it.

--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -186,6 +186,7 @@
 
     def on_checked(self, position):
         """Take the position of the member that a statement is meant for."""
+        self.connection.proved = position
         view = self.counted
         known = view is not None and position is not None
         if known and view.name != self.group.view.primary:
@@ -229,6 +230,7 @@
 
     def on_position(self, position):
         """Take the primary's position after the write."""
+        self.connection.proved = position
         if not self._needs_acknowledgement():
             self._finish()
             return
@@ -428,7 +430,8 @@
         self._send_checked()
 
     def _send_checked(self):
-        if self.statement_class is not _CLASS.BEGIN_READ_ONLY or self.required is None:
+        checked = self.statement_class is _CLASS.BEGIN_READ_ONLY
+        if not checked or routing.covers(self.connection.proved, self.required):
             self._send_statement()
             return
         self.part = None
@@ -488,6 +491,11 @@
             if self.required is None:
                 return False
         connection = self.connection
+        metrics = self.session.context.metrics
+        if routing.covers(connection.proved, self.required):
+            metrics.count(metrics.proofs, "connection")
+            return False
+        metrics.count(metrics.proofs, "check")
         check = _answers.CheckPart(self, connection)
         self.part = _answers.AnswerPart(
             self, connection, translation, _answers.Gate.WAITING, hold=False
--- a/pomelograde/net/metrics.py
+++ b/pomelograde/net/metrics.py
@@ -58,7 +58,7 @@
     ----------
     registry : prometheus_client.CollectorRegistry
         What the metrics address shows.
-    refusals, retries, statements, reads : Counter
+    refusals, retries, statements, reads, proofs : Counter
         Counters by label.
     latencies : dict of str to hdrh.histogram.HdrHistogram
         Latencies in microseconds by what was timed.
@@ -75,6 +75,11 @@
         self.statements = self.add_counter(
             "pomelograde_statements", "Statements by class.", "statement_class"
         )
+        self.proofs = self.add_counter(
+            "pomelograde_read_proofs",
+            "Reads by what proved that the member holds the session's writes.",
+            "proof",
+        )
         self.reads = self.add_counter(
             "pomelograde_reads", "Reads by the role of the upstream.", "upstream_role"
         )
--- a/pomelograde/net/upstream.py
+++ b/pomelograde/net/upstream.py
@@ -52,6 +52,13 @@
     credential : Credential
         How to authenticate.
 
+    Attributes
+    ----------
+    proved : Position or None
+        A position that the member has reported on this connection. It holds
+        all entries up to it for as long as the connection lives, since a
+        member that discards entries ends its connections first.
+
     Notes
     -----
     Work is sent as parts, each of which ends with one ReadyForQuery. The
@@ -76,6 +83,7 @@
         self.secret = 0
         self.prepared = set()
         self.settings = {}
+        self.proved = None
         self._scram = None
 
     def connectionMade(self):  # noqa: N802
--- a/pomelograde/standins/group.py
+++ b/pomelograde/standins/group.py
@@ -140,6 +140,11 @@
         else:
             self.running -= 1
 
+    def end_sessions(self):
+        """End the connections of all roles but the proxy's own."""
+        for session in list(self.sessions):
+            session.end_unless_system()
+
     def holds(self, position):
         """Whether the log has the entry of a position."""
         index = position.index
@@ -296,6 +301,7 @@
                 break
             common += 1
         if common < len(member.log):
+            member.end_sessions()
             member.log = list(leader.log)
             member.store.copy_from(leader.store)
 
--- a/pomelograde/standins/member.py
+++ b/pomelograde/standins/member.py
@@ -148,6 +148,11 @@
         if self.store is not None:
             self.store.close()
 
+    def end_unless_system(self):
+        """Drop the connection, unless it is the proxy's own role's."""
+        if self.role != SYSTEM_ROLE:
+            self.transport.abortConnection()
+
     def cancel(self):
         """Cancel the statement that runs."""
         if self.sleeping is not None:
--- /dev/null
+++ b/tests/standins/test_group_positions.py
@@ -0,0 +1,68 @@
+"""Positions and connections of the stand-in group when primaries change."""
+
+import tempfile
+
+import testtools
+from twisted.internet import task
+
+from pomelograde.core import sessions
+from pomelograde.standins import _store, group
+
+
+class Session:
+    """Notes whether it was told to end."""
+
+    def __init__(self):
+        self.ended = False
+
+    def end_unless_system(self):
+        self.ended = True
+
+
+class GroupTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.clock = task.Clock()
+        members = [
+            group.Member(name, "place", _store.Store(folder.name, name))
+            for name in ("a", "b", "c")
+        ]
+        for member in members:
+            self.addCleanup(member.store.close)
+        self.group = group.Group(self.clock, "g", members)
+        self.a, self.b, self.c = members
+
+    def change_primary(self):
+        """Let `a` write alone, then make `b` the primary of term 2."""
+        self.a.faults.cut_members = ["b", "c"]
+        self.group.append(self.a, ())
+        for member in (self.b, self.c):
+            self.assertTrue(self.group.fence(member, 2, "holder"))
+        self.assertTrue(self.group.promote(self.b, 2, "holder"))
+        self.a.faults.cut_members = []
+
+    def test_member_that_discards_entries_ends_its_connections_first(self):
+        self.change_primary()
+        session = Session()
+        self.a.sessions.add(session)
+        self.assertEqual(sessions.Position(1, 2), self.a.position)
+        self.assertTrue(self.group.follow(self.a, 2, "b"))
+        self.assertTrue(session.ended)
+        self.assertEqual(sessions.Position(2, 2), self.a.position)
+
+    def test_member_that_discards_nothing_keeps_its_connections(self):
+        self.change_primary()
+        session = Session()
+        self.c.sessions.add(session)
+        self.assertTrue(self.group.follow(self.c, 2, "b"))
+        self.clock.advance(0.0)
+        self.assertFalse(session.ended)
+        self.assertEqual(sessions.Position(2, 2), self.c.position)
+
+    def test_isolated_primary_holds_nothing_by_majority(self):
+        self.a.faults.cut_members = ["b", "c"]
+        self.group.append(self.a, ())
+        self.clock.advance(0.0)
+        self.assertTrue(self.group.held_by_majority(self.a) < sessions.Position(1, 2))
