--- a/measure/cli.py
+++ b/measure/cli.py
@@ -25,7 +25,7 @@
 @click.option("--output", default=FIGURES_PATH, help="File for the figures.")
 @click.option("--html", default=REPORT_PATH, help="File for the report.")
 def measures(keys, seconds, baseline, output, html):
-    r"""Measure both deployments; write the figures and a report.
+    """Measure both deployments; write the figures and a report.
 
     \b
     Examples:
@@ -50,7 +50,7 @@
 @click.option("--deployments", "names", default="bollette,alliance")
 @click.option("--seed", default=1, help="Seed of the callers' choices.")
 def failover(kinds, count, names, seed):
-    r"""Measure failovers of both deployments.
+    """Measure failovers of both deployments.
 
     \b
     Example:
@@ -71,7 +71,7 @@
 @click.option("--seconds", default=HISTORY_S, help="Length of the run.")
 @click.option("--deployment", default="bollette", help="bollette or alliance.")
 def history(seed, seconds, deployment):
-    r"""Run a fleet with random faults and check its history.
+    """Run a fleet with random faults and check its history.
 
     \b
     Example:
@@ -89,7 +89,7 @@
 @click.option("--seed", default=1, help="Seed of the callers' choices.")
 @click.option("--parallel", default=matrix.PARALLEL, help="Fleets at a time.")
 def run_matrix(protocol, pairs, seed, parallel):
-    r"""Have every fault strike at every step of the protocols.
+    """Have every fault strike at every step of the protocols.
 
     \b
     Example:
--- a/measure/pooling.py
+++ b/measure/pooling.py
@@ -124,7 +124,7 @@
 @click.option("--limit", default=2, help="Connections of the pool.")
 @click.option("--accounts", default=8, help="Client accounts.")
 def main(limit, accounts):
-    r"""Compare tenures of database roles on scarce connections.
+    """Compare tenures of database roles on scarce connections.
 
     \b
     Example:
--- a/pomelograde/cli/keys.py
+++ b/pomelograde/cli/keys.py
@@ -16,7 +16,7 @@
 
 @click.group()
 def keys():
-    r"""Issue, rotate and withdraw client account keys.
+    """Issue, rotate and withdraw client account keys.
 
     \b
     Example:
@@ -30,7 +30,7 @@
 @OUTPUT
 @click.pass_obj
 def issue(connect, name, account, form):
-    r"""Make a key; it is shown once and kept nowhere in clear.
+    """Make a key; it is shown once and kept nowhere in clear.
 
     \b
     Example:
@@ -45,7 +45,7 @@
 @OUTPUT
 @click.pass_obj
 def rotate(connect, name, form):
-    r"""Replace a key; the old one stops working at once, also where in use.
+    """Replace a key; the old one stops working at once, also where in use.
 
     To change keys without an interruption, issue a second key, move the
     callers to it, and withdraw the first.
@@ -67,7 +67,7 @@
 @OUTPUT
 @click.pass_obj
 def withdraw(connect, name, form):
-    r"""Withdraw a key; its connections are closed on all instances.
+    """Withdraw a key; its connections are closed on all instances.
 
     \b
     Example:
--- a/pomelograde/cli/main.py
+++ b/pomelograde/cli/main.py
@@ -76,7 +76,7 @@
 )
 @click.pass_context
 def main(context, server, token, token_file, ca_file):
-    r"""Operate a pomelograde fleet.
+    """Operate a pomelograde fleet.
 
     \b
     Examples:
@@ -106,7 +106,7 @@
 @OUTPUT
 @click.pass_obj
 def status(connect, form):
-    r"""Show what an instance does.
+    """Show what an instance does.
 
     \b
     Examples:
@@ -137,7 +137,7 @@
 @OUTPUT
 @click.pass_obj
 def get(connect, kind, name, form):
-    r"""Show resources of a kind, or one of them.
+    """Show resources of a kind, or one of them.
 
     Kinds: accounts, keys, rules, services; read-only: events, instances,
     limits, upstreams.
@@ -168,7 +168,7 @@
 @OUTPUT
 @click.pass_obj
 def apply(connect, path, form):
-    r"""Create or replace the resources of a file, one after the other.
+    """Create or replace the resources of a file, one after the other.
 
     A resource with a resourceVersion is refused if it was changed since. It
     stops at the first refusal; each resource is one change.
@@ -216,7 +216,7 @@
 @OUTPUT
 @click.pass_obj
 def delete(connect, kind, name, resource_version, form):
-    r"""Delete a resource.
+    """Delete a resource.
 
     \b
     Examples:
@@ -237,7 +237,7 @@
 @OUTPUT
 @click.pass_obj
 def watch(connect, kind, version, form):
-    r"""Follow the changes of a kind until interrupted.
+    """Follow the changes of a kind until interrupted.
 
     \b
     Examples:
@@ -259,7 +259,7 @@
 @OUTPUT
 @click.pass_obj
 def events(connect, follow, form):
-    r"""Show the last events of an instance.
+    """Show the last events of an instance.
 
     \b
     Examples:
@@ -290,7 +290,7 @@
 @OUTPUT
 @click.pass_obj
 def explain(connect, account, form):
-    r"""Show why requests of a client account were refused, routed or delayed.
+    """Show why requests of a client account were refused, routed or delayed.
 
     What is shown was decided on the instance that is asked.
 
@@ -324,7 +324,7 @@
 @OUTPUT
 @click.pass_obj
 def drain(connect, form):
-    r"""Begin the graceful shutdown of the instance that is asked.
+    """Begin the graceful shutdown of the instance that is asked.
 
     \b
     Example:
--- a/pomelograde/daemon/main.py
+++ b/pomelograde/daemon/main.py
@@ -26,7 +26,7 @@
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.option("--reference", "show", is_flag=True, help="Print all settings and exit.")
 def main(path, check, show):
-    r"""Run one instance of the pomelograde database proxy.
+    """Run one instance of the pomelograde database proxy.
 
     \b
     Examples:
--- a/pomelograde/standins/main.py
+++ b/pomelograde/standins/main.py
@@ -19,7 +19,7 @@
 @main.command("platform")
 @click.option("--port", default=0, help="Port; 0 lets the kernel choose.")
 def run_platform(port):
-    r"""Run the platform stand-in.
+    """Run the platform stand-in.
 
     \b
     Example:
@@ -35,7 +35,7 @@
 @main.command("members")
 @click.option("--config", required=True, help="JSON file, or - for standard input.")
 def run_members(config):
-    r"""Run groups of stand-in members.
+    """Run groups of stand-in members.
 
     \b
     Example:
@@ -55,7 +55,7 @@
 @main.command("links")
 @click.option("--config", required=True, help="JSON file, or - for standard input.")
 def run_links(config):
-    r"""Run relays between data centres.
+    """Run relays between data centres.
 
     \b
     Example:
@@ -75,7 +75,7 @@
 @click.option("--check", is_flag=True, help="Do a scripted round and exit.")
 @click.option("--port", default=0, help="Caller port of the first instance.")
 def run_demo(check, port):
-    r"""Run both deployments with three instances.
+    """Run both deployments with three instances.
 
     \b
     Examples:
