Move tokens between instances again, and let small shares borrow

No token ever moved: the counter of moved tokens was called by an interface that it no longer has, so each answer to a request for tokens ended in an error on both sides. A share with less than one token, and room for less than one, did not ask at all. Change: count by the metrics' own interface; ask for what the next whole token lacks.

--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -221,7 +221,7 @@
         room = self.burst - self.reserved - self.bucket.tokens
         wanted = min(room, self._wanted(now))
         amount = wanted / max(1, len(asked))
-        if wanted < 1.0 or amount <= 0.0:
+        if wanted < min(1.0, self._missing()) or amount <= 0.0:
             return []
         actions = [Borrow(name, amount) for name in asked]
         for name in asked:
@@ -276,6 +276,10 @@
         low = min(self.burst / 2.0, 1.0 + self._demand_per_s() * LOW_S)
         return bool(self.waiters) or (self.demand > 0.5 and self.bucket.tokens < low)
 
+    def _missing(self):
+        """Return what the next whole token lacks, or 1.0 if there is one."""
+        return 1.0 - self.bucket.tokens if self.bucket.tokens < 1.0 else 1.0
+
     def _wanted(self, now):
         return len(self.waiters) + max(1.0, self._demand_per_s() * DEMAND_WINDOW_S)
 
--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -336,7 +336,7 @@
         now = self.clock()
         share.on_borrowed(action, amount, now)
         if amount > 0.0:
-            self.tokens.labels("borrowed").inc(amount)
+            self.context.metrics.count(self.tokens, "borrowed", amount)
         if share.waiters and self.shares.get(account) is share:
             self._serve(account, share, now)
 
@@ -348,7 +348,7 @@
         given = 0.0
         if share is not None and self.lease.usable(now):
             given = share.lend(message.amount, now)
-            self.tokens.labels("lent").inc(given)
+            self.context.metrics.count(self.tokens, "lent", given)
         return peer_messages.BorrowAnswer(message.resource, given, 0.0, 0)
 
     async def _borrow_parts(self):
--- a/pomelograde/net/metrics.py
+++ b/pomelograde/net/metrics.py
@@ -110,9 +110,9 @@
         """Register and return a gauge."""
         return prometheus_client.Gauge(name, text, labels, registry=self.registry)
 
-    def count(self, counter, value):
-        """Add one to a counter, for a value of its label."""
-        counter.values[value] = counter.values.get(value, 0) + 1
+    def count(self, counter, value, amount=1):
+        """Add to a counter, for a value of its label."""
+        counter.values[value] = counter.values.get(value, 0) + amount
 
     def record(self, name, seconds):
         """Record a latency.
