Judge lost writes by a primary that a majority follows; document outcomes

Tests: a write that a promotion discards runs again once, one that survives it is acknowledged and not run again.

--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -69,6 +69,8 @@
         What the caller can do; sent in the HINT field.
     fatal : bool
         Whether the connection is closed after the answer.
+    retry_after_s : float
+        Seconds after which a retry is useful, where a failure states none.
     """
 
     sqlstate: str
@@ -76,6 +78,7 @@
     message: str
     hint: str = ""
     fatal: bool = False
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen
@@ -174,7 +177,7 @@
         "53000",
         _NOT_RUN,
         "too many statements are waiting for an upstream connection",
-        "Retry later.",
+        retry_after_s=0.5,
     ),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(
         "57014", _NOT_RUN, "deadline passed before the statement was sent"
@@ -186,16 +189,22 @@
         "Check whether the statement took effect, or use an idempotency key.",
     ),
     ErrorKind.NO_PRIMARY: Answer(
-        "57P03", _NOT_RUN, "database service has no primary at present", "Retry later."
+        "57P03",
+        _NOT_RUN,
+        "database service has no primary at present",
+        retry_after_s=2.0,
     ),
     ErrorKind.SESSION_BEHIND: Answer(
         "57P03",
         _NOT_RUN,
         "no upstream holds the session's own writes yet",
-        "Retry later.",
+        retry_after_s=0.5,
     ),
     ErrorKind.UPSTREAM_UNREACHABLE: Answer(
-        "08001", _NOT_RUN, "no upstream connection could be opened", "Retry later."
+        "08001",
+        _NOT_RUN,
+        "no upstream connection could be opened",
+        retry_after_s=1.0,
     ),
     ErrorKind.UPSTREAM_LOST: Answer(
         "08007",
--- a/pomelograde/net/_frames.py
+++ b/pomelograde/net/_frames.py
@@ -145,8 +145,9 @@
     if failure.detail:
         message = f"{message}: {failure.detail}"
     hint = answer.hint
-    if failure.retry_after_s > 0.0:
-        hint = f"Retry after {failure.retry_after_s:.3f} s."
+    retry_after_s = failure.retry_after_s or answer.retry_after_s
+    if retry_after_s > 0.0:
+        hint = f"Retry after {retry_after_s:.3f} s."
     severity = "FATAL" if answer.fatal else "ERROR"
     fields = [
         ("S", severity),
--- a/pomelograde/net/_resolutions.py
+++ b/pomelograde/net/_resolutions.py
@@ -4,6 +4,7 @@
 from pomelograde.net import groups, upstream
 
 RETRY_INTERVAL_S = 0.02
+MAJORITY_WAIT_MS = 500
 
 
 class Resolution:
@@ -17,7 +18,9 @@
     Notes
     -----
     A primary of the same term tells nothing, since the write may still be on
-    its way to the other members; the outcome is then unknown at once.
+    its way to the other members; the outcome is then unknown at once. One of a
+    later term is asked once a majority holds an entry of that term, since only
+    then no other history can win.
     """
 
     def __init__(self, exchange):
@@ -79,6 +82,20 @@
         if position.term <= self.upper.term:
             self._finish(retries.Survival.UNKNOWN, None, connection)
             return None
+        asked = upstream.call(
+            connection,
+            "SELECT * FROM pomelograde.wait_majority("
+            f"{position.term}, {position.index}, {MAJORITY_WAIT_MS})",
+        )
+        return asked.addCallback(self._on_majority, position, connection)
+
+    def _on_majority(self, row, position, connection):
+        held = upstream.read_position(row)
+        if held.term < position.term:
+            self.exchange.give_back(connection)
+            if not self.done:
+                self._again()
+            return None
         asked = self._ask_holds(connection, self.upper)
         asked.addCallback(self._on_upper, position, connection)
         return asked
--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -238,6 +238,8 @@
         if position is None:
             self._after_loss()
             return
+        if self.counted is not None:
+            self.counted.position = position
         self.acknowledge(position)
 
     def acknowledge(self, position):
@@ -279,14 +281,14 @@
             return
         if connection is not None:
             self._give_back(connection)
-        unseen = not self.was_in_transaction and not self.answered
-        if survival is retries.Survival.DISCARDED and unseen:
-            self._count_retry("discarded")
-            self._restart()
-            return
         kind = retries.ErrorKind.ACKNOWLEDGEMENT_LOST
         if survival is retries.Survival.DISCARDED:
             kind = retries.ErrorKind.WRITE_DISCARDED
+        again = not (self.was_in_transaction or self.answered)
+        if survival is retries.Survival.DISCARDED and again:
+            self._count_retry("discarded")
+            self._restart()
+            return
         self._fail(retries.Failure(kind))
 
     def give_back(self, connection):
@@ -556,7 +558,7 @@
         if self.done:
             return
         if failure is not None:
-            if failure.kind is retries.ErrorKind.WRITE_DISCARDED:
+            if self.keyed or failure.kind is retries.ErrorKind.WRITE_DISCARDED:
                 self._after_loss()
             else:
                 self._fail(failure)
@@ -665,6 +667,8 @@
             view.outstanding += 1
             view.sent += 1
         self.counted = view
+        if self.session.paused:
+            self.pause()
 
     def _detach(self):
         """Let go of the connection, and return it."""
--- a/tests/net/test_outcomes.py
+++ b/tests/net/test_outcomes.py
@@ -8,8 +8,9 @@
 import psycopg
 import pytest
 import testtools
+from testtools import matchers
 
-from pomelograde.standins import http
+from pomelograde.standins import http, processes
 from tests import fleets
 
 INSERT = "INSERT INTO readings (meter, kwh) VALUES (%s, 1)"
@@ -150,16 +151,21 @@
         return int(line.split()[1]) * 1024
 
 
-@pytest.mark.xdist_group("outcomes")
-class FaultTests(OutcomeTestCase):
+class FaultTestCase(OutcomeTestCase):
     def setUp(self):
         super().setUp()
         self.addCleanup(self.mend)
 
     def mend(self):
-        faults = {"killed": False, "paused": False, "cut_members": []}
+        faults = {
+            "killed": False,
+            "paused": False,
+            "cut_members": [],
+            "cut_hosts": [],
+        }
+        change = {"faults": faults, "service_s": 0.0, "lag_s": self.lag_s}
         for member in MEMBERS:
-            self.fleet.change_member(member, faults=faults, service_s=0.0)
+            self.fleet.change_member(member, **change)
 
     def primary(self):
         described = http.send("GET", f"{self.fleet.members_url}/members")
@@ -170,6 +176,9 @@
     def fault(self, **faults):
         self.fleet.change_member(self.primary(), faults=faults)
 
+
+@pytest.mark.xdist_group("outcomes")
+class FaultTests(FaultTestCase):
     def detail(self, connection, *arguments):
         error = self.assertRaises(psycopg.Error, connection.execute, *arguments)
         return error.sqlstate, error.diag.message_detail
@@ -205,6 +214,15 @@
         connection.execute(INSERT, ("half",))
         self.assertEqual(1, self.count("half", 1))
 
+    def test_refusal_says_when_to_come_back(self):
+        connection = self.connect(deadline="300ms")
+        connection.execute(INSERT, ("hint",))
+        for member in MEMBERS:
+            self.fleet.change_member(member, faults={"killed": True})
+        error = self.assertRaises(psycopg.Error, connection.execute, INSERT, ("hint",))
+        self.assertEqual("not run", error.diag.message_detail)
+        self.assertThat(error.diag.message_hint, matchers.StartsWith("Retry after"))
+
     def test_key_gives_the_first_answer_through_another_instance(self):
         text = INSERT + " RETURNING id, meter"
         first = self.connect(0, idempotency_key="letter-1", deadline="9s")
@@ -274,3 +292,72 @@
         self.addCleanup(timer.join)
         connection.execute(INSERT, ("wait",))
         self.assertEqual(2, self.count("wait", 1))
+
+
+@pytest.mark.xdist_group("survival")
+class SurvivalTests(FaultTestCase):
+    """Writes whose primary is lost after the commit."""
+
+    def promote(self, lost):
+        """Promote a replica, as an operator or a failover would."""
+        described = http.send("GET", f"{self.fleet.members_url}/members")
+        members = described["groups"][fleets.SERVICE]
+        rest = [one for one in members if one["name"] != lost]
+        term = 10 + max(one["fenced_term"] for one in members)
+        for one in rest:
+            self.call(one, f"fence({term}, 'test')")
+        best = max(rest, key=lambda one: one["position"])
+        self.call(best, f"promote({term}, 'test')")
+        for one in rest:
+            if one is not best:
+                self.call(one, f"follow({term}, '{best['name']}')")
+
+    def call(self, member, function):
+        words = f"host=127.0.0.1 port={member['port']} dbname=main user=pomelograde"
+        password = processes.UPSTREAM_PASSWORD
+        with psycopg.connect(f"{words} password={password}") as connection:
+            connection.execute(f"SELECT * FROM pomelograde.{function}")
+
+    def write_and_lose_primary(self, meter, before, after):
+        connection = self.connect(deadline="20s")
+        connection.execute(INSERT, (meter,))
+        lost = self.primary()
+        before()
+        outcome = []
+
+        def write():
+            connection.execute(INSERT, (meter,))
+            outcome.append("acknowledged")
+
+        writing = threading.Thread(target=write)
+        writing.start()
+        time.sleep(0.3)
+        after()
+        self.fault(killed=True)
+        self.promote(lost)
+        writing.join()
+        return outcome
+
+    def lag(self):
+        for member in MEMBERS:
+            self.fleet.change_member(member, lag_s=0.6)
+
+    def silence(self):
+        self.fault(cut_hosts=["127."])
+        time.sleep(0.6)
+
+    def test_write_that_was_discarded_runs_again(self):
+        before = self.metric("pomelograde_retries", "discarded")
+        outcome = self.write_and_lose_primary(
+            "discarded", lambda: self.fault(cut_members=list(MEMBERS)), lambda: None
+        )
+        self.assertEqual(["acknowledged"], outcome)
+        self.assertEqual(2, self.count("discarded", 1))
+        self.assertEqual(before + 1, self.metric("pomelograde_retries", "discarded"))
+
+    def test_write_that_survived_is_acknowledged_and_not_run_again(self):
+        discarded = self.metric("pomelograde_retries", "discarded")
+        outcome = self.write_and_lose_primary("survived", self.lag, self.silence)
+        self.assertEqual(["acknowledged"], outcome)
+        self.assertEqual(2, self.count("survived", 1))
+        self.assertEqual(discarded, self.metric("pomelograde_retries", "discarded"))
