Check a primary that is behind before sending a read to it again

Change: after a primary was found behind, the next attempt waits for the check before the read is sent.

--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -50,6 +50,7 @@
         "holds_all",
         "keyed",
         "lower",
+        "missed",
         "on_primary",
         "opens_implicit",
         "part",
@@ -108,6 +109,7 @@
         self.answered = False
         self.earlier_unknown = False
         self.waited = False
+        self.missed = False
         self.paused = False
         self.done = False
         self.was_in_transaction = False
@@ -432,8 +434,8 @@
         self._send_checked()
 
     def _send_checked(self):
-        checked = self.statement_class is _CLASS.BEGIN_READ_ONLY
-        if not checked or routing.covers(self.connection.proved, self.required):
+        first = self.missed or self.statement_class is _CLASS.BEGIN_READ_ONLY
+        if not first or routing.covers(self.connection.proved, self.required):
             self._send_statement()
             return
         self.part = None
@@ -630,6 +632,7 @@
         session.on_exchange_done(self.status)
 
     def _try_elsewhere(self, reason):
+        self.missed = self.role == "primary"
         self._give_back(self._detach())
         self._count_retry(reason)
         delay_s = PRIMARY_RETRY_INTERVAL_S if self.role == "primary" else 0.0
