--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -323,7 +323,7 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             self.gateway.exchanges.discard(exchange)
-        if self.closing is not None and status == b"I" and not self.batches:
+        if self.closing is not None and status == b"I":
             self._close_after_answer()
             return
         if self.batches:
