--- a/measure/fleets.py
+++ b/measure/fleets.py
@@ -50,6 +50,7 @@
     service_s: float = 0.0
     rate_scale: float = 1.0
     log_level: str = "warning"
+    acknowledgement: str = "majority"
     program: tuple = ()
 
 
@@ -301,6 +302,8 @@
     specs = seed.specs(fleet.deployment, groups)
     limits = {limit.account: limit for limit in fleet.limits()}
     for kind, name, spec in specs:
+        if kind == "services":
+            spec["acknowledgement"] = fleet.settings.acknowledgement
         if kind == "accounts":
             spec["rate_per_s"] = limits[name].rate_per_s
             spec["burst"] = limits[name].burst
