--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -288,7 +288,8 @@
         return peer is None or (not peer.asked and now >= peer.ask_at)
 
     def _all_dry(self, now):
-        return all(now < peer.ask_at and not peer.asked for peer in self.peers.values())
+        peers = self.peers.values()
+        return bool(peers) and all(now < p.ask_at and not p.asked for p in peers)
 
     def _note_demand(self, now):
         self._decay(now)
--- a/tests/net/test_rates.py
+++ b/tests/net/test_rates.py
@@ -87,6 +87,15 @@
     def test_all_callers_at_one_instance_are_within_the_rate(self):
         load = Load(self.fleet).run([0] * 4, 0.8 * RATE_PER_S, 4.0)
         self.assertEqual([], load.refusals)
+        sent = len(load.sent_at)
+        self.assertGreater(self.moved(0, "borrowed"), sent / 4)
+        lent = sum(self.moved(number, "lent") for number in range(1, INSTANCES))
+        self.assertGreater(lent, sent / 4)
+
+    def moved(self, number, direction):
+        counters = self.fleet.operate("GET", "/v1/status", number=number)["metrics"]
+        found = counters["counters"].get("pomelograde_rate_tokens_total", {})
+        return found.get(direction, 0.0)
 
     def test_the_same_in_a_platform_outage(self):
         self.fleet.change_platform(outage=True)
