Settle the shares of rates sooner after a start

Cause: in the first seconds after a whole fleet has started, shares were as small as 0.044 of all rates; of a burst of 10 that is less than one token, and 35 requests within their rate were refused, all in the first 3 s of the load. Change: an instance takes its whole part 2 s after its start, no longer 5 s.

--- a/pomelograde/core/limits/_lease.py
+++ b/pomelograde/core/limits/_lease.py
@@ -13,7 +13,7 @@
 TOLERANCE = 0.05  # share of the target that is left as it is
 LEAST_TAKE = 0.01  # share of the target below which free parts are left
 FIRST_TAKE = 0.25  # share of the free parts that a new instance takes at most
-SETTLING_S = 5.0  # time after the start in which it takes no more than that
+SETTLING_S = 2.0  # time after the start in which it takes no more than that
 
 
 @attrs.frozen
