Run the daemon on a steady clock; share pools and peers between two protocols

Cause: Twisted reckons timers by the time of day, so that a step of that clock moved every lease and deadline. Pools take the way to open a connection as an argument, and the TLS of peers is a part of its own, so that both serve a second protocol. The choice of a member is a core topic of its own.

--- a/pomelograde/core/failover/_group.py
+++ b/pomelograde/core/failover/_group.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from pomelograde.core.routing import _choose
+from pomelograde.core.placement import _choose
 from pomelograde.core.sessions import _bookmark
 
 MAX_LEADERS = 32
--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -40,9 +40,12 @@
     SESSION_BEHIND = "session_behind"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
     TRANSACTION_LOST = "transaction_lost"
     TRANSACTION_EXPIRED = "transaction_expired"
     TRANSACTION_ABORTED = "transaction_aborted"
+    INVALID_TRANSACTION_STATE = "invalid_transaction_state"
     ACKNOWLEDGEMENT_LOST = "acknowledgement_lost"
     ANSWER_TOO_LARGE = "answer_too_large"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -230,6 +233,23 @@
         "current transaction is aborted, commands are ignored until its end",
         "Send ROLLBACK, then run the whole transaction again.",
     ),
+    ErrorKind.INVALID_TRANSACTION_STATE: Answer(
+        "25001",
+        _NOT_RUN,
+        "statement is not allowed in this state of the transaction",
+    ),
+    ErrorKind.UPSTREAM_FAILED: Answer(
+        "58000",
+        _UNKNOWN,
+        "the upstream failed while it ran the statement",
+        "Check whether the statement took effect.",
+    ),
+    ErrorKind.UPSTREAM_TIMEOUT: Answer(
+        "57014",
+        _UNKNOWN,
+        "the upstream gave the statement up at its own time limit",
+        "Check whether the statement took effect.",
+    ),
     ErrorKind.ACKNOWLEDGEMENT_LOST: Answer(
         "08007",
         _UNKNOWN,
--- /dev/null
+++ b/pomelograde/core/statements/__init__.py
@@ -0,0 +1,50 @@
+"""A statement's way from a caller to an upstream and back."""
+
+from pomelograde.core.statements import _actions, _session, _statements
+
+Abandon = _actions.Abandon
+Acquire = _actions.Acquire
+Admit = _actions.Admit
+Answer = _statements.Answer
+Begin = _actions.Begin
+CancelAbandon = _actions.Abandon
+Acquire = _actions.CancelAcquire
+Close = _actions.Close
+Discard = _actions.Discard
+Execute = _actions.Execute
+Note = _actions.Note
+Operation = _statements.Operation
+Prepared = _statements.Prepared
+Refuse = _actions.Refuse
+Release = _actions.Release
+Respond = _actions.Respond
+Route = _statements.Route
+RouteType = _statements.RouteType
+Session = _session.Session
+Statement = _statements.Statement
+UpstreamError = _statements.UpstreamError
+Wake = _actions.Wake
+
+__all__ = [
+    "Abandon",
+    "Acquire",
+    "Admit",
+    "Answer",
+    "Begin",
+    "CancelAcquire",
+    "Close",
+    "Discard",
+    "Execute",
+    "Note",
+    "Operation",
+    "Prepared",
+    "Refuse",
+    "Release",
+    "Respond",
+    "Route",
+    "RouteType",
+    "Session",
+    "Statement",
+    "UpstreamError",
+    "Wake",
+]
--- a/pomelograde/daemon/main.py
+++ b/pomelograde/daemon/main.py
@@ -5,11 +5,11 @@
 
 import click
 from absl import flags, logging
-from twisted.internet import defer, reactor
+from twisted.internet import defer
 
 from pomelograde.daemon import reference, root
 from pomelograde.daemon import settings as settings_module
-from pomelograde.net import events, faults
+from pomelograde.net import events, faults, steady_reactor
 
 EXIT_SETTINGS = 2
 
@@ -63,6 +63,7 @@
     logging.set_verbosity(LEVELS[settings.logging.level])
     if settings.logging.format == "json":
         logging.get_absl_handler().setFormatter(None)
+    reactor = steady_reactor.install()
     daemon = root.build(reactor, settings)
     faults.install(daemon.context.log)
     failures = []
--- a/pomelograde/daemon/root.py
+++ b/pomelograde/daemon/root.py
@@ -22,6 +22,7 @@
     metrics,
     operators,
     peer_messages,
+    peer_tls,
     peers,
     platform,
     upstream,
@@ -63,7 +64,7 @@
     async def start(self):
         """Listen, and fetch the configuration."""
         self.context.log.write(events.Event.DAEMON_STARTED)
-        if self.context.peers.tls is not None:
+        if self.context.peers.security is not None:
             addresses = self.context.settings.addresses
             self.ports["peer"] = self.context.peers.listen(
                 addresses.host, addresses.peer_port
@@ -87,8 +88,8 @@
 
     def reload_certificates(self):
         """Load all certificates again."""
-        if self.context.peers.tls is not None:
-            self.context.peers.reload()
+        if self.context.peers.security is not None:
+            self.context.peers.security.reload()
         if self.listener.tls_contexts is not None:
             self.listener.tls_contexts.reload()
 
@@ -175,7 +176,7 @@
         random=random.SystemRandom(),
     )
     shared.log.record = shared.events
-    shared.peers = peers.PeerTask(shared, _peer_tls(settings.peers))
+    shared.peers = peers.PeerTask(shared, _make_peer_tls(shared))
     for seed in settings.seeds:
         shared.members.learn(_seed_instance(seed))
     client = platform.PlatformClient(
@@ -215,7 +216,7 @@
     return certificates.ReloadedContexts(shared, tls)
 
 
-def _peer_tls(settings):
-    if not settings.certificate_file:
+def _make_peer_tls(shared):
+    if not shared.settings.peers.certificate_file:
         return None
-    return peers.PeerTls.load(settings)
+    return peer_tls.PeerTls(shared)
--- a/pomelograde/net/exchanges.py
+++ b/pomelograde/net/exchanges.py
@@ -1,6 +1,6 @@
 """One statement's way from a caller to an upstream and back."""
 
-from pomelograde.core import retries, routing, sessions
+from pomelograde.core import placement, retries, routing, sessions
 from pomelograde.net import _answers, _frames, _resolutions, events, groups, upstream
 
 RETRY_INTERVAL_S = 0.01
@@ -194,7 +194,7 @@
         if known and view.name != self.group.view.primary:
             view.position = position
             view.position_at = self.session.context.now()
-        covered = routing.covers(position, self.required)
+        covered = placement.covers(position, self.required)
         if self.part is None:
             if covered:
                 self._send_statement()
@@ -361,7 +361,7 @@
             return
         if checked:
             self.required = session.required_position(now)
-        candidates = routing.choose_replicas(
+        candidates = placement.choose_replicas(
             list(self.group.view.members.values()),
             self.group.view.primary,
             self.required,
@@ -399,7 +399,7 @@
         self.tried.add(member)
         pool = self.group.pools.get(member)
         if pool is None:
-            self._retry_later(retries.Failure(upstream.OPEN_FAILURE))
+            self._retry_later(retries.Failure(retries.ErrorKind.UPSTREAM_UNREACHABLE))
             return
         session = self.session
         connection = pool.take_at_once(session.role)
@@ -435,7 +435,7 @@
 
     def _send_checked(self):
         first = self.missed or self.statement_class is _CLASS.BEGIN_READ_ONLY
-        if not first or routing.covers(self.connection.proved, self.required):
+        if not first or placement.covers(self.connection.proved, self.required):
             self._send_statement()
             return
         self.part = None
@@ -496,7 +496,7 @@
                 return False
         connection = self.connection
         metrics = self.session.context.metrics
-        if routing.covers(connection.proved, self.required):
+        if placement.covers(connection.proved, self.required):
             metrics.count(metrics.proofs, "connection")
             return False
         metrics.count(metrics.proofs, "check")
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -5,7 +5,7 @@
 import attrs
 from twisted.internet import defer, task
 
-from pomelograde.core import failover, pooling, routing, sessions
+from pomelograde.core import failover, placement, pooling, routing, sessions
 from pomelograde.net import (
     acknowledgements,
     events,
@@ -15,6 +15,7 @@
     peer_messages,
     platform,
     pools,
+    upstream,
 )
 
 SWEEP_INTERVAL_S = 0.05
@@ -112,20 +113,30 @@
 
     def _update_member(self, name, member):
         view = self.view.members.setdefault(
-            name, routing.MemberView(name, member.data_centre)
+            name, placement.MemberView(name, member.data_centre)
         )
         view.leaving = member.leaving
         pool = self.pools.get(name)
         if pool is None:
             limit = self._connection_share(member)
             self.pools[name] = pools.MemberPool(
-                self.context, member, self.spec.database, limit
+                self.context, member, self._open_connection, limit
             )
             return
         if (member.host, member.port) != (pool.spec.host, pool.spec.port):
             self.links.drop(name)
         pool.update(member)
 
+    def _open_connection(self, member, role):
+        return upstream.open_connection(
+            self.context.reactor,
+            member,
+            role,
+            self.spec.database,
+            self.context.credential,
+            self.context.settings.addresses.bind_host,
+        )
+
     def resize(self):
         """Adapt pools and watching to the live instances."""
         self.watch.update()
--- a/pomelograde/net/member_links.py
+++ b/pomelograde/net/member_links.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from pomelograde.net import upstream
+from pomelograde.net import pools, upstream
 
 SYSTEM_ROLE = "pomelograde"
 
@@ -83,7 +83,7 @@
             answer = upstream.call(connection, sql)
             answer.addTimeout(timeout_s, self.context.reactor)
             return await answer
-        except upstream.UpstreamOpenError as error:
+        except pools.UpstreamOpenError as error:
             raise MemberCallError(str(error), error.refused) from error
         except upstream.UpstreamCallError as error:
             alive = not error.sqlstate.startswith("08")
@@ -103,9 +103,9 @@
         self.opening[member] = []
         try:
             connection = await self._open(member, timeout_s)
-        except upstream.UpstreamOpenError as error:
+        except pools.UpstreamOpenError as error:
             for waiter in self.opening.pop(member):
-                waiter.errback(upstream.UpstreamOpenError(str(error), error.refused))
+                waiter.errback(pools.UpstreamOpenError(str(error), error.refused))
             raise
         self.connections[member] = connection
         for waiter in self.opening.pop(member):
@@ -115,7 +115,7 @@
     async def _open(self, member, timeout_s):
         pool = self.group.pools.get(member)
         if pool is None:
-            raise upstream.UpstreamOpenError(f"{member} is no member", refused=True)
+            raise pools.UpstreamOpenError(f"{member} is no member", refused=True)
         return await upstream.open_connection(
             self.context.reactor,
             pool.spec,
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -2,10 +2,8 @@
 
 import itertools
 
-import attrs
 import capnp
-from OpenSSL import SSL
-from twisted.internet import defer, endpoints, protocol, ssl
+from twisted.internet import defer, endpoints, protocol
 from twisted.internet import error as net_error
 from twisted.protocols import basic
 
@@ -20,58 +18,25 @@
     """A peer did not answer in time, or can't be reached."""
 
 
-@attrs.frozen
-class PeerTls:
-    """Certificates that instances authenticate each other with.
+class PlainPeers:
+    """Unprotected connections, for a network that only the fleet can reach.
 
-    Attributes
-    ----------
-    own : twisted.internet.ssl.PrivateCertificate
-        Certificate and key of this instance; its DNS name is the instance's.
-    authority : twisted.internet.ssl.Certificate
-        Certificate authority of the fleet.
+    Notes
+    -----
+    A peer is whoever its messages say that it is.
     """
 
-    own: ssl.PrivateCertificate = attrs.field(repr=False)
-    authority: ssl.Certificate
-
-    @classmethod
-    def load(cls, settings):
-        """Read the files that `PeerSettings` name."""
-        with open(settings.certificate_file, "rb") as file:
-            certificate = file.read()
-        with open(settings.key_file, "rb") as file:
-            own = ssl.PrivateCertificate.loadPEM(certificate + file.read())
-        with open(settings.authority_file, "rb") as file:
-            authority = ssl.Certificate.loadPEM(file.read())
-        return cls(own, authority)
-
-    def server_options(self):
-        """Return the options of the listening side."""
-        return self.own.options(self.authority)
-
-    def client_options(self, name):
-        """Return the options for connecting to the instance of a name."""
-        return ssl.optionsForClientTLS(
-            name, trustRoot=self.authority, clientCertificate=self.own
-        )
-
+    def listen(self, reactor, host, port, factory):
+        """Listen for peers; returns the port."""
+        return reactor.listenTCP(port, factory, interface=host)
 
-class ServerContexts:
-    """Gives each accepted connection the certificate that was last loaded.
+    def wrap_endpoint(self, endpoint, name):
+        """Return the endpoint that connects to the instance of a name."""
+        return endpoint
 
-    Parameters
-    ----------
-    task : PeerTask
-        Owner of the certificates.
-    """
-
-    def __init__(self, task):
-        self.task = task
-
-    def getContext(self):  # noqa: N802
-        """Return the TLS context of a new connection."""
-        return self.task.server_options.getContext()
+    def read_name(self, transport):
+        """Return the name that the other side has proved, or None."""
+        return
 
 
 class PeerProtocol(basic.Int32StringReceiver):
@@ -98,7 +63,10 @@
         except (capnp.KjException, KeyError, ValueError):
             self.transport.abortConnection()
             return
-        if envelope.sender != self._peer_name():
+        if not self.expected:
+            security = self.task.security
+            self.expected = security.read_name(self.transport) or envelope.sender
+        if envelope.sender != self.expected:
             self.task.on_impostor(envelope.sender)
             self.transport.abortConnection()
             return
@@ -112,13 +80,6 @@
         """Drop a peer that sends too much."""
         self.transport.abortConnection()
 
-    def _peer_name(self):
-        if not self.expected:
-            certificate = ssl.Certificate.peerFromTransport(self.transport)
-            name = certificate.getSubject().commonName
-            self.expected = name.decode() if isinstance(name, bytes) else name
-        return self.expected
-
 
 class PeerTask(protocol.Factory):
     """Sends and receives typed messages.
@@ -127,8 +88,8 @@
     ----------
     context : InstanceContext
         Parts of the daemon that all tasks share.
-    tls : PeerTls or None
-        Certificates; None for an instance without peers.
+    security : PeerTls, PlainPeers or None
+        How connections are protected; None for an instance without peers.
 
     Attributes
     ----------
@@ -139,15 +100,14 @@
 
     noisy = False
 
-    def __init__(self, context, tls):
+    def __init__(self, context, security):
         self.context = context
-        self.tls = tls
+        self.security = security
         self.handlers = {}
         self.connections = {}
         self.connecting = {}
         self.waiting = {}
         self.request_ids = itertools.count(1)
-        self.server_options = None if tls is None else tls.server_options()
 
     def buildProtocol(self, addr):  # noqa: N802
         """Return the protocol of an accepted connection."""
@@ -155,29 +115,7 @@
 
     def listen(self, host, port):
         """Listen for peers; returns the port."""
-        return self.context.reactor.listenSSL(
-            port, self, ServerContexts(self), interface=host
-        )
-
-    def reload(self):
-        """Load the certificates again; those that can't be used change nothing.
-
-        Notes
-        -----
-        Open connections keep theirs; new ones in either direction use the new.
-        """
-        settings = self.context.settings.peers
-        try:
-            loaded = PeerTls.load(settings)
-            options = loaded.server_options()
-            options.getContext()
-        except (OSError, SSL.Error) as error:
-            self.context.log.write(events.Event.CERTIFICATE_REJECTED, reason=str(error))
-            return
-        self.tls = loaded
-        self.server_options = options
-        file = settings.certificate_file
-        self.context.log.write(events.Event.CERTIFICATE_LOADED, file=file)
+        return self.security.listen(self.context.reactor, host, port, self)
 
     def stop(self):
         """Close all connections."""
@@ -284,19 +222,17 @@
         return connection
 
     async def _open(self, instance):
-        if self.tls is None:
+        if self.security is None:
             raise PeerUnreachableError("no peer certificates are set")
         bind_host = self.context.settings.addresses.bind_host
-        endpoint = endpoints.wrapClientTLS(
-            self.tls.client_options(instance.name),
-            endpoints.TCP4ClientEndpoint(
-                self.context.reactor,
-                instance.host,
-                instance.peer_port,
-                timeout=CONNECT_TIMEOUT_S,
-                bindAddress=(bind_host, 0) if bind_host else None,
-            ),
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self.context.reactor,
+            instance.host,
+            instance.peer_port,
+            timeout=CONNECT_TIMEOUT_S,
+            bindAddress=(bind_host, 0) if bind_host else None,
         )
+        endpoint = self.security.wrap_endpoint(endpoint, instance.name)
         connection = PeerProtocol(self, instance.name)
         try:
             await endpoints.connectProtocol(endpoint, connection)
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -5,7 +5,24 @@
 from twisted.internet import defer
 
 from pomelograde.core import pooling, retries
-from pomelograde.net import events, upstream
+from pomelograde.net import events
+
+
+class UpstreamOpenError(Exception):
+    """An upstream connection could not be opened.
+
+    Attributes
+    ----------
+    refused : bool
+        Whether the member itself answered, and so is alive.
+    is_full : bool
+        Whether it refused because all of its connections are taken.
+    """
+
+    def __init__(self, message, refused=False, is_full=False):
+        super().__init__(message)
+        self.refused = refused
+        self.is_full = is_full
 
 
 class MemberPool:
@@ -16,17 +33,24 @@
     context : InstanceContext
         Parts of the daemon that all tasks share.
     spec : MemberSpec
-        The member.
-    database : str
-        Name of the database on the member.
+        The member; has `name`, `host` and `port`.
+    open_connection : callable
+        Called with the member and a database role; returns a coroutine of a
+        connection, which fails with `UpstreamOpenError`.
     limit : int
         Most connections that this instance may hold to it.
+
+    Attributes
+    ----------
+    on_full : callable or None
+        Called once the member refuses a connection because it has no room.
     """
 
-    def __init__(self, context, spec, database, limit):
+    def __init__(self, context, spec, open_connection, limit):
         self.context = context
         self.spec = spec
-        self.database = database
+        self.open_connection = open_connection
+        self.on_full = None
         self.core = pooling.Pool(limit)
         self.idle = set()
         self.open = set()
@@ -96,7 +120,9 @@
         All waiters are refused, so that they try elsewhere, and connections
         in use are closed, since their answers would come late or never.
         """
-        failure = retries.Failure(upstream.OPEN_FAILURE, self.spec.name)
+        failure = retries.Failure(
+            retries.ErrorKind.UPSTREAM_UNREACHABLE, self.spec.name
+        )
         self._run(self.core.refuse_all(failure))
         for connection in list(self.open):
             connection.close()
@@ -119,12 +145,14 @@
         self._run(self.core.opened(connection, connection.role, now))
 
     def _on_open_failed(self, reason, role):
-        reason.trap(upstream.UpstreamOpenError)
+        reason.trap(UpstreamOpenError)
         text = reason.getErrorMessage()
+        if reason.value.is_full and self.on_full is not None:
+            self.on_full()
         self.context.log.write(
             events.Event.UPSTREAM_OPEN_FAILED, member=self.spec.name, reason=text
         )
-        failure = retries.Failure(upstream.OPEN_FAILURE, text)
+        failure = retries.Failure(retries.ErrorKind.UPSTREAM_UNREACHABLE, text)
         self._run(self.core.open_failed(role, failure, self.context.now()))
 
     def _on_closed(self, connection):
@@ -161,15 +189,6 @@
 
 @_carry_out.register
 def _(action: pooling.Open, pool):
-    opening = defer.ensureDeferred(
-        upstream.open_connection(
-            pool.context.reactor,
-            pool.spec,
-            action.role,
-            pool.database,
-            pool.context.credential,
-            pool.context.settings.addresses.bind_host,
-        )
-    )
+    opening = defer.ensureDeferred(pool.open_connection(pool.spec, action.role))
     opening.addCallback(pool._on_opened)
     opening.addErrback(pool._on_open_failed, action.role)
--- a/pomelograde/net/upstream.py
+++ b/pomelograde/net/upstream.py
@@ -7,8 +7,8 @@
 from twisted.internet import defer, endpoints, protocol
 from twisted.internet import error as net_error
 
-from pomelograde.core import retries, sessions
-from pomelograde.net import _frames, _scram, _sending
+from pomelograde.core import sessions
+from pomelograde.net import _frames, _scram, _sending, pools
 
 OPEN_TIMEOUT_S = 2.0
 AUTH_OK = 0
@@ -183,21 +183,7 @@
     def _fail(self, text, refused=False):
         ready, self.ready = self.ready, None
         if ready is not None:
-            ready.errback(UpstreamOpenError(text, refused))
-
-
-class UpstreamOpenError(Exception):
-    """An upstream connection could not be opened.
-
-    Attributes
-    ----------
-    refused : bool
-        Whether the member itself answered, and so is alive.
-    """
-
-    def __init__(self, message, refused=False):
-        super().__init__(message)
-        self.refused = refused
+            ready.errback(pools.UpstreamOpenError(text, refused))
 
 
 class FunctionPart:
@@ -312,7 +298,7 @@
         if connection.transport is not None:
             connection.close()
         text = f"{spec.name}: {type(error).__name__}"
-        raise UpstreamOpenError(text) from error
+        raise pools.UpstreamOpenError(text) from error
 
 
 class _CancelProtocol(protocol.Protocol):
@@ -333,6 +319,3 @@
     sent = endpoints.connectProtocol(endpoint, _CancelProtocol(message))
     sent.addErrback(lambda reason: reason.trap(net_error.ConnectError) and None)
     return sent
-
-
-OPEN_FAILURE = retries.ErrorKind.UPSTREAM_UNREACHABLE
--- /dev/null
+++ b/tests/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the placement of statements."""
