--- /dev/null
+++ b/pomelograde/core/configuration/__init__.py
@@ -0,0 +1,15 @@
+"""The configuration that an operator gives the fleet, and how current it is."""
+
+from pomelograde.core.configuration import _fleet, _freshness
+
+ClientAccount = _fleet.ClientAccount
+DatabaseService = _fleet.DatabaseService
+FleetConfiguration = _fleet.FleetConfiguration
+Freshness = _freshness.Freshness
+
+__all__ = [
+    "ClientAccount",
+    "DatabaseService",
+    "FleetConfiguration",
+    "Freshness",
+]
--- /dev/null
+++ b/pomelograde/core/configuration/_fleet.py
@@ -0,0 +1,82 @@
+"""One version of the fleet's configuration."""
+
+import attrs
+
+from pomelograde.core.statements import _statements
+
+
+@attrs.frozen
+class ClientAccount:
+    """A client account.
+
+    Attributes
+    ----------
+    name : str
+        Name that members are told.
+    keys : frozenset of str
+        Keys that prove it.
+    rate_per_s : float
+        Operations a second, on all instances together.
+    burst : float
+        Operations beyond the rate.
+    """
+
+    name: str
+    keys: frozenset = attrs.field(repr=False)
+    rate_per_s: float
+    burst: float
+
+
+@attrs.frozen
+class DatabaseService:
+    """A replicated database.
+
+    Attributes
+    ----------
+    name : str
+        Name.
+    max_connections : int
+        Connections that each member takes from all instances together.
+    synchronous_replicas : int
+        Replicas that must have received a commit before it is acknowledged.
+    """
+
+    name: str
+    max_connections: int
+    synchronous_replicas: int = 0
+
+
+@attrs.frozen
+class FleetConfiguration:
+    """A version of the configuration; never altered.
+
+    Attributes
+    ----------
+    version : int
+        Number that the operator gave it; grows.
+    routes : dict of str to Route
+        Routes by database name.
+    accounts : dict of str to ClientAccount
+        Client accounts by name.
+    services : dict of str to DatabaseService
+        Database services by name.
+    transaction_idle_s : float
+        Pause after which an open transaction may be ended.
+    account_by_key : dict of str to str
+        Name of the client account that each key proves.
+    """
+
+    version: int = 0
+    routes: dict[str, _statements.Route] = attrs.field(factory=dict)
+    accounts: dict[str, ClientAccount] = attrs.field(factory=dict)
+    services: dict[str, DatabaseService] = attrs.field(factory=dict)
+    transaction_idle_s: float = 3.0
+    account_by_key: dict[str, str] = attrs.field(init=False, repr=False)
+
+    def __attrs_post_init__(self):
+        by_key = {
+            key: account.name
+            for account in self.accounts.values()
+            for key in account.keys
+        }
+        object.__setattr__(self, "account_by_key", by_key)
--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -120,6 +120,22 @@
         refusals = [] if waiter is None else [Refuse(waiter, failure)]
         return [*refusals, *self.dispatch(now)]
 
+    def open_refused(self, role, failure, now):
+        """Note that the member has no room for a connection more.
+
+        Notes
+        -----
+        Waiters are served by the connections that there are; without any, the
+        role's first waiter is refused.
+        """
+        self._forget_opening(role)
+        self.limit = max(1, self.size)
+        if self.size:
+            return self.dispatch(now)
+        waiter = self.queue.pop_role(role)
+        refusals = [] if waiter is None else [Refuse(waiter, failure)]
+        return [*refusals, *self.dispatch(now)]
+
     def lost(self, connection, role, was_idle, now):
         """Note that an open connection is gone; returns the actions."""
         self.tenure_from.pop(connection, None)
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -115,6 +115,19 @@
     failed_reads: int = 0
     acquiring: bool = False
 
+    def describe(self):
+        """Return what decided on the statement, for the log."""
+        required = self.required
+        return {
+            "route": self.route.route_type.value,
+            "member": self.member,
+            "on_primary": self.on_primary,
+            "required": None
+            if required is None
+            else f"{required.term}.{required.index}",
+            "attempts": self.attempts,
+        }
+
 
 class Session:
     """Decides on the statements of one caller, one after the other.
@@ -141,6 +154,8 @@
         Position after the session's last commit.
     attempt : Attempt or None
         The statement under way.
+    last : Attempt or None
+        The last one that was under way.
     transaction : Transaction or None
         The open transaction.
 
@@ -161,6 +176,7 @@
         self.prepared = {}
         self.written = None
         self.attempt = None
+        self.last = None
         self.transaction = None
 
     @property
@@ -309,7 +325,7 @@
         return actions
 
     def _start(self, statement, prepared, writes, route, now):
-        self.attempt = Attempt(
+        self.attempt = self.last = Attempt(
             statement, prepared, route, writes, now, now + route.timeout_s
         )
 
--- /dev/null
+++ b/pomelograde/daemon/hosted.py
@@ -0,0 +1,211 @@
+"""Entry point and composition root of an instance on a hosting platform."""
+
+import functools
+import random
+import signal
+import sys
+import time
+
+import attrs
+from twisted.internet import defer, task
+from twisted.web import server
+
+from pomelograde.core import configuration, membership
+from pomelograde.net import (
+    events,
+    exposition,
+    faults,
+    json_log,
+    metrics,
+    peers,
+    steady_reactor,
+)
+from pomelograde.net.hosted import context, news, proxy, readiness
+from pomelograde.platform import callers, settings, source, store, upstreams
+
+EXIT_SETTINGS = 2
+DRAIN_CHECK_INTERVAL_S = 0.05
+STOP_MARGIN_S = 0.5  # before the platform ends the process
+
+
+@attrs.define(eq=False)
+class HostedDaemon:
+    """All parts of one instance.
+
+    Attributes
+    ----------
+    context : HostedContext
+        What all tasks share.
+    news : NewsTask
+        Follows the store.
+    proxy : Proxy
+        Sessions, pools and rates.
+    readiness : Readiness
+        Answers the balancer's probe.
+    ports : list of IListeningPort
+        Listening ports.
+    """
+
+    context: context.HostedContext
+    news: news.NewsTask
+    proxy: proxy.Proxy
+    readiness: readiness.Readiness
+    ports: list = attrs.field(factory=list)
+
+    async def start(self):
+        """Listen, and read what the store holds."""
+        found = self.context.settings
+        self.context.log.write(
+            events.Event.DAEMON_STARTED,
+            host=found.host,
+            data_centre=found.data_centre,
+            store=found.store,
+        )
+        self._listen(found.ready_port, readiness.make_site(self.readiness))
+        metrics_site = server.Site(exposition.MetricsSite(self.context.metrics))
+        metrics_site.noisy = False
+        self._listen(found.metrics_port, metrics_site)
+        self.ports.append(self.context.peers.listen(found.host, found.peer_port))
+        await self.news.start()
+        self.proxy.start()
+        factory = callers.CallerFactory(
+            self.context.reactor,
+            self.proxy.open_session,
+            self.proxy.note_start_refusal,
+        )
+        self._listen(found.caller_port, factory)
+        self.readiness.has_started = True
+        self.context.log.write(
+            events.Event.DAEMON_READY,
+            version=self.news.current.version,
+            caller_port=found.caller_port,
+        )
+
+    async def stop(self):
+        """Stop without cutting what can still end."""
+        self.readiness.is_stopping = True
+        self.context.log.write(
+            events.Event.DAEMON_STOPPING, sessions=len(self.proxy.sessions)
+        )
+        self.proxy.begin_stop()
+        deadline = self.context.now() + self.context.settings.grace_s - STOP_MARGIN_S
+        while self.proxy.sessions and self.context.now() < deadline:
+            await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
+        self.news.stop()
+        self.proxy.stop()
+        self.context.peers.stop()
+        for port in self.ports:
+            await defer.maybeDeferred(port.stopListening)
+        self.context.log.write(events.Event.DAEMON_STOPPED)
+
+    def _listen(self, number, factory):
+        host = self.context.settings.host
+        port = self.context.reactor.listenTCP(
+            number, factory, interface=host, backlog=1024
+        )
+        self.ports.append(port)
+
+
+def build(reactor, found, log=None):
+    """Build an instance.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Reactor, on a steady clock.
+    found : HostedSettings
+        Checked settings.
+    log : Log or None
+        Event log; None for lines on standard output.
+
+    Returns
+    -------
+    HostedDaemon
+        Not started yet.
+    """
+    own = membership.Instance(
+        name=found.instance,
+        data_centre=found.data_centre,
+        incarnation=1,
+        host=found.host,
+        peer_port=found.peer_port,
+        region=found.region,
+    )
+    shared = context.HostedContext(
+        reactor=reactor,
+        settings=found,
+        log=log or json_log.JsonLog(found.instance, time.time),
+        metrics=metrics.Metrics(),
+        members=membership.Membership(own),
+        random=random.SystemRandom(),
+    )
+    shared.peers = peers.PeerTask(shared, peers.PlainPeers())
+    calls = shared.metrics.add_counter(
+        "pomelograde_store_calls", "Calls to the platform's store.", "outcome"
+    )
+    client = store.Store(
+        reactor,
+        found.store,
+        found.host,
+        lambda name, outcome: shared.metrics.count(calls, f"{name} {outcome}"),
+    )
+    freshness = configuration.Freshness(found.revocation_s)
+    follower = news.NewsTask(shared, source.PlatformSource(client), freshness)
+    gate = proxy.Proxy(shared, freshness, upstreams.open_connection)
+    follower.on_configuration = gate.set_configuration
+    follower.on_members = gate.set_members
+    follower.on_instances = gate.set_instances
+    follower.on_fresh = gate.on_fresh
+    ready = readiness.Readiness(shared, freshness)
+    return HostedDaemon(shared, follower, gate, ready)
+
+
+def main():
+    """Run one instance until it is told to stop."""
+    loaded = settings.load(settings.find_path())
+    if loaded.is_err():
+        for fault in loaded.err_value:
+            print(f"settings: {fault}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    json_log.make_standard_output_non_blocking()
+    reactor = steady_reactor.install()
+    daemon = build(reactor, loaded.ok_value)
+    faults.install(daemon.context.log)
+    failures = []
+
+    def start():
+        started = defer.ensureDeferred(daemon.start())
+        started.addErrback(on_failure)
+
+    def on_failure(reason):
+        failures.append(reason)
+        daemon.context.log.write(
+            events.Event.DAEMON_FAILED,
+            error=reason.type.__name__,
+            reason=reason.getErrorMessage(),
+        )
+        reactor.stop()
+
+    reactor.callWhenRunning(start)
+    reactor.callWhenRunning(_ignore_hangups)
+    reactor.addSystemEventTrigger(
+        "before", "shutdown", lambda: defer.ensureDeferred(daemon.stop())
+    )
+    reactor.run()
+    if failures:
+        sys.exit(1)
+
+
+def _ignore_hangups():
+    """Keep running when told that the settings file has changed.
+
+    Notes
+    -----
+    Nothing in the file changes during a process's life except what it starts
+    with; the platform starts a process anew to move it.
+    """
+    signal.signal(signal.SIGHUP, functools.partial(_on_hangup))
+
+
+def _on_hangup(number, frame):
+    """Do nothing."""
--- /dev/null
+++ b/pomelograde/net/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of an instance whose platform hosts configuration and membership."""
--- /dev/null
+++ b/pomelograde/net/hosted/context.py
@@ -0,0 +1,43 @@
+"""What all tasks of one hosted instance share."""
+
+import random
+
+import attrs
+
+from pomelograde.core import membership
+from pomelograde.net import events, metrics
+
+
+@attrs.define(eq=False)
+class HostedContext:
+    """Parts of one instance that all its tasks use.
+
+    Attributes
+    ----------
+    reactor : IReactorTCP
+        Reactor, on a steady clock.
+    settings : HostedSettings
+        Settings of the instance.
+    log : Log
+        Event log.
+    metrics : Metrics
+        Counters and histograms.
+    members : Membership
+        Registered instances.
+    random : random.Random
+        Source of randomness.
+    peers : PeerTask
+        Messages to and from other instances.
+    """
+
+    reactor: object
+    settings: object
+    log: events.Log
+    metrics: metrics.Metrics
+    members: membership.Membership
+    random: random.Random
+    peers: object = None
+
+    def now(self):
+        """Return seconds of the steady clock."""
+        return self.reactor.seconds()
--- /dev/null
+++ b/pomelograde/net/hosted/news.py
@@ -0,0 +1,421 @@
+"""Follows the configuration, the members and the instances in the store.
+
+One instance of the fleet reads the store, and the others ask it. What they are
+told is as old as the reader's own question to the store. An instance that gets
+no recent news from the reader asks others, and reads the store itself.
+"""
+
+import attrs
+import xxhash
+from twisted.internet import defer
+
+from pomelograde.core import configuration, membership, placement
+from pomelograde.net import events, peer_messages, peers, timers
+
+ROUND_INTERVAL_S = 0.5  # keys and primaries need news within 2.5 s
+LONG_POLL_S = 1.0  # so that a quiet store still proves that nothing changed
+MEMBERS_INTERVAL_S = 1.0  # members write their rows about as often
+RETRY_INTERVAL_S = 0.3  # until the first answer of the store
+ASK_TIMEOUT_S = 0.3  # a peer answers within 50 ms
+SUSPECT_S = 3.0  # time before a reader that did not help is asked again
+STALE_S = 2.0  # age of news that makes another source worth asking
+UNKNOWN_AGE_MS = 2**40
+
+
+@attrs.define
+class Known:
+    """What is known, and in which version.
+
+    Attributes
+    ----------
+    text : str
+        Configuration, as the operator wrote it.
+    row_version : int
+        Version of its row.
+    members : dict of str to list of Member
+        Members by service.
+    members_digest : int
+        Hash of them.
+    instances : list of Instance
+        Registered instances.
+    instances_digest : int
+        Hash of them.
+    """
+
+    text: str = ""
+    row_version: int = 0
+    members: dict = attrs.field(factory=dict)
+    members_digest: int = 0
+    instances: list = attrs.field(factory=list)
+    instances_digest: int = 0
+
+
+class NewsTask:
+    """Keeps this instance's knowledge recent.
+
+    Parameters
+    ----------
+    context : HostedContext
+        Parts of the instance that all tasks share.
+    source : PlatformSource
+        Reads and writes the store.
+    freshness : Freshness
+        Told how recent the knowledge is.
+
+    Attributes
+    ----------
+    known : Known
+        What is known.
+    current : FleetConfiguration
+        Configuration in force; its version never goes back.
+    on_configuration, on_members, on_instances : callable or None
+        Called with what has changed.
+    on_fresh : callable or None
+        Called after each answer.
+    """
+
+    def __init__(self, context, source, freshness):
+        self.context = context
+        self.source = source
+        self.freshness = freshness
+        self.known = Known()
+        self.current = configuration.FleetConfiguration()
+        self.on_configuration = None
+        self.on_members = None
+        self.on_instances = None
+        self.on_fresh = None
+        self.following = False
+        self.fetching = False
+        self.follow_version = 0
+        self.members_asked_at = float("-inf")
+        self.suspects = {}
+        self.turn = 0
+        self.has_store = None
+        self.loop = None
+        self.stopped = False
+        context.peers.handlers[peer_messages.NewsRequest] = self._on_news_request
+
+    async def start(self):
+        """Read everything once, register this instance, and go on following."""
+        while not self.stopped:
+            try:
+                await self._read_all()
+                await self._register()
+                break
+            except self.source.StoreUnavailableError as error:
+                self._set_store(False, str(error))
+            await self._sleep(RETRY_INTERVAL_S)
+        self.loop = timers.start_loop(
+            self.context, ROUND_INTERVAL_S, self._round, now=False
+        )
+
+    def stop(self):
+        """End following."""
+        self.stopped = True
+        if self.loop is not None and self.loop.running:
+            self.loop.stop()
+
+    async def _read_all(self):
+        reading = defer.gatherResults(
+            [
+                defer.ensureDeferred(self.source.fetch_configuration()),
+                defer.ensureDeferred(self.source.fetch_members()),
+                defer.ensureDeferred(self.source.fetch_instances()),
+            ],
+            consumeErrors=True,
+        )
+        try:
+            document, members, instances = await reading
+        except defer.FirstError as error:
+            error.subFailure.raiseException()
+        self._set_store(True)
+        self._take_document(document)
+        self._take_members(*members)
+        self._take_instances(instances[0])
+
+    async def _register(self):
+        own = self.context.members.own
+        for instance in self.known.instances:
+            if instance.name == own.name:
+                own = attrs.evolve(own, incarnation=instance.incarnation + 1)
+        self.context.members.own = own
+        await self.source.register(own)
+        others = [found for found in self.known.instances if found.name != own.name]
+        self._take_instances([*others, own])
+
+    def _round(self):
+        now = self.context.now()
+        reader = self._find_reader(now)
+        if reader.name != self.context.members.own.name:
+            return defer.ensureDeferred(self._ask(reader))
+        self._read(now)
+        if now - self.freshness.configuration_at <= STALE_S:
+            return None
+        return defer.ensureDeferred(self._ask_any())
+
+    def _find_reader(self, now):
+        """Return the first instance by name that is not suspected."""
+        own = self.context.members.own
+        found = {instance.name: instance for instance in self.known.instances}
+        found[own.name] = own
+        for name in sorted(found):
+            if name == own.name or now >= self.suspects.get(name, now):
+                return found[name]
+        return own
+
+    def _read(self, now):
+        if not self.following:
+            self.following = True
+            defer.ensureDeferred(self._follow())
+        if not self.fetching and now - self.members_asked_at >= MEMBERS_INTERVAL_S:
+            self.fetching = True
+            self.members_asked_at = now
+            defer.ensureDeferred(self._fetch())
+
+    async def _follow(self):
+        try:
+            document = await self.source.wait_for_configuration(
+                self.follow_version, LONG_POLL_S
+            )
+            self._set_store(True)
+            self._take_document(document)
+        except self.source.HistoryLostError:
+            await self._read_configuration_again()
+        except self.source.StoreUnavailableError as error:
+            self._set_store(False, str(error))
+        self.following = False
+
+    async def _read_configuration_again(self):
+        try:
+            self._take_document(await self.source.fetch_configuration())
+        except self.source.StoreUnavailableError as error:
+            self._set_store(False, str(error))
+
+    async def _fetch(self):
+        try:
+            members, asked_at = await self.source.fetch_members()
+            instances, _ = await self.source.fetch_instances()
+            self._set_store(True)
+            self._take_members(members, asked_at)
+            self._take_instances(instances)
+        except self.source.StoreUnavailableError as error:
+            self._set_store(False, str(error))
+        self.fetching = False
+
+    async def _ask_any(self):
+        """Ask another instance while the store does not answer this one."""
+        own = self.context.members.own
+        others = [found for found in self.known.instances if found.name != own.name]
+        if not others:
+            return
+        self.turn = (self.turn + 1) % len(others)
+        answer, asked_at = await self._request(others[self.turn])
+        if answer is not None:
+            self._take_answer(answer, asked_at)
+
+    async def _ask(self, reader):
+        answer, asked_at = await self._request(reader)
+        if answer is None:
+            self._suspect(reader.name, "no answer")
+            return
+        self._take_answer(answer, asked_at)
+        if answer.configuration_age_ms > STALE_S * 1000.0:
+            self._suspect(reader.name, "old news")
+
+    async def _request(self, instance):
+        """Ask an instance; returns its answer or None, and when it was asked."""
+        asked_at = self.context.now()
+        known = self.known
+        request = peer_messages.NewsRequest(
+            known.row_version, known.members_digest, known.instances_digest
+        )
+        try:
+            answer = await self.context.peers.request(instance, request, ASK_TIMEOUT_S)
+        except peers.PeerUnreachableError:
+            answer = None
+        if not isinstance(answer, peer_messages.NewsAnswer):
+            answer = None
+        return answer, asked_at
+
+    def _suspect(self, name, reason):
+        now = self.context.now()
+        self.suspects[name] = now + SUSPECT_S
+        self.context.log.write(
+            events.Event.NEWS_SOURCE_SUSPECTED, source=name, reason=reason
+        )
+        self._round()
+
+    def _take_answer(self, answer, asked_at):
+        if answer.document and answer.configuration > self.known.row_version:
+            self._take_text(answer.document, answer.configuration)
+        if answer.upstreams:
+            self._take_members(
+                _read_members(answer.upstreams),
+                asked_at - answer.upstreams_age_ms / 1000.0,
+            )
+        else:
+            self.freshness.note_members(asked_at - answer.upstreams_age_ms / 1000.0)
+        if answer.instances:
+            self._take_instances([_read_instance(news) for news in answer.instances])
+        if answer.configuration >= self.known.row_version:
+            self.freshness.note_configuration(
+                asked_at - answer.configuration_age_ms / 1000.0
+            )
+        self._tell_fresh()
+
+    def _on_news_request(self, message, envelope):
+        now = self.context.now()
+        known = self.known
+        return peer_messages.NewsAnswer(
+            configuration=known.row_version,
+            document=known.text if message.configuration != known.row_version else "",
+            configuration_age_ms=_age_ms(self.freshness.configuration_at, now),
+            upstreams_digest=known.members_digest,
+            upstreams=[]
+            if message.upstreams_digest == known.members_digest
+            else list(_write_members(known.members)),
+            upstreams_age_ms=_age_ms(self.freshness.members_at, now),
+            instances_digest=known.instances_digest,
+            instances=[]
+            if message.instances_digest == known.instances_digest
+            else [_write_instance(found) for found in known.instances],
+        )
+
+    def _take_document(self, document):
+        self.follow_version = max(self.follow_version, document.version)
+        if document.text and document.row_version > self.known.row_version:
+            self._take_text(document.text, document.row_version)
+        self.freshness.note_configuration(document.asked_at)
+        self._tell_fresh()
+
+    def _take_text(self, text, row_version):
+        try:
+            found = self.source.read_configuration(text)
+        except self.source.UnreadableDocumentError as error:
+            self.context.log.write(
+                events.Event.CONFIGURATION_REJECTED, reason=str(error)
+            )
+            return
+        self.known.text = text
+        self.known.row_version = row_version
+        if found.version < self.current.version:
+            return
+        self.current = found
+        self.context.log.write(
+            events.Event.CONFIGURATION_APPLIED,
+            version=found.version,
+            row_version=row_version,
+        )
+        if self.on_configuration is not None:
+            self.on_configuration(found)
+
+    def _take_members(self, members, asked_at):
+        self.freshness.note_members(asked_at)
+        digest = _digest(_write_members(members))
+        if digest != self.known.members_digest:
+            self.known.members = members
+            self.known.members_digest = digest
+            if self.on_members is not None:
+                self.on_members(members)
+        self._tell_fresh()
+
+    def _take_instances(self, instances):
+        instances = sorted(instances, key=lambda found: found.name)
+        digest = _digest(instances)
+        if digest == self.known.instances_digest:
+            return
+        self.known.instances = instances
+        self.known.instances_digest = digest
+        for name in list(self.context.members.records):
+            if name not in {found.name for found in instances}:
+                self.context.members.forget(name)
+        for found in instances:
+            self.context.members.merge(membership.Record(found))
+        self.context.log.write(
+            events.Event.INSTANCES_CHANGED, names=[found.name for found in instances]
+        )
+        if self.on_instances is not None:
+            self.on_instances(instances)
+
+    def _tell_fresh(self):
+        if self.on_fresh is not None:
+            self.on_fresh()
+
+    def _set_store(self, available, reason=""):
+        if available == self.has_store:
+            return
+        self.has_store = available
+        event = events.Event.PLATFORM_AVAILABLE
+        if not available:
+            event = events.Event.PLATFORM_UNAVAILABLE
+        self.context.log.write(event, reason=reason)
+
+    def _sleep(self, delay_s):
+        done = defer.Deferred()
+        self.context.reactor.callLater(delay_s, done.callback, None)
+        return done
+
+
+def _age_ms(at, now):
+    return UNKNOWN_AGE_MS if at == float("-inf") else int((now - at) * 1000.0) + 1
+
+
+def _digest(items):
+    return xxhash.xxh64_intdigest("\n".join(map(repr, items)).encode())
+
+
+def _write_members(members):
+    for service in sorted(members):
+        for member in sorted(members[service], key=lambda found: found.name):
+            yield peer_messages.UpstreamNews(
+                service=service,
+                name=member.name,
+                data_centre=member.data_centre,
+                host=member.host,
+                port=member.port,
+                leads=member.role is placement.Role.PRIMARY,
+                leaving=member.leaving,
+                slots=member.slots,
+                started_ms=member.started_ms,
+            )
+
+
+def _read_members(upstreams):
+    found = {}
+    for news in upstreams:
+        member = placement.Member(
+            name=news.name,
+            data_centre=news.data_centre,
+            host=news.host,
+            port=news.port,
+            role=placement.Role.PRIMARY if news.leads else placement.Role.REPLICA,
+            leaving=news.leaving,
+            slots=news.slots,
+            started_ms=news.started_ms,
+        )
+        found.setdefault(news.service, []).append(member)
+    return found
+
+
+def _write_instance(instance):
+    return peer_messages.InstanceNews(
+        name=instance.name,
+        data_centre=instance.data_centre,
+        region=instance.region,
+        incarnation=instance.incarnation,
+        host=instance.host,
+        peer_port=instance.peer_port,
+        leaving=instance.leaving,
+    )
+
+
+def _read_instance(news):
+    return membership.Instance(
+        name=news.name,
+        data_centre=news.data_centre,
+        incarnation=news.incarnation,
+        host=news.host,
+        peer_port=news.peer_port,
+        leaving=news.leaving,
+        region=news.region,
+    )
--- /dev/null
+++ b/pomelograde/net/hosted/proxy.py
@@ -0,0 +1,353 @@
+"""What sessions need of the instance: configuration, groups, pools, rates."""
+
+from pomelograde.core import configuration, placement, retries
+from pomelograde.net import events, pools, timers
+from pomelograde.net.hosted import rates, sessions
+
+SWEEP_INTERVAL_S = 0.05  # a sixteenth of the shortest time limit in use
+FULL_PAUSE_S = 1.0  # before a member that was full is asked for more again
+BORROWED_PART = 3  # an instance may hold a third of a member's connections
+IDLE_LIMIT_S = 20.0  # idle connections beyond the instance's share are closed
+POSITION_INTERVAL_S = 0.4  # three floors within the shortest staleness in use
+ABANDON_LIMIT_S = 2.0  # for an outstanding answer and the rollback behind it
+
+_KIND = retries.ErrorKind
+
+
+class Proxy:
+    """Keeps the parts that all sessions share.
+
+    Parameters
+    ----------
+    context : HostedContext
+        Parts of the instance that all tasks share.
+    freshness : Freshness
+        How recent this instance's knowledge is.
+    open_connection : callable
+        Called with reactor, service, Member, client account and the address
+        to connect from; returns a coroutine of a connection.
+
+    Attributes
+    ----------
+    current : FleetConfiguration
+        Configuration in force.
+    groups : dict of str to Group
+        Database services by name.
+    pools : dict of str to MemberPool
+        Pools by member.
+    rates : RegisteredRates
+        Rates of the client accounts.
+    sessions : set of SessionTask
+        Open sessions.
+    is_stopping : bool
+        Whether sessions are closed as soon as they are idle.
+    """
+
+    def __init__(self, context, freshness, open_connection):
+        self.context = context
+        self.freshness = freshness
+        self.open_connection = open_connection
+        self.current = configuration.FleetConfiguration()
+        self.groups = {}
+        self.pools = {}
+        self.services = {}
+        self.sessions = set()
+        self.instances = 1
+        self.is_stopping = False
+        self.loops = []
+        self.rates = rates.RegisteredRates(context, self._may_accept_keys)
+
+    def start(self):
+        """Start the regular work."""
+        self.loops = [
+            timers.start_loop(self.context, SWEEP_INTERVAL_S, self._sweep, now=False),
+            timers.start_loop(
+                self.context, POSITION_INTERVAL_S, self._refresh, now=False
+            ),
+        ]
+
+    def stop(self):
+        """Close everything."""
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        self.rates.stop()
+        for task in list(self.sessions):
+            task.close()
+        for pool in self.pools.values():
+            pool.close()
+
+    def set_configuration(self, found):
+        """Put a configuration in force."""
+        self.current = found
+        self.rates.set_configuration(found)
+        for task in list(self.sessions):
+            gone = self._find_withdrawn(task.database, task.key) is not None
+            if gone and task.core.is_idle:
+                task.close()
+        self._resize_pools()
+
+    def set_instances(self, instances):
+        """Adapt to the registered instances."""
+        self.instances = max(1, len(instances))
+        self.rates.set_instances(instances)
+        self._resize_pools()
+
+    def set_members(self, members):
+        """Take in the registered members, by service."""
+        for service in [name for name in self.groups if name not in members]:
+            self.groups[service].update([])
+        for service, found in members.items():
+            group = self.groups.get(service)
+            if group is None:
+                group = self.groups[service] = placement.Group(service)
+            if group.update(found):
+                self.context.log.write(
+                    events.Event.PRIMARY_CHANGED,
+                    service=service,
+                    primary=group.primary,
+                    age_s=round(self.context.now() - self.freshness.members_at, 3),
+                )
+        self.on_fresh()
+        self._update_pools()
+        self.context.log.write(
+            events.Event.UPSTREAM_MEMBERS_CHANGED,
+            members={
+                name: sorted(group.members) for name, group in self.groups.items()
+            },
+        )
+
+    def on_fresh(self):
+        """Take that the knowledge is more recent than before."""
+        until = self.freshness.primary_right_until()
+        for group in self.groups.values():
+            group.right_until = until
+
+    def open_session(self, caller, database, key):
+        """Open a session; returns its task, or a Failure."""
+        now = self.context.now()
+        failure = self.check(database, key, now)
+        if failure is not None:
+            return failure
+        account = self.current.account_by_key.get(key, "")
+        task = sessions.SessionTask(self.context, self, caller, database, account, key)
+        self.sessions.add(task)
+        return task
+
+    def resolve(self, database, key, now):
+        """Return the Route for a new operation, or a Failure."""
+        failure = self.check(database, key, now)
+        return self.current.routes[database] if failure is None else failure
+
+    def check(self, database, key, now):
+        """Return why statements of a session may not run, or None."""
+        if self.is_stopping:
+            return retries.Failure(_KIND.DRAINING)
+        if not self.freshness.may_accept_keys(now):
+            return retries.Failure(_KIND.CONFIGURATION_STALE)
+        return self._find_withdrawn(database, key)
+
+    def release(self, connection):
+        """Give back a connection that nothing is outstanding on."""
+        self.note_answered(connection)
+        connection.released_at = self.context.now()
+        pool = self.pools.get(connection.member)
+        if pool is None:
+            connection.close()
+        else:
+            pool.release(connection)
+
+    def abandon(self, connection, in_transaction):
+        """Give back a connection once what was sent on it is answered."""
+        if connection.is_lost:
+            return
+        timer = self.context.reactor.callLater(ABANDON_LIMIT_S, connection.close)
+
+        def done(answer=None):
+            if timer.active():
+                timer.cancel()
+            if not connection.is_lost:
+                self.release(connection)
+
+        def on_lost(outstanding):
+            if timer.active():
+                timer.cancel()
+
+        connection.on_lost = on_lost
+        if in_transaction:
+            connection.roll_back(done)
+        elif connection.parts:
+            connection.parts[-1] = done
+        else:
+            done()
+
+    def note_sent(self, connection):
+        """Count a statement under way at a member."""
+        member = self._find_member(connection)
+        if member is not None and not connection.is_counted:
+            connection.is_counted = True
+            member.outstanding += 1
+            member.sent += 1
+
+    def note_done(self, task, statement, outcome, digest):
+        """Record how a statement ended."""
+        context = self.context
+        elapsed_s = context.now() - task.started_at
+        metrics = context.metrics
+        metrics.count(metrics.statements, statement.operation.value)
+        if digest is None and outcome == "ok":
+            return
+        metrics.record("statement", elapsed_s)
+        last = task.core.last
+        context.log.write(
+            events.Event.STATEMENT_DONE,
+            id=statement.request_id.decode("latin-1"),
+            session=task.number,
+            database=task.database,
+            operation=statement.operation.value,
+            outcome=outcome,
+            ms=round(elapsed_s * 1000.0, 1),
+            **({} if last is None else last.describe()),
+        )
+
+    def note_refusal(self, task, failure):
+        """Record that a statement was answered with an error."""
+        metrics = self.context.metrics
+        metrics.count(metrics.refusals, failure.kind.value)
+
+    def note_start_refusal(self, failure):
+        """Record that a session could not be opened."""
+        metrics = self.context.metrics
+        metrics.count(metrics.refusals, failure.kind.value)
+        self.context.log.write(events.Event.CALLER_REFUSED, reason=failure.kind.value)
+
+    def begin_stop(self):
+        """Refuse new work, and close sessions as soon as they are idle."""
+        self.is_stopping = True
+        for task in list(self.sessions):
+            if task.core.is_idle:
+                task.close()
+
+    def _may_accept_keys(self):
+        return self.freshness.may_accept_keys(self.context.now())
+
+    def _find_withdrawn(self, database, key):
+        """Return why a database and key are not served, or None."""
+        route = self.current.routes.get(database)
+        if route is None:
+            return retries.Failure(_KIND.UNKNOWN_DATABASE)
+        if route.is_open or key in self.current.account_by_key:
+            return None
+        return retries.Failure(_KIND.KEY_WITHDRAWN)
+
+    def _find_member(self, connection):
+        group = self.groups.get(connection.service)
+        return None if group is None else group.members.get(connection.member)
+
+    def note_answered(self, connection):
+        """Count the statement at a member no longer."""
+        member = self._find_member(connection)
+        if connection.is_counted:
+            connection.is_counted = False
+            if member is not None:
+                member.outstanding = max(0, member.outstanding - 1)
+
+    def _update_pools(self):
+        wanted = {}
+        for service, group in self.groups.items():
+            for name, member in group.members.items():
+                wanted[name] = (service, member)
+        for name in [name for name in self.pools if name not in wanted]:
+            self.pools.pop(name).close()
+        for name, (service, member) in wanted.items():
+            pool = self.pools.get(name)
+            if pool is not None and pool.spec.address == member.address:
+                pool.spec = member
+                continue
+            if pool is not None:
+                pool.close()
+            self.pools[name] = self._make_pool(service, member)
+
+    def _make_pool(self, service, member):
+        def open_connection(spec, role):
+            return self.open_connection(
+                self.context.reactor, service, spec, role, self.context.settings.host
+            )
+
+        limit = self._connection_limit(service)
+        pool = pools.MemberPool(self.context, member, open_connection, limit)
+        pool.service = service
+        pool.on_full = self._on_full
+        return pool
+
+    def _connection_limit(self, service):
+        spec = self.current.services.get(service)
+        if spec is None:
+            return 1
+        return max(1, spec.max_connections // BORROWED_PART)
+
+    def _connection_share(self, service):
+        spec = self.current.services.get(service)
+        if spec is None:
+            return 1
+        return max(1, spec.max_connections // self.instances)
+
+    def _resize_pools(self):
+        for pool in self.pools.values():
+            pool.resize(self._connection_limit(pool.service))
+
+    def _on_full(self, pool):
+        self.context.log.write(
+            events.Event.UPSTREAM_FULL, member=pool.spec.name, held=pool.core.size
+        )
+        pause_s = FULL_PAUSE_S * (1.0 + self.context.random.random())
+        self.context.reactor.callLater(pause_s, self._widen, pool)
+
+    def _widen(self, pool):
+        if not pool.closed:
+            pool.resize(self._connection_limit(pool.service))
+
+    def _sweep(self):
+        now = self.context.now()
+        idle_s = self.current.transaction_idle_s
+        for task in list(self.sessions):
+            task.sweep(now, idle_s)
+            if self.is_stopping and task.core.is_idle:
+                task.close()
+        for pool in self.pools.values():
+            pool.expire(now)
+        if now >= self.rates.shrink_at:
+            self.rates.resize()
+
+    def _refresh(self):
+        """Keep positions recent, and give back connections that lie idle."""
+        now = self.context.now()
+        for pool in self.pools.values():
+            share = self._connection_share(pool.service)
+            if pool.core.size > share:
+                for connection in list(pool.idle):
+                    if now - connection.released_at > IDLE_LIMIT_S:
+                        connection.close()
+                        break
+        for group in self.groups.values():
+            primary = group.usable_primary(now)
+            if primary is not None and now - primary.position_at > POSITION_INTERVAL_S:
+                self._ask_position(group, primary)
+
+    def _ask_position(self, group, primary):
+        """Ask the primary for its position over a connection that is idle."""
+        pool = self.pools.get(primary.name)
+        if pool is None:
+            return
+        role = next((found.role for found in pool.idle), None)
+        connection = None if role is None else pool.take_at_once(role)
+        if connection is None:
+            return
+        asked_at = self.context.now()
+
+        def done(answer):
+            if answer.error is None and answer.position is not None:
+                group.on_position(primary.name, answer.position, asked_at)
+            self.release(connection)
+
+        connection.ask_position(done)
--- /dev/null
+++ b/pomelograde/net/hosted/readiness.py
@@ -0,0 +1,80 @@
+"""The answer to the balancer's probe."""
+
+from twisted.web import resource, server
+
+from pomelograde.net import events
+
+READY_AGE_S = 4.0  # of the configuration; longer outages refuse keys soon after
+
+
+class Readiness:
+    """Whether new callers should come to this instance.
+
+    Parameters
+    ----------
+    context : HostedContext
+        Parts of the instance that all tasks share.
+    freshness : Freshness
+        How recent this instance's knowledge is.
+
+    Attributes
+    ----------
+    has_started : bool
+        Whether configuration, members and registration are there.
+    is_stopping : bool
+        Whether the instance was asked to stop.
+    """
+
+    def __init__(self, context, freshness):
+        self.context = context
+        self.freshness = freshness
+        self.has_started = False
+        self.is_stopping = False
+        self.last = None
+
+    def check(self):
+        """Return whether new callers should come."""
+        now = self.context.now()
+        age_s = now - self.freshness.configuration_at
+        recent = age_s < READY_AGE_S
+        ready = self.has_started and not self.is_stopping and recent
+        if ready != self.last:
+            self.last = ready
+            self.context.log.write(
+                events.Event.READINESS_CHANGED,
+                ready=ready,
+                started=self.has_started,
+                stopping=self.is_stopping,
+                configuration_age_s=round(min(age_s, 1e6), 3),
+            )
+        return ready
+
+
+class ReadySite(resource.Resource):
+    """``GET /ready``: 200 if new callers should come, 503 if not.
+
+    Parameters
+    ----------
+    readiness : Readiness
+        What decides.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, readiness):
+        super().__init__()
+        self.readiness = readiness
+
+    def render_GET(self, request):  # noqa: N802
+        """Answer the probe."""
+        ready = self.readiness.check()
+        request.setResponseCode(200 if ready else 503)
+        request.setHeader("content-type", "application/json")
+        return b'{"ready":true}' if ready else b'{"ready":false}'
+
+
+def make_site(readiness):
+    """Return the HTTP site of the probe."""
+    site = server.Site(ReadySite(readiness))
+    site.noisy = False
+    return site
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -183,6 +183,67 @@
     secret: int
 
 
+@attrs.frozen
+class UpstreamNews:
+    """A registered member of a database service."""
+
+    service: str
+    name: str
+    data_centre: str
+    host: str
+    port: int
+    leads: bool
+    leaving: bool
+    slots: int
+    started_ms: int
+
+
+@attrs.frozen
+class NewsRequest:
+    """Asks what has changed, and how recent what the peer knows is.
+
+    Attributes
+    ----------
+    configuration : int
+        Version of the configuration's row that the sender has.
+    upstreams_digest, instances_digest : int
+        Hash of the members and of the instances that the sender knows.
+    """
+
+    configuration: int
+    upstreams_digest: int
+    instances_digest: int
+
+
+@attrs.frozen
+class NewsAnswer:
+    """What the peer knows, where it differs from what the sender has.
+
+    Attributes
+    ----------
+    configuration : int
+        Version of the configuration's row.
+    document : str
+        The configuration, as the operator wrote it; empty if it is the same.
+    configuration_age_ms, upstreams_age_ms : int
+        Time between the peer's own question to the store and the arrival of
+        this request; negative if the question came later.
+    upstreams : list of UpstreamNews
+        All members; empty if they are the same.
+    instances : list of InstanceNews
+        All registered instances; empty if they are the same.
+    """
+
+    configuration: int
+    document: str
+    configuration_age_ms: int
+    upstreams_digest: int
+    upstreams: list[UpstreamNews]
+    upstreams_age_ms: int
+    instances_digest: int
+    instances: list[InstanceNews]
+
+
 @attrs.frozen
 class Empty:
     """A reply without contents."""
@@ -226,9 +287,15 @@
     GroupNews,
     FloorRequest,
     FloorAnswer,
+    NewsRequest,
+    NewsAnswer,
 )
 
-ITEMS = {"instances": InstanceNews, "members": MemberNews}
+ITEMS = {
+    "instances": InstanceNews,
+    "members": MemberNews,
+    "upstreams": UpstreamNews,
+}
 
 
 def _camel(name):
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -19,6 +19,8 @@
     groupNews @14 :GroupNews;
     floorRequest @15 :FloorRequest;
     floorAnswer @16 :FloorAnswer;
+    newsRequest @17 :NewsRequest;
+    newsAnswer @18 :NewsAnswer;
   }
 }
 
@@ -111,3 +113,32 @@
   term @1 :UInt64;
   index @2 :UInt64;
 }
+
+struct UpstreamNews {
+  service @0 :Text;
+  name @1 :Text;
+  dataCentre @2 :Text;
+  host @3 :Text;
+  port @4 :UInt16;
+  leads @5 :Bool;
+  leaving @6 :Bool;
+  slots @7 :UInt16;
+  startedMs @8 :UInt64;
+}
+
+struct NewsRequest {
+  configuration @0 :UInt64;
+  upstreamsDigest @1 :UInt64;
+  instancesDigest @2 :UInt64;
+}
+
+struct NewsAnswer {
+  configuration @0 :UInt64;
+  document @1 :Text;
+  configurationAgeMs @2 :Int64;
+  upstreamsDigest @3 :UInt64;
+  upstreams @4 :List(UpstreamNews);
+  upstreamsAgeMs @5 :Int64;
+  instancesDigest @6 :UInt64;
+  instances @7 :List(InstanceNews);
+}
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -43,7 +43,7 @@
     Attributes
     ----------
     on_full : callable or None
-        Called once the member refuses a connection because it has no room.
+        Called with this pool when the member has no room for a connection.
     """
 
     def __init__(self, context, spec, open_connection, limit):
@@ -147,13 +147,17 @@
     def _on_open_failed(self, reason, role):
         reason.trap(UpstreamOpenError)
         text = reason.getErrorMessage()
-        if reason.value.is_full and self.on_full is not None:
-            self.on_full()
         self.context.log.write(
             events.Event.UPSTREAM_OPEN_FAILED, member=self.spec.name, reason=text
         )
         failure = retries.Failure(retries.ErrorKind.UPSTREAM_UNREACHABLE, text)
-        self._run(self.core.open_failed(role, failure, self.context.now()))
+        now = self.context.now()
+        if not reason.value.is_full:
+            self._run(self.core.open_failed(role, failure, now))
+            return
+        self._run(self.core.open_refused(role, failure, now))
+        if self.on_full is not None:
+            self.on_full(self)
 
     def _on_closed(self, connection):
         was_idle = connection in self.idle
--- /dev/null
+++ b/pomelograde/net/rates.py
@@ -0,0 +1,268 @@
+"""Takes requests out of the rates of client accounts."""
+
+import functools
+import itertools
+import time
+
+from twisted.internet import defer
+
+from pomelograde.core import limits, retries
+from pomelograde.net import peer_messages, peers
+
+BORROW_TIMEOUT_S = 0.3
+PEERS_CONSIDERED = 24
+
+
+class RateTask:
+    """Owns this instance's shares of the rates, and lends and borrows tokens.
+
+    What part of all rates the instance may use comes from a subclass, by
+    `usable_part(now)` and `may_hold(now)`, and the rates themselves by
+    `allotments()`.
+
+    Parameters
+    ----------
+    context : InstanceContext
+        Parts of the daemon that all tasks share.
+
+    Attributes
+    ----------
+    shares : dict of str to Share
+        Shares by client account, or by "rule/" and the name of an open route.
+    peers : list of str
+        Instances to borrow from, those of the own data centre first.
+    near : int
+        How many of them are in the own data centre.
+    usable_until : float
+        When the part in use runs out.
+    """
+
+    def __init__(self, context):
+        self.context = context
+        self.shares = {}
+        self.timers = {}
+        self.peers = []
+        self.near = 0
+        self.usable_until = float("-inf")
+        self.turn = itertools.count()
+        self.stopped = False
+        self.tokens = context.metrics.add_counter(
+            "pomelograde_rate_tokens", "Tokens moved between instances.", "direction"
+        )
+        self.held = context.metrics.add_gauge(
+            "pomelograde_rate_part", "Part of all rates that is held here."
+        )
+        context.peers.handlers[peer_messages.BorrowRequest] = self.on_borrow_request
+
+    def clock(self):
+        """Return seconds of a clock that counts suspended time."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def stop(self):
+        """End all timers."""
+        self.stopped = True
+        for timer in self.timers.values():
+            if timer.active():
+                timer.cancel()
+        self.timers = {}
+
+    def usable_part(self, now):
+        """Return the part of all rates that may be used now, from 0 to 1."""
+        raise NotImplementedError
+
+    def may_hold(self, now):
+        """Return whether a part is held or still to be expected."""
+        raise NotImplementedError
+
+    def allotments(self):
+        """Return rate and burst of each name."""
+        raise NotImplementedError
+
+    def describe(self):
+        """Return the limits in force on this instance as JSON values, by name."""
+        return {
+            name: {
+                "rate_per_s": share.bucket.rate_per_s,
+                "burst": share.burst,
+                "tokens": share.bucket.tokens,
+                "waiting": len(share.waiters),
+            }
+            for name, share in self.shares.items()
+        }
+
+    def try_admit(self, account, now):
+        """Take one request of a client account's rate if it may run now.
+
+        Parameters
+        ----------
+        account : str
+            Client account.
+        now : float
+            Not used; a lease is checked against a clock of its own.
+
+        Returns
+        -------
+        bool
+            Whether it was admitted; if not, nothing was taken.
+        """
+        now = self.clock()
+        share = self.shares.get(account)
+        if share is None or now >= self.usable_until:
+            return False
+        admitted = share.take(now)
+        if share.may_be_short(now):
+            self._borrow(account, share, now)
+        return admitted
+
+    def wait(self, account, deadline):
+        """Wait for one request of a client account's rate.
+
+        Parameters
+        ----------
+        account : str
+            Client account.
+        deadline : float
+            Seconds of the reactor's clock.
+
+        Returns
+        -------
+        Deferred of Failure or None
+            None once it is admitted. A request that can't be admitted by the
+            deadline is refused at once.
+        """
+        now = self.clock()
+        share = self.shares.get(account)
+        if share is None or not self.may_hold(now):
+            kind = retries.ErrorKind.NO_RATE_SHARE
+            return defer.succeed(retries.Failure(kind, account))
+        done = defer.Deferred()
+        until = now + deadline - self.context.now()
+        waiter = share.wait(until, now, done)
+        if not isinstance(waiter, limits.Waiter):
+            return defer.succeed(_rate_failure(account, waiter))
+        self._serve(account, share, now)
+        return done
+
+    def resize(self):
+        """Take in the rates in force and the part that may be used."""
+        now = self.clock()
+        part = self.usable_part(now)
+        self.held.set(part)
+        allotments = self.allotments()
+        for name in [name for name in self.shares if name not in allotments]:
+            self._drop(name)
+        for name, (rate_per_s, burst) in allotments.items():
+            share = self.shares.get(name)
+            if share is None:
+                share = self.shares[name] = limits.Share(now)
+            share.resize(rate_per_s, burst, part, now)
+            if share.waiters:
+                self._serve(name, share, now)
+
+    def set_peers(self, instances):
+        """Take in the live instances."""
+        own = self.context.members.own
+        others = [found for found in instances if found.name != own.name]
+        others.sort(key=lambda found: found.data_centre != own.data_centre)
+        self.near = sum(1 for found in others if found.data_centre == own.data_centre)
+        self.peers = [found.name for found in others]
+
+    def on_borrow_request(self, message, envelope):
+        """Lend tokens of one client account's rate."""
+        now = self.clock()
+        share = self.shares.get(message.resource)
+        given = 0.0
+        if share is not None and self.usable_part(now):
+            given = share.lend(message.amount, now)
+            self.context.metrics.count(self.tokens, "lent", given)
+        return peer_messages.BorrowAnswer(message.resource, given, 0.0, 0)
+
+    def _drop(self, name):
+        for waiter in self.shares.pop(name).waiters:
+            kind = retries.ErrorKind.NO_RATE_SHARE
+            waiter.context.callback(retries.Failure(kind, name))
+
+    def _serve(self, name, share, now):
+        if self.usable_part(now):
+            actions = share.serve(now)
+        elif self.may_hold(now):
+            actions = share.expire(now)
+        else:
+            actions = share.expire(float("inf"))
+        if share.waiters:
+            self._borrow(name, share, now)
+            self._wake_later(name, share, now)
+        for action in actions:
+            _carry_out(action, name)
+
+    def _wake_later(self, name, share, now):
+        timer = self.timers.get(name)
+        if timer is not None and timer.active():
+            timer.cancel()
+        delay_s = share.next_wake_s(now)
+        self.timers[name] = self.context.reactor.callLater(delay_s, self._wake, name)
+
+    def _wake(self, name):
+        share = self.shares.get(name)
+        if share is not None and not self.stopped:
+            self._serve(name, share, self.clock())
+
+    def _borrow(self, account, share, now):
+        if not self.peers:
+            return
+        for action in share.borrow(self._peer_order(), now):
+            defer.ensureDeferred(self._ask(account, share, action))
+
+    def _peer_order(self):
+        """Return peers to ask: those of the own data centre first, in turns."""
+        turn = next(self.turn)
+        near, far = self.peers[: self.near], self.peers[self.near :]
+        return [*_rotate(near, turn), *_rotate(far, turn)][:PEERS_CONSIDERED]
+
+    async def _ask(self, account, share, action):
+        amount = 0.0
+        instance = self.context.members.instances.get(action.peer)
+        request = peer_messages.BorrowRequest(
+            account, action.amount, 0.0, int(BORROW_TIMEOUT_S * 1000)
+        )
+        if instance is not None:
+            try:
+                answer = await self.context.peers.request(
+                    instance, request, BORROW_TIMEOUT_S
+                )
+                amount = getattr(answer, "amount", 0.0)
+            except peers.PeerUnreachableError:
+                pass
+        now = self.clock()
+        share.on_borrowed(action, amount, now)
+        if amount > 0.0:
+            self.context.metrics.count(self.tokens, "borrowed", amount)
+        if share.waiters and self.shares.get(account) is share:
+            self._serve(account, share, now)
+
+
+def _rate_failure(account, retry_after_s):
+    kind = retries.ErrorKind.RATE_EXCEEDED
+    return retries.Failure(kind, account, retry_after_s=retry_after_s)
+
+
+def _rotate(names, turn):
+    if not names:
+        return []
+    start = turn % len(names)
+    return names[start:] + names[:start]
+
+
+@functools.singledispatch
+def _carry_out(action, account):
+    raise TypeError(f"unknown action {action!r}")
+
+
+@_carry_out.register
+def _(action: limits.Admit, account):
+    action.waiter.context.callback(None)
+
+
+@_carry_out.register
+def _(action: limits.Expire, account):
+    action.waiter.context.callback(_rate_failure(account, action.retry_after_s))
--- /dev/null
+++ b/pomelograde/platform/source.py
@@ -0,0 +1,100 @@
+"""What the platform's store holds for the fleet, as the project's own types."""
+
+import json
+
+import attrs
+
+from pomelograde.core import membership
+from pomelograde.platform import manifest, registry, store
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+INSTANCES_TABLE = "instances"  # the fleet's own
+
+
+@attrs.frozen
+class Document:
+    """The configuration as the operator wrote it.
+
+    Attributes
+    ----------
+    text : str
+        JSON; empty if there is none, or none newer than the version asked for.
+    row_version : int
+        Version of its row.
+    version : int
+        Newest version in the store.
+    asked_at : float
+        When the store was asked.
+    """
+
+    text: str
+    row_version: int
+    version: int
+    asked_at: float
+
+
+class PlatformSource:
+    """Reads and writes the fleet's rows.
+
+    Parameters
+    ----------
+    client : Store
+        Client of the store.
+    """
+
+    HistoryLostError = store.HistoryLostError
+    StoreUnavailableError = store.StoreUnavailableError
+    UnreadableDocumentError = manifest.UnreadableManifestError
+
+    def __init__(self, client):
+        self.client = client
+
+    async def fetch_configuration(self):
+        """Return the Document in force."""
+        found = await self.client.read_table(OPERATOR_TABLE)
+        return _find_document(found)
+
+    async def wait_for_configuration(self, version, wait_s):
+        """Return the Document once it changes after a version, or without text."""
+        found = await self.client.follow_table(OPERATOR_TABLE, version, wait_s)
+        return _find_document(found)
+
+    def read_configuration(self, text):
+        """Return the FleetConfiguration that a document describes."""
+        return manifest.read_manifest(text)
+
+    async def fetch_members(self):
+        """Return the registered members by service, and when it was asked."""
+        found = await self.client.read_table(registry.TABLE)
+        return registry.read_members(found.rows), found.asked_at
+
+    async def fetch_instances(self):
+        """Return the registered instances, and when it was asked."""
+        found = await self.client.read_table(INSTANCES_TABLE)
+        instances = [_read_instance(row) for row in found.rows]
+        return [known for known in instances if known is not None], found.asked_at
+
+    async def register(self, instance):
+        """Write this instance's row."""
+        value = json.dumps(attrs.asdict(instance)).encode()
+        await self.client.commit(INSTANCES_TABLE, {}, {instance.name: value})
+
+    async def unregister(self, name):
+        """Remove an instance's row."""
+        await self.client.commit(INSTANCES_TABLE, {}, {name: None})
+
+
+def _find_document(found):
+    for row in found.rows:
+        if row.key == CONFIGURATION_KEY and row.value is not None:
+            text = row.value.decode("utf-8", "replace")
+            return Document(text, row.version, found.version, found.asked_at)
+    return Document("", 0, found.version, found.asked_at)
+
+
+def _read_instance(row):
+    try:
+        return membership.Instance(**json.loads(row.value))
+    except (ValueError, TypeError):
+        return None
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -36,6 +36,8 @@
         Called without arguments once it is gone with an answer outstanding.
     released_at : float
         When it was last given back.
+    is_counted : bool
+        Whether it counts among the statements under way at its member.
     """
 
     def __init__(self, service, member, role):
@@ -52,6 +54,7 @@
         self.is_lost = False
         self.is_ready = False
         self.released_at = 0.0
+        self.is_counted = False
         self.start_error = None
         self._reset_answer()
 
