Pass statements on to the instance that keeps a member's connections

Cause: 7 instances before 22 connections a member and 8 client accounts opened 1,468 connections, 712 more were refused, and reads of the primary were given up while none was to be had. Each account's connections to a member are now kept by one instance of the member's data centre.

--- a/pomelograde/core/statements/_actions.py
+++ b/pomelograde/core/statements/_actions.py
@@ -16,9 +16,23 @@
 
 @attrs.frozen
 class Acquire:
-    """Get a connection to a member."""
+    """Get a connection to a member.
 
+    Attributes
+    ----------
+    service, member : str
+        The member.
+    on_primary : bool
+        Whether it is wanted as the primary.
+    deadline : float
+        When the wait for a connection is given up.
+    priority : int
+        0 goes first.
+    """
+
+    service: str
     member: str
+    on_primary: bool
     deadline: float
     priority: int
 
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -236,6 +236,15 @@
         attempt.tried.add(attempt.member)
         return [self._note("unreachable"), *self._place(now)]
 
+    def on_not_sent(self, failure, now):
+        """Take that what was to be sent on the connection in use was not sent."""
+        attempt = self.attempt
+        attempt.connection = None
+        attempt.phase = _PHASE.NOT_SENT
+        attempt.beginning = False
+        attempt.attempts -= 1
+        return self.on_refused(failure, now)
+
     def on_connection(self, connection, now):
         """Take a connection to the chosen member."""
         attempt = self.attempt
@@ -423,8 +432,11 @@
         if on_primary:
             attempt.required = None
         attempt.acquiring = True
-        priority = attempt.route.priority
-        return [_actions.Acquire(member.name, attempt.deadline, priority)]
+        route = attempt.route
+        acquire = _actions.Acquire(
+            route.service, member.name, on_primary, attempt.deadline, route.priority
+        )
+        return [acquire]
 
     def _wait(self, now, kind):
         """Wait a little for a member that may serve, or give up early.
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -153,6 +153,10 @@
             return None
         return defer.ensureDeferred(self._ask_any())
 
+    def _is_reader(self, now):
+        own = self.context.members.own
+        return not self.stopped and self._find_reader(now).name == own.name
+
     def _find_reader(self, now):
         """Return the first instance by name that is not suspected."""
         own = self.context.members.own
@@ -183,7 +187,12 @@
             await self._read_configuration_again()
         except self.source.StoreUnavailableError as error:
             self._set_store(False, str(error))
+            self.following = False
+            return
         self.following = False
+        now = self.context.now()
+        if self._is_reader(now):
+            self._read(now)
 
     async def _read_configuration_again(self):
         try:
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -1,13 +1,13 @@
 """What sessions need of the instance: configuration, groups, pools, rates."""
 
+from twisted.internet import defer
+
 from pomelograde.core import configuration, placement, retries
 from pomelograde.net import events, pools, timers
-from pomelograde.net.hosted import rates, sessions
+from pomelograde.net.hosted import rates, relays, sessions
 
 SWEEP_INTERVAL_S = 0.05  # a sixteenth of the shortest time limit in use
 FULL_PAUSE_S = 1.0  # before a member that was full is asked for more again
-BORROWED_PART = 3  # an instance may hold a third of a member's connections
-IDLE_LIMIT_S = 20.0  # idle connections beyond the instance's share are closed
 POSITION_INTERVAL_S = 0.4  # three floors within the shortest staleness in use
 ABANDON_LIMIT_S = 2.0  # for an outstanding answer and the rollback behind it
 
@@ -56,6 +56,7 @@
         self.is_stopping = False
         self.loops = []
         self.rates = rates.RegisteredRates(context, self._may_accept_keys)
+        self.relays = relays.Relays(context, self)
 
     def start(self):
         """Start the regular work."""
@@ -91,6 +92,7 @@
         """Adapt to the registered instances."""
         self.instances = max(1, len(instances))
         self.rates.set_instances(instances)
+        self.relays.set_instances(instances)
         self._resize_pools()
 
     def set_members(self, members):
@@ -147,9 +149,31 @@
             return retries.Failure(_KIND.CONFIGURATION_STALE)
         return self._find_withdrawn(database, key)
 
+    def connect_remote(self, action, account):
+        """Return a connection that another instance keeps, or None.
+
+        Parameters
+        ----------
+        action : Acquire
+            What is wanted.
+        account : str
+            Client account.
+        """
+        group = self.groups.get(action.service)
+        member = None if group is None else group.members.get(action.member)
+        if member is None:
+            return None
+        remote = self.relays.connect(member, action.service, account)
+        if remote is not None:
+            remote.budget_s = action.deadline - self.context.now()
+            remote.on_primary = action.on_primary
+        return remote
+
     def release(self, connection):
         """Give back a connection that nothing is outstanding on."""
         self.note_answered(connection)
+        if connection.is_remote:
+            return
         connection.released_at = self.context.now()
         pool = self.pools.get(connection.member)
         if pool is None:
@@ -161,6 +185,10 @@
         """Give back a connection once what was sent on it is answered."""
         if connection.is_lost:
             return
+        if connection.is_remote:
+            self.note_answered(connection)
+            connection.abandon(in_transaction)
+            return
         timer = self.context.reactor.callLater(ABANDON_LIMIT_S, connection.close)
 
         def done(answer=None):
@@ -274,27 +302,22 @@
                 self.context.reactor, service, spec, role, self.context.settings.host
             )
 
-        limit = self._connection_limit(service)
+        limit = self._connection_limit(service, member)
         pool = pools.MemberPool(self.context, member, open_connection, limit)
         pool.service = service
         pool.on_full = self._on_full
         return pool
 
-    def _connection_limit(self, service):
-        spec = self.current.services.get(service)
-        if spec is None:
-            return 1
-        return max(1, spec.max_connections // BORROWED_PART)
-
-    def _connection_share(self, service):
+    def _connection_limit(self, service, member):
+        """Return how many of a member's connections this instance may hold."""
         spec = self.current.services.get(service)
         if spec is None:
             return 1
-        return max(1, spec.max_connections // self.instances)
+        return max(1, spec.max_connections // self.relays.count_keepers(member))
 
     def _resize_pools(self):
         for pool in self.pools.values():
-            pool.resize(self._connection_limit(pool.service))
+            pool.resize(self._connection_limit(pool.service, pool.spec))
 
     def _on_full(self, pool):
         self.context.log.write(
@@ -305,7 +328,7 @@
 
     def _widen(self, pool):
         if not pool.closed:
-            pool.resize(self._connection_limit(pool.service))
+            pool.resize(self._connection_limit(pool.service, pool.spec))
 
     def _sweep(self):
         now = self.context.now()
@@ -316,19 +339,14 @@
                 task.close()
         for pool in self.pools.values():
             pool.expire(now)
+        self.relays.probe()
+        self.relays.sweep(now, idle_s)
         if now >= self.rates.shrink_at:
             self.rates.resize()
 
     def _refresh(self):
-        """Keep positions recent, and give back connections that lie idle."""
+        """Keep the positions of primaries recent."""
         now = self.context.now()
-        for pool in self.pools.values():
-            share = self._connection_share(pool.service)
-            if pool.core.size > share:
-                for connection in list(pool.idle):
-                    if now - connection.released_at > IDLE_LIMIT_S:
-                        connection.close()
-                        break
         for group in self.groups.values():
             primary = group.usable_primary(now)
             if primary is not None and now - primary.position_at > POSITION_INTERVAL_S:
@@ -337,11 +355,12 @@
     def _ask_position(self, group, primary):
         """Ask the primary for its position over a connection that is idle."""
         pool = self.pools.get(primary.name)
-        if pool is None:
-            return
-        role = next((found.role for found in pool.idle), None)
+        role = None
+        if pool is not None:
+            role = next((found.role for found in pool.idle), None)
         connection = None if role is None else pool.take_at_once(role)
         if connection is None:
+            defer.ensureDeferred(self.relays.ask_position(group, primary))
             return
         asked_at = self.context.now()
 
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -108,6 +108,8 @@
     def on_connection(self, connection):
         """Take the connection that the pool gives."""
         self.waiter = None
+        if connection.is_remote:
+            connection.on_refused = functools.partial(self._on_not_sent, connection)
         connection.on_lost = functools.partial(self._on_connection_lost, connection)
         self.run(self.core.on_connection(connection, self.context.now()))
 
@@ -128,6 +130,12 @@
         if not self.closed:
             self.run(self.core.on_connection_lost(self.context.now()))
 
+    def _on_not_sent(self, connection, failure):
+        connection.on_lost = None
+        self.proxy.note_answered(connection)
+        if not self.closed:
+            self.run(self.core.on_not_sent(failure, self.context.now()))
+
     def _on_answer(self, answer):
         if not self.closed:
             self.run(self.core.on_answer(answer, self.context.now()))
@@ -168,12 +176,16 @@
 
 @_carry_out.register
 def _(action: statements.Acquire, task):
+    role = task.account
+    remote = task.proxy.connect_remote(action, role)
+    if remote is not None:
+        task.on_connection(remote)
+        return
     pool = task.proxy.pools.get(action.member)
     if pool is None:
         kind = retries.ErrorKind.UPSTREAM_UNREACHABLE
         task.on_refused(retries.Failure(kind, action.member))
         return
-    role = task.account
     connection = pool.take_at_once(role)
     if connection is not None:
         task.on_connection(connection)
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -121,11 +121,19 @@
 
 @attrs.frozen
 class FloorAnswer:
-    """The position asked for, if a majority of members answered."""
+    """The position asked for, if it is known.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time between the question to the members and the arrival of the
+        request that this answers.
+    """
 
     known: bool
     term: int = 0
     index: int = 0
+    age_ms: int = 0
 
 
 @attrs.frozen
@@ -244,6 +252,100 @@
     instances: list[InstanceNews]
 
 
+@attrs.frozen
+class Ping:
+    """Asks for any answer at all."""
+
+
+@attrs.frozen
+class Setting:
+    """A setting of a session."""
+
+    name: bytes
+    value: bytes
+
+
+@attrs.frozen
+class RelayRequest:
+    """Asks an instance to do something on a connection that it keeps.
+
+    Attributes
+    ----------
+    step : str
+        ``execute``, ``begin``, ``roll_back`` or ``discard``.
+    service, member, account : str
+        Whose connection is needed, and to which member.
+    transaction : int
+        Number that the answer to ``begin`` gave; 0 outside of transactions.
+    budget_ms : int
+        Time that is left to get a connection.
+    on_primary : bool
+        Whether the member must be the primary, and usable as such.
+    read_only : bool
+        For ``begin``: whether the transaction only reads.
+    after_term, after_index, has_after : int, int, bool
+        Position that the member's log must hold, if there is one.
+    request_id, operation, text, value : bytes, str, bytes, bytes
+        The statement.
+    shape, is_prepared, writes : bytes, bool, bool
+        The prepared statement that it executes, if it does.
+    settings : list of Setting
+        Settings that the connection must have.
+    """
+
+    step: str
+    service: str
+    member: str
+    account: str
+    transaction: int = 0
+    budget_ms: int = 0
+    on_primary: bool = False
+    read_only: bool = False
+    after_term: int = 0
+    after_index: int = 0
+    has_after: bool = False
+    request_id: bytes = b""
+    operation: str = ""
+    text: bytes = b""
+    value: bytes = b""
+    shape: bytes = b""
+    is_prepared: bool = False
+    writes: bool = False
+    settings: list[Setting] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class RelayAnswer:
+    """What the upstream answered, or why nothing was sent to it.
+
+    Attributes
+    ----------
+    refusal : str
+        Kind of the error if nothing was sent; empty otherwise.
+    retry_after_ms : int
+        Time after which a retry is useful, for a refusal.
+    transaction : int
+        Number of the transaction that is open.
+    rows, digest, has_digest, error, text, status : list, bytes, bool, str, bytes, bytes
+        The upstream's answer.
+    term, index, has_position : int, int, bool
+        Position of the upstream's log, if it is known.
+    """
+
+    refusal: str = ""
+    retry_after_ms: int = 0
+    transaction: int = 0
+    rows: list[bytes] = attrs.field(factory=list)
+    digest: bytes = b""
+    has_digest: bool = False
+    error: str = ""
+    text: bytes = b""
+    status: bytes = b""
+    term: int = 0
+    index: int = 0
+    has_position: bool = False
+
+
 @attrs.frozen
 class Empty:
     """A reply without contents."""
@@ -289,12 +391,16 @@
     FloorAnswer,
     NewsRequest,
     NewsAnswer,
+    RelayRequest,
+    RelayAnswer,
+    Ping,
 )
 
 ITEMS = {
     "instances": InstanceNews,
     "members": MemberNews,
     "upstreams": UpstreamNews,
+    "settings": Setting,
 }
 
 
@@ -358,7 +464,10 @@
             continue
         items = target.init(camel, len(value))
         for index, item in enumerate(value):
-            _fill(items[index], item)
+            if isinstance(item, bytes):
+                items[index] = item
+            else:
+                _fill(items[index], item)
 
 
 def _read(cls, source):
@@ -367,5 +476,7 @@
         value = getattr(source, camel)
         if name in ITEMS:
             value = [_read(ITEMS[name], item) for item in value]
+        elif name == "rows" and cls is RelayAnswer:
+            value = list(value)
         values[name] = value
     return cls(**values)
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -21,6 +21,9 @@
     floorAnswer @16 :FloorAnswer;
     newsRequest @17 :NewsRequest;
     newsAnswer @18 :NewsAnswer;
+    relayRequest @19 :RelayRequest;
+    relayAnswer @20 :RelayAnswer;
+    ping @21 :Ping;
   }
 }
 
@@ -112,6 +115,7 @@
   known @0 :Bool;
   term @1 :UInt64;
   index @2 :UInt64;
+  ageMs @3 :UInt32;
 }
 
 struct UpstreamNews {
@@ -142,3 +146,48 @@
   instancesDigest @6 :UInt64;
   instances @7 :List(InstanceNews);
 }
+
+struct Ping {
+}
+
+struct Setting {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct RelayRequest {
+  step @0 :Text;
+  service @1 :Text;
+  member @2 :Text;
+  account @3 :Text;
+  transaction @4 :UInt64;
+  budgetMs @5 :UInt32;
+  onPrimary @6 :Bool;
+  readOnly @7 :Bool;
+  afterTerm @8 :UInt64;
+  afterIndex @9 :UInt64;
+  hasAfter @10 :Bool;
+  requestId @11 :Data;
+  operation @12 :Text;
+  text @13 :Data;
+  value @14 :Data;
+  shape @15 :Data;
+  isPrepared @16 :Bool;
+  writes @17 :Bool;
+  settings @18 :List(Setting);
+}
+
+struct RelayAnswer {
+  refusal @0 :Text;
+  retryAfterMs @1 :UInt32;
+  transaction @2 :UInt64;
+  rows @3 :List(Data);
+  digest @4 :Data;
+  hasDigest @5 :Bool;
+  error @6 :Text;
+  text @7 :Data;
+  status @8 :Data;
+  term @9 :UInt64;
+  index @10 :UInt64;
+  hasPosition @11 :Bool;
+}
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -48,6 +48,13 @@
         What sends and receives.
     expected : str
         Name of the peer where this side connected; empty where it accepted.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the peer opened the connection.
+    sent : set of int
+        Requests sent over it that are not answered.
     """
 
     MAX_LENGTH = MAX_MESSAGE_BYTES
@@ -55,6 +62,8 @@
     def __init__(self, task, expected=""):
         self.task = task
         self.expected = expected
+        self.accepted = not expected
+        self.sent = set()
 
     def stringReceived(self, data):  # noqa: N802
         """Take one message."""
@@ -93,6 +102,11 @@
 
     Attributes
     ----------
+    renews_on_timeout : bool
+        Whether a connection is replaced once a request got no answer in time.
+    on_lost : callable or None
+        Called with the name of a peer, and whether the peer had opened it,
+        once a connection is gone.
     handlers : dict of type to callable
         For each message class, a function of message and `Envelope` that
         returns the reply, a Deferred of it, or None.
@@ -104,6 +118,8 @@
         self.context = context
         self.security = security
         self.handlers = {}
+        self.on_lost = None
+        self.renews_on_timeout = True
         self.connections = {}
         self.connecting = {}
         self.waiting = {}
@@ -157,7 +173,8 @@
             await self._send(instance, message, request_id)
             return await answer
         except defer.TimeoutError as error:
-            self.renew(instance.name)
+            if self.renews_on_timeout:
+                self.renew(instance.name)
             raise PeerUnreachableError(instance.name) from error
         finally:
             self.waiting.pop(request_id, None)
@@ -165,6 +182,7 @@
     def receive(self, envelope, connection):
         """Take a message from a peer."""
         if envelope.is_reply:
+            connection.sent.discard(envelope.request_id)
             answer = self.waiting.pop(envelope.request_id, None)
             if answer is not None:
                 answer.callback(envelope.message)
@@ -177,9 +195,16 @@
             done.addCallback(self._reply, envelope.request_id, connection)
 
     def on_connection_lost(self, connection):
-        """Forget a connection."""
+        """Forget a connection; requests that were sent over it fail."""
         if self.connections.get(connection.expected) is connection:
             del self.connections[connection.expected]
+        for request_id in connection.sent:
+            answer = self.waiting.pop(request_id, None)
+            if answer is not None:
+                answer.errback(PeerUnreachableError(connection.expected))
+        connection.sent.clear()
+        if self.on_lost is not None and connection.expected:
+            self.on_lost(connection.expected, connection.accepted)
 
     def on_impostor(self, name):
         """Note a peer whose certificate is not its own."""
@@ -191,6 +216,8 @@
 
     async def _send(self, instance, message, request_id):
         connection = await self._connect(instance)
+        if request_id:
+            connection.sent.add(request_id)
         envelope = self._envelope(message, request_id, False)
         connection.sendString(peer_messages.encode(envelope))
 
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -21,6 +21,8 @@
     ----------
     service, member, role : str
         Database service, name of the member, and client account.
+    clock : callable
+        Returns monotonic seconds.
 
     Attributes
     ----------
@@ -36,11 +38,16 @@
         Called without arguments once it is gone with an answer outstanding.
     released_at : float
         When it was last given back.
+    sent_at : float
+        When something was last sent.
     is_counted : bool
         Whether it counts among the statements under way at its member.
     """
 
-    def __init__(self, service, member, role):
+    is_remote = False
+
+    def __init__(self, service, member, role, clock):
+        self.clock = clock
         self.service = service
         self.member = member
         self.role = role
@@ -55,6 +62,7 @@
         self.is_ready = False
         self.released_at = 0.0
         self.is_counted = False
+        self.sent_at = 0.0
         self.start_error = None
         self._reset_answer()
 
@@ -129,6 +137,7 @@
         return lines
 
     def _send(self, lines, done):
+        self.sent_at = self.clock()
         self.parts.extend([self._on_own_answer] * (len(lines) - 1))
         self.parts.append(done)
         self.transport.write(b"".join(lines))
@@ -237,7 +246,7 @@
     UpstreamOpenError
         If it can't be opened.
     """
-    connection = UpstreamConnection(service, member.name, role)
+    connection = UpstreamConnection(service, member.name, role, reactor.seconds)
     endpoint = endpoints.TCP4ClientEndpoint(
         reactor,
         member.host,
