Place long polls by the store's clock; serve scarce rates by priority, and not late

Cause: an account beyond its rate filled the queue for its rate, so each of its requests waited 400 ms of an objective of 400 (25 of 25 slow statements on routes of the primary were its). Waits are now a quarter of the objective, and the routes' priority orders them. The age of a long poll's answer was counted from its call, so news looked 2 s old at its reader and five instances read the store in turn.

--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -3,6 +3,7 @@
 from pomelograde.core.limits import _bucket, _lease, _share
 
 LOAN_S = _lease.LOAN_S
+MAX_WAIT_S = _share.MAX_WAIT_S
 PARTS = _lease.PARTS
 PREFIX = _lease.PREFIX
 
@@ -26,6 +27,7 @@
     "Borrow",
     "Commit",
     "Expire",
+    "MAX_WAIT_S",
     "Loan",
     "PeerView",
     "Share",
--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -1,6 +1,6 @@
 """One instance's share of one client account's rate."""
 
-import collections
+import bisect
 
 import attrs
 
@@ -27,10 +27,13 @@
         Time after which it is refused.
     context : object
         What the driver needs to answer it.
+    priority : int
+        0 is served first.
     """
 
     expires_at: float
     context: object
+    priority: int = 0
 
 
 @attrs.frozen
@@ -105,7 +108,7 @@
         self.bucket = _bucket.TokenBucket(0.0, 0.0, 0.0, now)
         self.burst = 0.0
         self.reserved = 0.0
-        self.waiters = collections.deque()
+        self.waiters = []
         self.demand = 0.0
         self.demand_at = now
         self.peers = {}
@@ -126,21 +129,35 @@
         self._note_demand(now)
         return not self.waiters and self._take(now)
 
-    def wait(self, deadline, now, context):
+    def wait(self, deadline, now, context, longest_s=MAX_WAIT_S, priority=0):
         """Queue a request.
 
+        Parameters
+        ----------
+        deadline : float
+            Time limit of the request.
+        now : float
+            Current time.
+        context : object
+            What the driver needs to answer it.
+        longest_s : float
+            Longest wait that is of use to the caller.
+        priority : int
+            0 is served first; requests of one priority keep their order.
+
         Returns
         -------
         Waiter or float
             The queued request, or the seconds after which it may be sent
             again if it can't be admitted in time.
         """
-        wait_s = self.expected_wait_s(len(self.waiters) + 1, now)
-        limit = now + min((deadline - now) * WAIT_PART, MAX_WAIT_S)
+        place = bisect.bisect_right(self.waiters, priority, key=_priority)
+        wait_s = self.expected_wait_s(place + 1, now)
+        limit = now + min((deadline - now) * WAIT_PART, longest_s)
         if now + wait_s >= limit:
             return wait_s
-        waiter = Waiter(limit, context)
-        self.waiters.append(waiter)
+        waiter = Waiter(limit, context, priority)
+        self.waiters.insert(place, waiter)
         self.next_expiry = min(self.next_expiry, limit)
         return waiter
 
@@ -166,7 +183,7 @@
         """Admit and expire waiting requests; returns the actions."""
         actions = self.expire(now)
         while self.waiters and self._take(now):
-            actions.append(Admit(self.waiters.popleft()))
+            actions.append(Admit(self.waiters.pop(0)))
         return actions
 
     def expire(self, now):
@@ -174,9 +191,7 @@
         if now < self.next_expiry:
             return []
         late = [waiter for waiter in self.waiters if now >= waiter.expires_at]
-        self.waiters = collections.deque(
-            waiter for waiter in self.waiters if now < waiter.expires_at
-        )
+        self.waiters = [waiter for waiter in self.waiters if now < waiter.expires_at]
         expiries = [waiter.expires_at for waiter in self.waiters]
         self.next_expiry = min(expiries, default=float("inf"))
         wait_s = self.expected_wait_s(len(self.waiters) + 1, now)
@@ -306,3 +321,7 @@
 
     def _demand_per_s(self):
         return self.demand / DEMAND_WINDOW_S
+
+
+def _priority(waiter):
+    return waiter.priority
--- a/pomelograde/core/statements/_actions.py
+++ b/pomelograde/core/statements/_actions.py
@@ -8,10 +8,24 @@
 
 @attrs.frozen
 class Admit:
-    """Take one request of the client account's rate, by a deadline."""
+    """Take one request of the client account's rate.
+
+    Attributes
+    ----------
+    account : str
+        Client account.
+    deadline : float
+        Time limit of the statement.
+    longest_s : float
+        Longest wait that is of use to the caller.
+    priority : int
+        0 goes first.
+    """
 
     account: str
     deadline: float
+    longest_s: float
+    priority: int
 
 
 @attrs.frozen
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -9,7 +9,7 @@
 from pomelograde.core.retries import _decide, _errors
 from pomelograde.core.statements import _actions, _statements
 
-PRIMARY_WAIT_PART = 0.25  # of the latency objective; longer waits help few callers
+WAIT_PART = 0.25  # of the latency objective; leaves the rest for the statement
 POLL_INTERVAL_S = 0.01  # half of the usual lag of a replica
 BUSY_PAUSE_S = 0.02  # about the time of one statement
 MAX_FAILED_READS = 1  # further attempts at a read that failed on a member
@@ -213,8 +213,7 @@
         if isinstance(route, _errors.Failure):
             return self._refuse(route)
         self._start(statement, prepared, writes, route, now)
-        self.attempt.acquiring = True
-        return [_actions.Admit(self.account, self.attempt.deadline)]
+        return self._admit()
 
     def on_admitted(self, now):
         """Take that the client account's rate has room."""
@@ -338,6 +337,24 @@
             statement, prepared, route, writes, now, now + route.timeout_s
         )
 
+    def _admit(self):
+        """Ask for a part of the client account's rate.
+
+        Notes
+        -----
+        An account that keeps asking for more than its rate fills whatever
+        queue there is, so that each of its requests waits for the longest
+        time allowed. It is kept short enough for the answer to be in time.
+        """
+        attempt = self.attempt
+        attempt.acquiring = True
+        route = attempt.route
+        longest_s = WAIT_PART * route.latency_objective_s
+        admit = _actions.Admit(
+            self.account, attempt.deadline, longest_s, route.priority
+        )
+        return [admit]
+
     def _continue(self, statement, prepared, writes, now):
         """Run a statement inside the open transaction."""
         transaction = self.transaction
@@ -363,8 +380,7 @@
         if isinstance(route, _errors.Failure):
             return self._refuse(route)
         self._start(statement, None, False, route, now)
-        self.attempt.acquiring = True
-        return [_actions.Admit(self.account, self.attempt.deadline)]
+        return self._admit()
 
     def _rollback(self, statement, now):
         return [*self._end_transaction(), _actions.Respond(_LOCAL_ANSWER, b"I")]
@@ -448,7 +464,7 @@
         this instance or another one.
         """
         attempt = self.attempt
-        wait_s = PRIMARY_WAIT_PART * attempt.route.latency_objective_s
+        wait_s = WAIT_PART * attempt.route.latency_objective_s
         limit = attempt.deadline if attempt.attempts else attempt.started_at + wait_s
         if now >= min(limit, attempt.deadline):
             return self._fail(_errors.Failure(kind))
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -202,10 +202,10 @@
 
     async def _fetch(self):
         try:
-            members, asked_at = await self.source.fetch_members()
+            members, as_of = await self.source.fetch_members()
             instances, _ = await self.source.fetch_instances()
             self._set_store(True)
-            self._take_members(members, asked_at)
+            self._take_members(members, as_of)
             self._take_instances(instances)
         except self.source.StoreUnavailableError as error:
             self._set_store(False, str(error))
@@ -294,7 +294,7 @@
         self.follow_version = max(self.follow_version, document.version)
         if document.text and document.row_version > self.known.row_version:
             self._take_text(document.text, document.row_version)
-        self.freshness.note_configuration(document.asked_at)
+        self.freshness.note_configuration(document.as_of)
         self._tell_fresh()
 
     def _take_text(self, text, row_version):
@@ -318,8 +318,8 @@
         if self.on_configuration is not None:
             self.on_configuration(found)
 
-    def _take_members(self, members, asked_at):
-        self.freshness.note_members(asked_at)
+    def _take_members(self, members, as_of):
+        self.freshness.note_members(as_of)
         digest = _digest(_write_members(members))
         if digest != self.known.members_digest:
             self.known.members = members
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -231,6 +231,7 @@
             events.Event.STATEMENT_DONE,
             id=statement.request_id.decode("latin-1"),
             session=task.number,
+            account=task.account,
             database=task.database,
             operation=statement.operation.value,
             outcome=outcome,
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -170,7 +170,9 @@
     if not action.account or task.proxy.rates.try_admit(action.account, now):
         task.run(task.core.on_admitted(now))
         return
-    waiting = task.proxy.rates.wait(action.account, action.deadline)
+    waiting = task.proxy.rates.wait(
+        action.account, action.deadline, action.longest_s, action.priority
+    )
     waiting.addCallback(task._on_admission, task.current)
 
 
--- a/pomelograde/net/rates.py
+++ b/pomelograde/net/rates.py
@@ -114,7 +114,7 @@
             self._borrow(account, share, now)
         return admitted
 
-    def wait(self, account, deadline):
+    def wait(self, account, deadline, longest_s=limits.MAX_WAIT_S, priority=0):
         """Wait for one request of a client account's rate.
 
         Parameters
@@ -123,6 +123,10 @@
             Client account.
         deadline : float
             Seconds of the reactor's clock.
+        longest_s : float
+            Longest wait that is of use to the caller.
+        priority : int
+            0 is served first.
 
         Returns
         -------
@@ -137,7 +141,7 @@
             return defer.succeed(retries.Failure(kind, account))
         done = defer.Deferred()
         until = now + deadline - self.context.now()
-        waiter = share.wait(until, now, done)
+        waiter = share.wait(until, now, done, longest_s, priority)
         if not isinstance(waiter, limits.Waiter):
             return defer.succeed(_rate_failure(account, waiter))
         self._serve(account, share, now)
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -24,14 +24,14 @@
         Version of its row.
     version : int
         Newest version in the store.
-    asked_at : float
-        When the store was asked.
+    as_of : float
+        Time on this instance's clock; what was read is not older.
     """
 
     text: str
     row_version: int
     version: int
-    asked_at: float
+    as_of: float
 
 
 class PlatformSource:
@@ -65,15 +65,15 @@
         return manifest.read_manifest(text)
 
     async def fetch_members(self):
-        """Return the registered members by service, and when it was asked."""
+        """Return the registered members by service, and as of when."""
         found = await self.client.read_table(registry.TABLE)
-        return registry.read_members(found.rows), found.asked_at
+        return registry.read_members(found.rows), found.as_of
 
     async def fetch_instances(self):
-        """Return the registered instances, and when it was asked."""
+        """Return the registered instances, and as of when."""
         found = await self.client.read_table(INSTANCES_TABLE)
         instances = [_read_instance(row) for row in found.rows]
-        return [known for known in instances if known is not None], found.asked_at
+        return [known for known in instances if known is not None], found.as_of
 
     async def register(self, instance):
         """Write this instance's row."""
@@ -89,8 +89,8 @@
     for row in found.rows:
         if row.key == CONFIGURATION_KEY and row.value is not None:
             text = row.value.decode("utf-8", "replace")
-            return Document(text, row.version, found.version, found.asked_at)
-    return Document("", 0, found.version, found.asked_at)
+            return Document(text, row.version, found.version, found.as_of)
+    return Document("", 0, found.version, found.as_of)
 
 
 def _read_instance(row):
--- a/pomelograde/platform/store.py
+++ b/pomelograde/platform/store.py
@@ -10,6 +10,7 @@
 from twisted.web import http as web_http
 
 CALL_TIMEOUT_S = 1.5  # an answer takes 4 ms; leaves time for others to be asked
+CLOCK_DRIFT = 0.001  # share by which the store's clock and ours may differ
 CONNECTIONS = 3  # one held by a long poll, two for other calls
 OK = 200
 CONFLICT = 412
@@ -53,13 +54,13 @@
         The rows.
     version : int
         Newest version in the store at that moment.
-    asked_at : float
-        When the call was sent; the rows are not older.
+    as_of : float
+        Time on this instance's clock; the rows are not older.
     """
 
     rows: list
     version: int
-    asked_at: float
+    as_of: float
 
 
 class Store:
@@ -81,6 +82,8 @@
         self.reactor = reactor
         self.base = f"http://{address}"
         self.on_call = on_call
+        self.clock_at = None
+        self.clock_ms = 0
         self.pool = client.HTTPConnectionPool(reactor)
         self.pool.maxPersistentPerHost = CONNECTIONS
         self.pool.retryAutomatically = False
@@ -95,6 +98,7 @@
         """Return all rows of a table."""
         asked_at = self.reactor.seconds()
         rows = []
+        first_as_of = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": 500}
@@ -103,9 +107,11 @@
             status, body = await self._call("read", "GET", "/rows-get", query)
             if status != OK:
                 raise StoreUnavailableError(f"status {status}")
+            as_of = self._locate(body["nowMs"], asked_at)
+            first_as_of = as_of if first_as_of is None else first_as_of
             rows.extend(_read_row(row) for row in body["rows"])
             if not body.get("hasMore"):
-                return Rows(rows, body["ver"], asked_at)
+                return Rows(rows, body["ver"], first_as_of)
             start = rows[-1].key + "\0"
 
     async def follow_table(self, table, version, wait_s):
@@ -132,7 +138,8 @@
             raise HistoryLostError
         if status != OK:
             raise StoreUnavailableError(f"status {status}")
-        return Rows([_read_row(row) for row in body["rows"]], body["ver"], asked_at)
+        as_of = self._locate(body["nowMs"], asked_at)
+        return Rows([_read_row(row) for row in body["rows"]], body["ver"], as_of)
 
     async def commit(self, table, conditions, writes):
         """Change rows of a table, all or none.
@@ -183,6 +190,32 @@
         """Close all connections; returns a Deferred."""
         return self.pool.closeCachedConnections()
 
+    def _locate(self, now_ms, asked_at):
+        """Return a time on this instance's clock before the store's answer arose.
+
+        Parameters
+        ----------
+        now_ms : int
+            The store's steady clock, as it says in the answer.
+        asked_at : float
+            When the call was sent.
+
+        Notes
+        -----
+        An answer arises after its call was sent, which also bounds where the
+        store's clock stands on ours. The answer to a long poll, which may
+        arise much later than its call, is placed by what short calls showed.
+        """
+        as_of = asked_at
+        if self.clock_at is not None:
+            passed_s = (now_ms - self.clock_ms) / 1000.0
+            placed = self.clock_at + passed_s * (1.0 - CLOCK_DRIFT)
+            if placed <= self.reactor.seconds():
+                as_of = max(asked_at, placed)
+        self.clock_at = as_of
+        self.clock_ms = now_ms
+        return as_of
+
     async def _call(self, name, method, path, query, wait_s=0.0, body=None):
         url = self.base + path
         if query:
