--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -2,6 +2,7 @@
 
 from pomelograde.net import rates
 
+SLACK_PART = 0.5  # of the excess that operators tolerate; the rest is a margin
 RETIRED_S = 6.0  # a silent instance serves no key for longer than 4.8 s
 
 
@@ -17,6 +18,10 @@
 
     Notes
     -----
+    Small parts of a burst lose what accrues while nobody asks for it, and an
+    account at its limit then gets a tenth less than its rate. A part of the
+    excess that operators tolerate is therefore added to the burst.
+
     A registration outlives its process, so the part of an instance that was
     killed is its own again when it starts. The part of one that is cut off
     lies idle, since it serves nobody without recent news. When a registration
@@ -27,6 +32,7 @@
         super().__init__(context)
         self.may_serve = may_serve
         self.rates = {}
+        self.slack = SLACK_PART * context.settings.rate_slack
         self.instances = 0
         self.shrink_at = float("inf")
         self.registered = 0
@@ -34,7 +40,7 @@
     def set_configuration(self, configuration):
         """Take in the rates of a configuration."""
         self.rates = {
-            account.name: (account.rate_per_s, account.burst)
+            account.name: (account.rate_per_s, account.burst + self.slack)
             for account in configuration.accounts.values()
         }
         self.resize()
