--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -7,6 +7,7 @@
 import time
 
 import attrs
+import click
 from twisted.internet import defer, task
 from twisted.web import server
 
@@ -161,13 +162,23 @@
     return HostedDaemon(shared, follower, gate, ready)
 
 
-def main():
-    """Run one instance until it is told to stop."""
-    loaded = settings.load(settings.find_path())
+@click.command(epilog="Exit codes: 0 stopped as asked, 1 a failure, 2 faulty settings.")
+@click.option("--settings", "path", help="Settings; by default the platform's file.")
+@click.option("--check", is_flag=True, help="Check the settings, if any, and exit.")
+def main(path, check):
+    """Run one instance on a hosting platform until it is told to stop."""
+    path = path or settings.find_path()
+    if check and not path:
+        click.echo("program: ok")
+        return
+    loaded = settings.load(path)
     if loaded.is_err():
         for fault in loaded.err_value:
-            print(f"settings: {fault}", file=sys.stderr)
+            click.echo(f"settings: {fault}", err=True)
         sys.exit(EXIT_SETTINGS)
+    if check:
+        click.echo("settings: ok")
+        return
     json_log.make_standard_output_non_blocking()
     reactor = steady_reactor.install()
     daemon = build(reactor, loaded.ok_value)
