Test the hosted side end to end against a stand-in of the platform

The stand-in has the store and members on the line protocol, with faults. It found three faults: a stopping instance refused the statements of open transactions; after an outage of the store every account had a rate of 0 until the next change of configuration; and the first news after an outage waited for a long poll. Each is mended, with the test that found it.

--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -176,7 +176,7 @@
             if connection is not None:
                 actions.append(self._assign(self.queue.pop(), connection, now))
                 continue
-            assigned = self._serve_tenants(waiter.role, now)
+            assigned = self._serve_within_tenure(waiter.role, now)
             if assigned is not None:
                 actions.append(assigned)
                 continue
@@ -197,7 +197,7 @@
         self.pace.note(now, self.queue.length == 0)
         return Assign(waiter, connection)
 
-    def _serve_tenants(self, wanted_role, now):
+    def _serve_within_tenure(self, wanted_role, now):
         """Let a role with waiters use its idle connection a while longer."""
         if self.size < self.limit:
             return None
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -178,8 +178,10 @@
 
     async def _follow(self):
         try:
+            age_s = self.context.now() - self.freshness.configuration_at
+            wait_s = LONG_POLL_S if age_s < STALE_S else 0.0
             document = await self.source.wait_for_configuration(
-                self.follow_version, LONG_POLL_S
+                self.follow_version, wait_s
             )
             self._set_store(True)
             self._take_document(document)
@@ -354,6 +356,9 @@
         if available == self.has_store:
             return
         self.has_store = available
+        if available and self.loop is not None:
+            self.members_asked_at = float("-inf")
+            self._read(self.context.now())
         event = events.Event.PLATFORM_AVAILABLE
         if not available:
             event = events.Event.PLATFORM_UNAVAILABLE
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -55,7 +55,7 @@
         self.instances = 1
         self.is_stopping = False
         self.loops = []
-        self.rates = rates.RegisteredRates(context, self._may_accept_keys)
+        self.rates = rates.RegisteredRates(context)
         self.relays = relays.Relays(context, self)
 
     def start(self):
@@ -127,10 +127,9 @@
 
     def open_session(self, caller, database, key):
         """Open a session; returns its task, or a Failure."""
-        now = self.context.now()
-        failure = self.check(database, key, now)
-        if failure is not None:
-            return failure
+        found = self.resolve(database, key, self.context.now())
+        if isinstance(found, retries.Failure):
+            return found
         account = self.current.account_by_key.get(key, "")
         task = sessions.SessionTask(self.context, self, caller, database, account, key)
         self.sessions.add(task)
@@ -138,13 +137,13 @@
 
     def resolve(self, database, key, now):
         """Return the Route for a new operation, or a Failure."""
+        if self.is_stopping:
+            return retries.Failure(_KIND.DRAINING)
         failure = self.check(database, key, now)
         return self.current.routes[database] if failure is None else failure
 
     def check(self, database, key, now):
         """Return why statements of a session may not run, or None."""
-        if self.is_stopping:
-            return retries.Failure(_KIND.DRAINING)
         if not self.freshness.may_accept_keys(now):
             return retries.Failure(_KIND.CONFIGURATION_STALE)
         return self._find_withdrawn(database, key)
@@ -257,9 +256,6 @@
             if task.core.is_idle:
                 task.close()
 
-    def _may_accept_keys(self):
-        return self.freshness.may_accept_keys(self.context.now())
-
     def _find_withdrawn(self, database, key):
         """Return why a database and key are not served, or None."""
         route = self.current.routes.get(database)
--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -13,8 +13,6 @@
     ----------
     context : HostedContext
         Parts of the instance that all tasks share.
-    may_serve : callable
-        Returns whether this instance may accept keys now.
 
     Notes
     -----
@@ -24,13 +22,12 @@
 
     A registration outlives its process, so the part of an instance that was
     killed is its own again when it starts. The part of one that is cut off
-    lies idle, since it serves nobody without recent news. When a registration
+    lies idle, since nothing is admitted without recent news. When a registration
     ends, its part is shared out only after `RETIRED_S`.
     """
 
-    def __init__(self, context, may_serve):
+    def __init__(self, context):
         super().__init__(context)
-        self.may_serve = may_serve
         self.rates = {}
         self.slack = SLACK_PART * context.settings.rate_slack
         self.instances = 0
@@ -61,8 +58,7 @@
         if now >= self.shrink_at:
             self.instances = self.registered
             self.shrink_at = float("inf")
-        if not self.instances or not self.may_serve():
-            self.usable_until = float("-inf")
+        if not self.instances:
             return 0.0
         self.usable_until = float("inf")
         return 1.0 / self.instances
--- a/pomelograde/standins/demo.py
+++ b/pomelograde/standins/demo.py
@@ -74,7 +74,7 @@
             click.echo(fleet.dsn(number))
         click.echo(fleet.operator_url())
         if check:
-            return do_round(fleet)
+            return do_round(fleet, STEPS)
         click.echo(f"operator token: {processes.OPERATOR_TOKEN}")
         click.echo("ready; interrupt to stop")
         try:
@@ -85,13 +85,8 @@
         return 0
 
 
-def do_round(fleet):
-    """Do the scripted round; returns the exit code."""
-    steps = (
-        ("write a meter reading through the first instance", _write),
-        ("read it back through the second instance", _read_elsewhere),
-        ("an operator withdraws a key; its callers are refused", _withdraw),
-    )
+def do_round(fleet, steps):
+    """Do a scripted round; returns the exit code."""
     for text, step in steps:
         held = step(fleet)
         click.echo(f"{'ok' if held else 'FAILED'}: {text}")
@@ -141,3 +136,10 @@
     except psycopg.OperationalError as error:
         return "key" in str(error)
     return False
+
+
+STEPS = (
+    ("write a meter reading through the first instance", _write),
+    ("read it back through the second instance", _read_elsewhere),
+    ("an operator withdraws a key; its callers are refused", _withdraw),
+)
--- /dev/null
+++ b/pomelograde/standins/hosting/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a hosting platform: its store, and members on the line protocol."""
--- /dev/null
+++ b/pomelograde/standins/hosting/fleets.py
@@ -0,0 +1,196 @@
+"""Instances on the hosting platform's stand-in, and callers for scripts."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+
+import attrs
+
+from pomelograde.standins import http, processes
+from pomelograde.standins.hosting import host
+
+PROGRAM = "from pomelograde.daemon import hosted; hosted.main()"
+CALL_TIMEOUT_S = 10.0
+
+
+class Caller:
+    """A caller on a blocking socket.
+
+    Parameters
+    ----------
+    port : int
+        Port of an instance.
+    database, key : str
+        What it asks for.
+
+    Attributes
+    ----------
+    start : list of str
+        Lines that answered the start.
+    """
+
+    def __init__(self, port, database="meters", key=host.KEY, address="127.0.0.1"):
+        self.socket = socket.create_connection((address, port), CALL_TIMEOUT_S)
+        self.file = self.socket.makefile("rb")
+        self.number = 0
+        self.send(f"START {database} {key}")
+        self.start = self.read_answer(first=True)
+
+    def send(self, line):
+        """Send one line."""
+        self.socket.sendall(line.encode("latin-1") + b"\r\n")
+
+    def read_answer(self, first=False):
+        """Return the lines up to READY, or to the end of the connection."""
+        lines = []
+        while True:
+            line = self.file.readline().decode("latin-1").rstrip("\r\n")
+            if not line:
+                return [*lines, "closed"]
+            lines.append(line)
+            if line.startswith("READY") or (first and line.startswith("ERROR")):
+                return lines
+
+    def query(self, text, request_id=None):
+        """Send a statement and return the lines of its answer."""
+        self.number += 1
+        self.send(f"QUERY {request_id or f'q{id(self)}-{self.number}'} {text}")
+        return self.read_answer()
+
+    def close(self):
+        """Close the connection."""
+        self.file.close()
+        self.socket.close()
+
+    def __enter__(self):
+        """Return the caller."""
+        return self
+
+    def __exit__(self, *exc_info):
+        """Close the connection."""
+        self.close()
+
+
+@attrs.define
+class Instance:
+    """A running instance.
+
+    Attributes
+    ----------
+    name : str
+        Its name.
+    child : subprocess.Popen
+        Its process.
+    port : int
+        Port for callers.
+    ready_port : int
+        Port of the probe.
+    log_path : pathlib.Path
+        Its log lines.
+    """
+
+    name: str
+    child: subprocess.Popen
+    port: int
+    ready_port: int
+    log_path: object
+
+    def read_log(self):
+        """Return the log's records."""
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+class Fleet:
+    """The stand-in and instances, one in each data centre.
+
+    Parameters
+    ----------
+    running : Processes
+        Owns the processes.
+    """
+
+    def __init__(self, running):
+        self.running = running
+        child = running.spawn(["-m", "pomelograde.standins", "hosting"])
+        found = processes.read_announcement(child)
+        self.store = found["store"]
+        self.members = found["members"]
+        self.instances = []
+
+    def start_instances(self, count=3):
+        """Start instances, and wait until they serve."""
+        for number in range(count):
+            self.start_instance(number)
+        for instance in self.instances:
+            processes.wait_for_port("127.0.0.1", instance.port)
+
+    def start_instance(self, number, ports=None):
+        """Start one instance; returns it."""
+        zone = host.ZONES[number % len(host.ZONES)]
+        name = f"{zone}-{number}"
+        ports = ports or processes.free_ports(4)
+        settings = make_settings(name, zone, self.store, ports)
+        directory = self.running.directory
+        path = directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        log_path = directory / f"{name}.log"
+        environment = {**os.environ, "POMELOGRADE_NODE_FILE": str(path)}
+        with log_path.open("ab") as log:
+            child = subprocess.Popen(
+                [sys.executable, "-c", PROGRAM],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.running.children.append(child)
+        instance = Instance(name, child, ports[0], ports[1], log_path)
+        self.instances.append(instance)
+        return instance
+
+    def put_manifest(self, manifest):
+        """Let the operator write a configuration."""
+        self.put("op", "config", json.dumps(manifest))
+
+    def put(self, table, key, value):
+        """Write a row as somebody else does."""
+        body = {"table": table, "key": key, "value": value}
+        http.post(f"http://{self.store}/put", body)
+
+    def set_store_faults(self, **faults):
+        """Switch the faults of the store."""
+        http.post(f"http://{self.store}/faults", faults)
+
+    def show_member(self, name):
+        """Return what a member holds."""
+        return http.send("GET", f"http://{self.members}/{name}")
+
+    def change_member(self, name, **changes):
+        """Change attributes of a member."""
+        http.post(f"http://{self.members}/{name}", changes)
+
+
+def make_settings(name, zone, store, ports):
+    """Return the settings file of an instance, as the platform renders it."""
+    return {
+        "node": name,
+        "zone": zone,
+        "region": zone.split("-")[0],
+        "zones": {found: found.split("-")[0] for found in host.ZONES},
+        "listen": {
+            "front": f"127.0.0.1:{ports[0]}",
+            "ready": f"127.0.0.1:{ports[1]}",
+        },
+        "internalPorts": [ports[2], ports[3]],
+        "heartbeatMs": 500,
+        "bounds": {
+            "revokeMs": 5000,
+            "graceS": 6,
+            "quotaWindowS": 5,
+            "quotaSlack": 20,
+        },
+        "platform": {"address": store},
+        "cloud": {"address": store},
+    }
--- a/pomelograde/standins/main.py
+++ b/pomelograde/standins/main.py
@@ -9,6 +9,8 @@
 from twisted.web import server
 
 from pomelograde.standins import demo, host, links, platform
+from pomelograde.standins.hosting import demo as hosting_demo
+from pomelograde.standins.hosting import host as hosting_host
 
 
 @click.group()
@@ -71,18 +73,30 @@
     reactor.run()
 
 
+@main.command("hosting")
+def run_hosting():
+    """Run the store and the members of a hosting platform."""
+    running = hosting_host.Host(reactor)
+    _announce(running.start())
+    reactor.run()
+
+
 @main.command("demo")
 @click.option("--check", is_flag=True, help="Do a scripted round and exit.")
 @click.option("--port", default=0, help="Caller port of the first instance.")
-def run_demo(check, port):
+@click.option("--platform", "hosted", is_flag=True, help="On a hosting platform.")
+def run_demo(check, port, hosted):
     """Run both deployments with three instances.
 
     \b
     Examples:
       make demo
       make demo ARGS=--check
+      make demo ARGS="--platform --check"
       make demo ARGS="--port 6432"
     """
+    if hosted:
+        sys.exit(hosting_demo.run(check))
     sys.exit(demo.run(check, port))
 
 
--- /dev/null
+++ b/tests/net/hosted/test_fleet.py
@@ -0,0 +1,297 @@
+"""Tests of real instances on the hosting platform's stand-in."""
+
+import contextlib
+import copy
+import signal
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import testtools
+
+from pomelograde.standins import processes
+from pomelograde.standins.hosting import fleets, host
+
+PRIMARY = "i-catania-a"
+
+
+def wait_until(check, limit_s=10.0):
+    """Return whether a check holds within a time limit."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        if check():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+class FleetTests(testtools.TestCase):
+    """Three instances, started once for all tests of a class."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.exits = contextlib.ExitStack()
+        running = cls.exits.enter_context(processes.Processes())
+        cls.fleet = fleets.Fleet(running)
+        cls.fleet.start_instances()
+        cls.version = host.MANIFEST["version"]
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.exits.close()
+        super().tearDownClass()
+
+    def call(self, number=0, **fields):
+        caller = fleets.Caller(self.fleet.instances[number].port, **fields)
+        self.addCleanup(caller.close)
+        return caller
+
+    def change_manifest(self, change):
+        """Let the operator write a changed configuration, and undo it later."""
+        manifest = copy.deepcopy(host.MANIFEST)
+        change(manifest)
+        self.write_manifest(manifest)
+        self.addCleanup(self.write_manifest, copy.deepcopy(host.MANIFEST))
+
+    def write_manifest(self, manifest):
+        type(self).version += 1
+        manifest["version"] = self.version
+        self.fleet.put_manifest(manifest)
+
+    def probe(self, number=0):
+        url = f"http://127.0.0.1:{self.fleet.instances[number].ready_port}/ready"
+        try:
+            with urllib.request.urlopen(url, timeout=5.0) as response:
+                return response.status
+        except urllib.error.HTTPError as error:
+            return error.code
+        except OSError:
+            return None
+
+
+class ServingTests(FleetTests):
+    def test_ids_texts_rows_and_digests_are_passed_through(self):
+        caller = self.call()
+        written = caller.query("WRITE k1 a b  c", "id-17")
+        self.assertTrue(written[0].startswith("COMPLETE d."), written)
+        self.assertEqual("DATAROW a b  c", caller.query("READ k1")[0])
+        runs = self.fleet.show_member(PRIMARY)["runs"]
+        self.assertIn(["desk", "id-17", "WRITE k1 a b  c"], runs)
+
+    def test_session_reads_its_own_write_through_replicas(self):
+        caller = self.call(1, database="meters-own")
+        for number in range(20):
+            caller.query(f"WRITE own {number}")
+            self.assertEqual(f"DATAROW {number}", caller.query("READ own")[0])
+
+    def test_bounded_reads_are_served_by_a_near_replica(self):
+        caller = self.call(1, database="meters-bounded")
+        self.call(1).query("READ k1")
+        for _ in range(5):
+            caller.query("READ k1", "near-read")
+        runs = self.fleet.show_member("i-palermo-a")["runs"]
+        self.assertIn("near-read", [run[1] for run in runs])
+
+    def test_transaction_commits_as_a_whole_or_not_at_all(self):
+        caller = self.call(2)
+        self.assertEqual(["COMPLETE -", "READY T -"], caller.query("BEGIN"))
+        caller.query("WRITE t1 one")
+        self.assertEqual("DATAROW one", caller.query("READ t1")[0])
+        self.assertEqual(["COMPLETE -", "READY I -"], caller.query("ROLLBACK"))
+        self.assertEqual("DATAROW -", caller.query("READ t1")[0])
+        caller.query("BEGIN")
+        caller.query("WRITE t1 two")
+        self.assertTrue(caller.query("COMMIT")[0].startswith("COMPLETE d."))
+        self.assertEqual("DATAROW two", self.call(0).query("READ t1")[0])
+
+    def test_settings_and_prepared_statements_follow_the_session(self):
+        first, second = self.call(1), self.call(1)
+        first.query("SET zone one")
+        first.query("PARSE s READ q1")
+        second.query("PARSE s WRITE q2")
+        for number in range(5):
+            second.query(f"EXECUTE s p{number} v{number}")
+            found = first.query(f"EXECUTE s p{number}")
+            self.assertEqual(f"DATAROW v{number}", found[0])
+        self.assertEqual("COMPLETE -", first.query("CLOSE s")[0])
+        self.assertTrue(first.query("EXECUTE s p1")[0].startswith("ERROR UNKNOWN"))
+
+    def test_connections_of_an_account_are_shared_by_all_instances(self):
+        callers = [self.call(number % 3) for number in range(30)]
+        for caller in callers:
+            caller.query("READ k1")
+        shown = self.fleet.show_member(PRIMARY)
+        self.assertTrue(shown["most_connections"] <= 8, shown["most_connections"])
+
+    def test_unknown_databases_and_keys_are_refused(self):
+        found = self.call(database="nowhere").start
+        self.assertTrue(found[0].startswith("ERROR NODATABASE"), found)
+        found = self.call(key="wrong").start
+        self.assertTrue(found[0].startswith("ERROR DENIED"), found)
+
+    def test_bad_input_ends_one_session_and_disturbs_no_other(self):
+        other = self.call()
+        for line in ("HELLO", "QUERY - READ a", "QUERY q AFTER 1.1 READ a", "QUERY q"):
+            caller = self.call()
+            caller.send(line)
+            self.assertTrue(caller.read_answer()[0].startswith("ERROR MALFORMED"))
+            self.assertEqual(["closed"], caller.read_answer())
+        caller = self.call()
+        with contextlib.suppress(OSError):
+            caller.send("QUERY q WRITE k " + "x" * (1024 * 1024))
+            self.assertTrue(caller.read_answer()[0].startswith("ERROR TOOLARGE"))
+        self.assertTrue(other.query("READ k1")[0].startswith("DATAROW"))
+
+    def test_rows_of_other_writers_disturb_nothing(self):
+        for number, value in enumerate(("{", "[]", '{"service": 5}', "\0")):
+            self.fleet.put("servers", f"strange-{number}", value)
+            self.addCleanup(self.fleet.put, "servers", f"strange-{number}", None)
+        time.sleep(1.5)
+        self.assertTrue(self.call().query("READ k1")[0].startswith("DATAROW"))
+
+
+class FaultTests(FleetTests):
+    def test_lost_answer_of_a_write_is_in_doubt_and_runs_once(self):
+        caller = self.call(1)
+        caller.query("READ k1")
+        self.fleet.change_member(PRIMARY, drop_answers=1)
+        found = caller.query("WRITE lost 1", "lost-write")
+        self.assertTrue(found[0].startswith("ERROR INDOUBT"), found)
+        log = self.fleet.show_member(PRIMARY)["log"]
+        self.assertEqual(1, sum(entry[2] == "lost-write" for entry in log))
+
+    def test_busy_replica_is_passed_over(self):
+        self.call(1).query("READ k1")
+        self.fleet.change_member("i-palermo-a", fail="RETRY")
+        self.addCleanup(self.fleet.change_member, "i-palermo-a", fail="")
+        caller = self.call(1, database="meters-bounded")
+        for _ in range(5):
+            self.assertTrue(caller.query("READ k1")[0].startswith("DATAROW"))
+
+    def test_lagging_replica_serves_no_session_that_wrote(self):
+        self.fleet.change_member("i-palermo-a", lag_s=1.0)
+        self.addCleanup(self.fleet.change_member, "i-palermo-a", lag_s=0.02)
+        caller = self.call(1, database="meters-own")
+        for number in range(5):
+            caller.query(f"WRITE lag {number}")
+            self.assertEqual(f"DATAROW {number}", caller.query("READ lag")[0])
+
+    def test_killed_keeper_is_replaced_within_a_second(self):
+        caller = self.call(1)
+        caller.query("READ k1")
+        keeper = self.fleet.instances[0]
+        keeper.child.send_signal(signal.SIGSTOP)
+        self.addCleanup(keeper.child.send_signal, signal.SIGCONT)
+
+        def served():
+            return caller.query("READ k1")[0].startswith("DATAROW")
+
+        started = time.monotonic()
+        self.assertTrue(wait_until(served))
+        self.assertTrue(time.monotonic() - started < 3.0)
+
+    def test_withdrawn_key_is_refused_on_open_sessions(self):
+        caller = self.call(key=host.OTHER_KEY)
+        caller.query("READ k1")
+        self.change_manifest(lambda found: found["tenants"][1].update(apiKeys=[]))
+
+        def is_refused():
+            with contextlib.suppress(OSError):
+                return not caller.query("READ k1")[0].startswith("DATAROW")
+            return True
+
+        self.assertTrue(wait_until(is_refused, 5.0))
+
+    def test_account_beyond_its_rate_is_told_when_to_come_back(self):
+        callers = [self.call(number % 3, key=host.OTHER_KEY) for number in range(40)]
+        for caller in callers:
+            caller.send("QUERY q READ k1")
+        answers = [caller.read_answer()[0] for caller in callers]
+        refused = [text for text in answers if text.startswith("ERROR OVERLOAD")]
+        self.assertTrue(refused)
+        self.assertTrue(all("retry after" in text for text in refused), refused[:3])
+
+
+class StoreTests(FleetTests):
+    def test_keys_are_refused_while_the_store_is_away_and_served_after(self):
+        self.fleet.set_store_faults(refuse=True)
+        try:
+            self.assertTrue(wait_until(lambda: self.probe() == 503, 8.0))
+            started = time.monotonic()
+
+            def is_refused():
+                with (
+                    contextlib.suppress(OSError),
+                    fleets.Caller(self.fleet.instances[0].port) as caller,
+                ):
+                    return caller.start[0].startswith("ERROR RETRY")
+                return True
+
+            self.assertTrue(wait_until(is_refused, 5.0))
+            self.assertTrue(time.monotonic() - started < 3.0)
+        finally:
+            self.fleet.set_store_faults()
+        self.assertTrue(wait_until(lambda: self.probe() == 200, 5.0))
+        caller = self.call()
+
+        def is_served():
+            return caller.query("READ k1")[0].startswith("DATAROW")
+
+        self.assertTrue(wait_until(is_served, 2.0))
+
+
+class StopTests(FleetTests):
+    def test_stopping_instance_leaves_rotation_and_cuts_no_transaction(self):
+        idle = self.call(2)
+        busy = self.call(2)
+        busy.query("BEGIN")
+        busy.query("WRITE stop 1")
+        instance = self.fleet.instances[2]
+        instance.child.send_signal(signal.SIGTERM)
+        self.assertTrue(wait_until(lambda: self.probe(2) in (503, None), 2.0))
+        self.assertEqual(["closed"], idle.read_answer())
+        self.assertTrue(busy.query("COMMIT")[0].startswith("COMPLETE d."))
+        self.assertEqual(0, instance.child.wait(timeout=8.0))
+        names = [record["name"] for record in instance.read_log()]
+        self.assertEqual("DAEMON_STOPPED", names[-1])
+
+    def test_failed_statement_is_found_in_the_log_by_its_id(self):
+        self.fleet.change_member(PRIMARY, fail="FAILED")
+        self.addCleanup(self.fleet.change_member, PRIMARY, fail="")
+        self.call(1).query("WRITE k 1", "explain-me")
+
+        def find():
+            return [
+                record
+                for record in self.fleet.instances[1].read_log()
+                if record.get("id") == "explain-me"
+            ]
+
+        self.assertTrue(wait_until(find))
+        (done,) = find()
+        self.assertEqual(
+            ("upstream_failed", PRIMARY, 1),
+            (done["outcome"], done["member"], done["attempts"]),
+        )
+
+
+class LoadTests(FleetTests):
+    def test_many_callers_at_once_are_all_served(self):
+        answers = []
+
+        def work(number):
+            with fleets.Caller(self.fleet.instances[number % 3].port) as caller:
+                for turn in range(10):
+                    answers.append(caller.query(f"WRITE load{number} {turn}")[0])
+
+        threads = [threading.Thread(target=work, args=(n,)) for n in range(24)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        served = [text for text in answers if text.startswith("COMPLETE d.")]
+        self.assertEqual(240, len(served), sorted(set(answers) - set(served)))
+        log = self.fleet.show_member(PRIMARY)["log"]
+        self.assertEqual(len(log), len({entry[2] for entry in log}))
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,116 @@
+"""Tests of what is read from the store and from the settings file."""
+
+import json
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from pomelograde.core import placement, statements
+from pomelograde.platform import manifest, registry, settings, store
+from pomelograde.standins.hosting import fleets, host
+
+JSON = strategies.recursive(
+    strategies.none() | strategies.integers() | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+ROW = {
+    "service": "g",
+    "address": "10.0.0.1:8080",
+    "zone": "a",
+    "slots": 3,
+    "state": "ready",
+    "dbRole": "primary",
+    "seq": 4,
+    "born": 17,
+}
+
+
+def read(*values):
+    rows = [store.Row(f"i-{number}", value, 1) for number, value in enumerate(values)]
+    return registry.read_members(rows)
+
+
+class ManifestTests(testtools.TestCase):
+    def test_routes_accounts_and_services_are_read(self):
+        found = manifest.read_manifest(json.dumps(host.MANIFEST))
+        route = found.routes["meters-bounded"]
+        bounded = statements.RouteType.BOUNDED_STALENESS
+        self.assertEqual((bounded, 1.5), (route.route_type, route.max_staleness_s))
+        self.assertEqual("desk", found.account_by_key[host.KEY])
+        self.assertEqual(host.CONNECTIONS, found.services[host.SERVICE].max_connections)
+        self.assertEqual(3.0, found.transaction_idle_s)
+
+    @hypothesis.given(JSON)
+    def test_anything_else_is_unreadable(self, value):
+        error = manifest.UnreadableManifestError
+        self.assertRaises(error, manifest.read_manifest, json.dumps(value))
+        self.assertRaises(error, manifest.read_manifest, b"\xff{")
+
+
+class RegistryTests(testtools.TestCase):
+    def test_member_is_read(self):
+        member = read(json.dumps(ROW).encode())["g"][0]
+        self.assertEqual(
+            ("i-0", "a", "10.0.0.1", 8080, placement.Role.PRIMARY, False, 3, 17),
+            (
+                member.name,
+                member.data_centre,
+                member.host,
+                member.port,
+                member.role,
+                member.leaving,
+                member.slots,
+                member.started_ms,
+            ),
+        )
+
+    def test_rows_of_other_writers_name_no_member(self):
+        strange = [
+            {**ROW, "state": "resting"},
+            {**ROW, "dbRole": "witness"},
+            {**ROW, "slots": "3"},
+            {**ROW, "slots": True},
+            {**ROW, "zone": 5},
+            {**ROW, "address": "10.0.0.1"},
+            {**ROW, "address": None},
+            {**ROW, "born": 1.5},
+            {key: value for key, value in ROW.items() if key != "service"},
+            [],
+        ]
+        values = [json.dumps(row).encode() for row in strange]
+        found = read(b"\xff\xfe", b"{", *values, json.dumps(ROW).encode())
+        self.assertEqual(["i-12"], [member.name for member in found["g"]])
+
+    @hypothesis.given(JSON)
+    def test_any_row_is_read_or_passed_over(self, value):
+        self.assertEqual({}, read(json.dumps(value).encode()))
+
+
+class SettingsTests(testtools.TestCase):
+    def make(self, **changes):
+        return {
+            **fleets.make_settings("n", "catania-a", "h:1", [1, 2, 3, 4]),
+            **changes,
+        }
+
+    def test_settings_are_read(self):
+        found = settings.read(self.make()).ok_value
+        self.assertEqual(
+            (1, 2, 3, 4),
+            (found.caller_port, found.ready_port, found.peer_port, found.metrics_port),
+        )
+        self.assertEqual(5.0, found.revocation_s)
+
+    def test_faults_are_told(self):
+        self.assertIn(
+            "instance: must not be empty", settings.read(self.make(node="")).err_value
+        )
+        missing = self.make()
+        del missing["listen"]
+        self.assertTrue(settings.read(missing).is_err())
+        self.assertTrue(settings.load("/nowhere").is_err())
