Replace primaries that leave or have failed

The instance that reads the store now records a takeover there, has every instance let go of the old primary, waits for the rights of silent ones to run out, and promotes the replica that has received most. The row's version is the fence.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -81,6 +81,12 @@
         Connections that each member takes from all instances together.
     right_until : float
         Time until which this instance may use the primary that it knows.
+    is_held : bool
+        Whether nothing new may be sent to the primary, since it is replaced.
+    is_cut : bool
+        Whether nothing that was sent to it may end with success either.
+    successor : str
+        Member that was promoted last; empty where none is known.
     term : int
         Highest term that a primary has reported.
     term_base : Position or None
@@ -96,6 +102,9 @@
         self.primary = None
         self.max_connections = 0
         self.right_until = float("-inf")
+        self.is_held = False
+        self.is_cut = False
+        self.successor = ""
         self.term = 0
         self.term_base = None
         self.floors = _floors.FloorHistory()
@@ -127,11 +136,29 @@
 
     def usable_primary(self, now):
         """Return the primary if this instance may use it, else None."""
-        if self.primary is None or now >= self.right_until:
+        if self.primary is None or self.is_held or now >= self.right_until:
             return None
         member = self.members.get(self.primary)
         return member if member is not None and member.reachable else None
 
+    def may_finish(self, name, now):
+        """Return whether what was sent to a primary may still end with success."""
+        return name == self.primary and not self.is_cut and now < self.right_until
+
+    def set_takeover(self, is_held, successor):
+        """Take in whether the primary is being replaced, and by whom last.
+
+        Returns
+        -------
+        bool
+            Whether the primary has changed.
+        """
+        self.is_held = is_held
+        if not is_held:
+            self.is_cut = False
+        self.successor = successor
+        return self._set_primary()
+
     def on_position(self, name, position, asked_at):
         """Take the position that a member reported.
 
@@ -238,6 +265,8 @@
         ]
         leaders.sort(key=_term_of)
         name = leaders[-1].name if leaders else None
+        if self.successor in self.members:
+            name = self.successor
         changed = name != self.primary
         self.primary = name
         return changed
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -318,6 +318,27 @@
         transaction.failed = True
         return [_actions.Abandon(connection, in_transaction=True)]
 
+    def uses_primary(self, service):
+        """Return whether anything is under way at the service's primary."""
+        attempt = self.attempt
+        if attempt is not None and attempt.connection is not None:
+            return attempt.on_primary and attempt.route.service == service
+        transaction = self.transaction
+        if transaction is None or transaction.connection is None:
+            return False
+        return transaction.on_primary and transaction.route.service == service
+
+    def on_cut(self):
+        """Give up what is under way at a primary that is replaced."""
+        attempt = self.attempt
+        transaction = self.transaction
+        if attempt is None:
+            connection, transaction.connection = transaction.connection, None
+            transaction.failed = True
+            return [_actions.Discard(connection)]
+        commits = attempt.statement.operation is _OP.COMMIT and not attempt.beginning
+        return self._fail(_decide_loss(attempt, transaction is not None, commits))
+
     def on_closed(self):
         """Let go of everything; the caller is gone."""
         attempt, self.attempt = self.attempt, None
@@ -369,7 +390,7 @@
         attempt.connection = transaction.connection
         attempt.member = transaction.member
         attempt.on_primary = transaction.on_primary
-        if transaction.on_primary and not self._may_use_primary(attempt.member, now):
+        if transaction.on_primary and not self._may_finish(attempt.member, now):
             return self._fail(_errors.Failure(_KIND.TRANSACTION_LOST))
         return self._execute(None, now)
 
@@ -475,6 +496,10 @@
         member = None if group is None else group.usable_primary(now)
         return member is not None and member.name == name
 
+    def _may_finish(self, name, now):
+        group = self.gate.group(self.attempt.route.service)
+        return group is not None and group.may_finish(name, now)
+
     def _execute(self, after, now):
         attempt = self.attempt
         attempt.beginning = False
@@ -498,7 +523,7 @@
         transaction.connection = attempt.connection
         transaction.member = attempt.member
         transaction.on_primary = attempt.on_primary
-        if attempt.on_primary and not self._may_use_primary(attempt.member, now):
+        if attempt.on_primary and not self._may_finish(attempt.member, now):
             return self._fail(_errors.Failure(_KIND.TRANSACTION_LOST))
         return self._execute(None, now)
 
@@ -506,7 +531,7 @@
         attempt = self.attempt
         actions = [_actions.Release(attempt.connection)]
         if attempt.writes:
-            if not self._may_use_primary(attempt.member, now):
+            if not self._may_finish(attempt.member, now):
                 attempt.connection = None
                 kind = _KIND.ACKNOWLEDGEMENT_LOST
                 return [*actions, *self._fail(_errors.Failure(kind))]
--- /dev/null
+++ b/pomelograde/core/takeovers/__init__.py
@@ -0,0 +1,21 @@
+"""When a primary is replaced, and by which member."""
+
+from pomelograde.core.takeovers import _decide, _takeover
+
+Candidate = _decide.Candidate
+Evidence = _decide.Evidence
+Reason = _decide.Reason
+Takeover = _takeover.Takeover
+choose_successor = _decide.choose_successor
+find_reason = _decide.find_reason
+may_start = _takeover.may_start
+
+__all__ = [
+    "Candidate",
+    "Evidence",
+    "Reason",
+    "Takeover",
+    "choose_successor",
+    "find_reason",
+    "may_start",
+]
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -21,8 +21,16 @@
     peers,
     steady_reactor,
 )
-from pomelograde.net.hosted import context, news, proxy, readiness
-from pomelograde.platform import callers, settings, source, store, upstreams
+from pomelograde.net.hosted import context, news, proxy, readiness, takeovers
+from pomelograde.platform import (
+    callers,
+    http,
+    promotions,
+    settings,
+    source,
+    store,
+    upstreams,
+)
 
 EXIT_SETTINGS = 2
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -41,6 +49,8 @@
         Follows the store.
     proxy : Proxy
         Sessions, pools and rates.
+    takeovers : TakeoverTask
+        Replaces primaries.
     readiness : Readiness
         Answers the balancer's probe.
     ports : list of IListeningPort
@@ -50,6 +60,7 @@
     context: context.HostedContext
     news: news.NewsTask
     proxy: proxy.Proxy
+    takeovers: takeovers.TakeoverTask
     readiness: readiness.Readiness
     ports: list = attrs.field(factory=list)
 
@@ -69,6 +80,7 @@
         self.ports.append(self.context.peers.listen(found.host, found.peer_port))
         await self.news.start()
         self.proxy.start()
+        self.takeovers.start()
         factory = callers.CallerFactory(
             self.context.reactor,
             self.proxy.open_session,
@@ -93,6 +105,7 @@
         while self.proxy.sessions and self.context.now() < deadline:
             await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
         self.news.stop()
+        self.takeovers.stop()
         self.proxy.stop()
         self.context.peers.stop()
         for port in self.ports:
@@ -145,11 +158,14 @@
     calls = shared.metrics.add_counter(
         "pomelograde_store_calls", "Calls to the platform's store.", "outcome"
     )
-    client = store.Store(
-        reactor,
-        found.store,
-        found.host,
-        lambda name, outcome: shared.metrics.count(calls, f"{name} {outcome}"),
+
+    def count_call(name, outcome):
+        shared.metrics.count(calls, f"{name} {outcome}")
+
+    client = store.Store(http.HttpClient(reactor, found.store, found.host, count_call))
+    promoter = promotions.Promotions(
+        http.HttpClient(reactor, found.failover_service, found.host, count_call),
+        found.instance,
     )
     freshness = configuration.Freshness(found.revocation_s)
     follower = news.NewsTask(shared, source.PlatformSource(client), freshness)
@@ -158,8 +174,10 @@
     follower.on_members = gate.set_members
     follower.on_instances = gate.set_instances
     follower.on_fresh = gate.on_fresh
+    taker = takeovers.TakeoverTask(shared, follower, gate, promoter)
+    follower.on_takeovers = taker.set_takeovers
     ready = readiness.Readiness(shared, freshness)
-    return HostedDaemon(shared, follower, gate, ready)
+    return HostedDaemon(shared, follower, gate, taker, ready)
 
 
 @click.command(epilog="Exit codes: 0 stopped as asked, 1 a failure, 2 faulty settings.")
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -9,7 +9,7 @@
 import xxhash
 from twisted.internet import defer
 
-from pomelograde.core import configuration, membership, placement
+from pomelograde.core import configuration, membership, placement, takeovers
 from pomelograde.net import events, peer_messages, peers, timers
 
 ROUND_INTERVAL_S = 0.5  # keys and primaries need news within 2.5 s
@@ -38,8 +38,10 @@
         Hash of them.
     instances : list of Instance
         Registered instances.
+    takeovers : dict of str to Takeover
+        Last takeover of each service.
     instances_digest : int
-        Hash of them.
+        Hash of instances and takeovers.
     """
 
     text: str = ""
@@ -47,6 +49,7 @@
     members: dict = attrs.field(factory=dict)
     members_digest: int = 0
     instances: list = attrs.field(factory=list)
+    takeovers: dict = attrs.field(factory=dict)
     instances_digest: int = 0
 
 
@@ -68,8 +71,10 @@
         What is known.
     current : FleetConfiguration
         Configuration in force; its version never goes back.
-    on_configuration, on_members, on_instances : callable or None
+    on_configuration, on_members, on_instances, on_takeovers : callable or None
         Called with what has changed.
+    store_since : float
+        Since when the store has answered this instance; infinite if it does not.
     on_fresh : callable or None
         Called after each answer.
     """
@@ -83,6 +88,8 @@
         self.on_configuration = None
         self.on_members = None
         self.on_instances = None
+        self.on_takeovers = None
+        self.store_since = float("inf")
         self.on_fresh = None
         self.following = False
         self.fetching = False
@@ -130,8 +137,8 @@
             error.subFailure.raiseException()
         self._set_store(True)
         self._take_document(document)
+        self._take_instances(*instances)
         self._take_members(*members)
-        self._take_instances(instances[0])
 
     async def _register(self):
         own = self.context.members.own
@@ -140,8 +147,9 @@
                 own = attrs.evolve(own, incarnation=instance.incarnation + 1)
         self.context.members.own = own
         await self.source.register(own)
-        others = [found for found in self.known.instances if found.name != own.name]
-        self._take_instances([*others, own])
+        # A takeover that began before the registration may not have waited for
+        # this instance.
+        self._take_instances(*await self.source.fetch_instances())
 
     def _round(self):
         now = self.context.now()
@@ -153,7 +161,8 @@
             return None
         return defer.ensureDeferred(self._ask_any())
 
-    def _is_reader(self, now):
+    def is_reader(self, now):
+        """Return whether this instance reads the store for the others."""
         own = self.context.members.own
         return not self.stopped and self._find_reader(now).name == own.name
 
@@ -193,7 +202,7 @@
             return
         self.following = False
         now = self.context.now()
-        if self._is_reader(now):
+        if self.is_reader(now):
             self._read(now)
 
     async def _read_configuration_again(self):
@@ -205,10 +214,10 @@
     async def _fetch(self):
         try:
             members, as_of = await self.source.fetch_members()
-            instances, _ = await self.source.fetch_instances()
+            instances = await self.source.fetch_instances()
             self._set_store(True)
+            self._take_instances(*instances)
             self._take_members(members, as_of)
-            self._take_instances(instances)
         except self.source.StoreUnavailableError as error:
             self._set_store(False, str(error))
         self.fetching = False
@@ -259,6 +268,11 @@
     def _take_answer(self, answer, asked_at):
         if answer.document and answer.configuration > self.known.row_version:
             self._take_text(answer.document, answer.configuration)
+        if answer.instances:
+            self._take_instances(
+                [_read_instance(news) for news in answer.instances],
+                [read_takeover(news) for news in answer.takeovers],
+            )
         if answer.upstreams:
             self._take_members(
                 _read_members(answer.upstreams),
@@ -266,8 +280,6 @@
             )
         else:
             self.freshness.note_members(asked_at - answer.upstreams_age_ms / 1000.0)
-        if answer.instances:
-            self._take_instances([_read_instance(news) for news in answer.instances])
         if answer.configuration >= self.known.row_version:
             self.freshness.note_configuration(
                 asked_at - answer.configuration_age_ms / 1000.0
@@ -290,6 +302,7 @@
             instances=[]
             if message.instances_digest == known.instances_digest
             else [_write_instance(found) for found in known.instances],
+            takeovers=[write_takeover(found) for found in known.takeovers.values()],
         )
 
     def _take_document(self, document):
@@ -330,13 +343,24 @@
                 self.on_members(members)
         self._tell_fresh()
 
-    def _take_instances(self, instances):
+    def take_takeover(self, takeover):
+        """Take in a takeover, unless a newer one of the service is known."""
+        known = self.known.takeovers.get(takeover.service)
+        if known is not None and known.row_version >= takeover.row_version:
+            return
+        self.known.takeovers[takeover.service] = takeover
+        self._set_instances_digest()
+        if self.on_takeovers is not None:
+            self.on_takeovers(self.known.takeovers)
+
+    def _take_instances(self, instances, found_takeovers):
+        for takeover in found_takeovers:
+            self.take_takeover(takeover)
         instances = sorted(instances, key=lambda found: found.name)
-        digest = _digest(instances)
-        if digest == self.known.instances_digest:
+        if instances == self.known.instances:
             return
         self.known.instances = instances
-        self.known.instances_digest = digest
+        self._set_instances_digest()
         for name in list(self.context.members.records):
             if name not in {found.name for found in instances}:
                 self.context.members.forget(name)
@@ -348,6 +372,11 @@
         if self.on_instances is not None:
             self.on_instances(instances)
 
+    def _set_instances_digest(self):
+        known = self.known
+        items = [*known.instances, *sorted(known.takeovers.items())]
+        known.instances_digest = _digest(items)
+
     def _tell_fresh(self):
         if self.on_fresh is not None:
             self.on_fresh()
@@ -356,6 +385,7 @@
         if available == self.has_store:
             return
         self.has_store = available
+        self.store_since = self.context.now() if available else float("inf")
         if available and self.loop is not None:
             self.members_asked_at = float("-inf")
             self._read(self.context.now())
@@ -433,3 +463,13 @@
         leaving=news.leaving,
         region=news.region,
     )
+
+
+def write_takeover(takeover):
+    """Return the message part that tells of a takeover."""
+    return peer_messages.TakeoverNews(**attrs.asdict(takeover))
+
+
+def read_takeover(news):
+    """Return the Takeover that a message part tells of."""
+    return takeovers.Takeover(**attrs.asdict(news))
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -50,7 +50,7 @@
         self.current = configuration.FleetConfiguration()
         self.groups = {}
         self.pools = {}
-        self.services = {}
+        self.takeovers = {}
         self.sessions = set()
         self.instances = 1
         self.is_stopping = False
@@ -103,6 +103,8 @@
             group = self.groups.get(service)
             if group is None:
                 group = self.groups[service] = placement.Group(service)
+                if service in self.takeovers:
+                    self.set_takeover(self.takeovers[service])
             if group.update(found):
                 self.context.log.write(
                     events.Event.PRIMARY_CHANGED,
@@ -119,6 +121,38 @@
             },
         )
 
+    def set_takeover(self, takeover):
+        """Take in whether a service's primary is being replaced, and by whom."""
+        self.takeovers[takeover.service] = takeover
+        group = self.groups.get(takeover.service)
+        if group is None:
+            return
+        was_held = group.is_held
+        changed = group.set_takeover(takeover.is_held, takeover.successor)
+        if changed or was_held != group.is_held:
+            self.context.log.write(
+                events.Event.PRIMARY_HELD,
+                service=takeover.service,
+                held=group.is_held,
+                primary=group.primary,
+                fence=takeover.fence,
+                row_version=takeover.row_version,
+            )
+
+    def uses_primary(self, service):
+        """Return whether anything is under way at a service's primary."""
+        return any(task.core.uses_primary(service) for task in self.sessions)
+
+    def cut_primary(self, service):
+        """Give up what is under way at a primary that is replaced."""
+        group = self.groups.get(service)
+        if group is None or not group.is_held:
+            return
+        group.is_cut = True
+        for task in list(self.sessions):
+            if task.core.uses_primary(service):
+                task.run(task.core.on_cut())
+
     def on_fresh(self):
         """Take that the knowledge is more recent than before."""
         until = self.freshness.primary_right_until()
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -441,7 +441,7 @@
         if message.step == "roll_back":
             connection.roll_back(self._on_answer)
             return
-        if message.on_primary and not self._may_use_primary():
+        if message.on_primary and not self._may_send():
             connection.on_lost = None
             self._give_up(connection)
             return
@@ -483,9 +483,11 @@
         self.relays.proxy.release(connection)
         self.on_refused(retries.Failure(_KIND.UPSTREAM_UNREACHABLE))
 
-    def _may_use_primary(self):
+    def _may_send(self):
         group = self.relays.proxy.groups.get(self.message.service)
         now = self.relays.context.now()
+        if self.message.transaction:
+            return group is not None and group.may_finish(self.message.member, now)
         member = None if group is None else group.usable_primary(now)
         return member is not None and member.name == self.message.member
 
--- /dev/null
+++ b/pomelograde/net/hosted/takeovers.py
@@ -0,0 +1,436 @@
+"""Replaces the primaries of database services.
+
+The instance that reads the store for the others carries a takeover out. It
+records it in the store, has all instances let go of the old primary, waits for
+the rights of those that do not answer to run out, and promotes the replica
+that has received most.
+"""
+
+from twisted.internet import defer, task
+
+from pomelograde.core import configuration, takeovers
+from pomelograde.net import events, peer_messages, peers, pools, timers
+from pomelograde.net.hosted import news
+
+CHECK_INTERVAL_S = 0.1  # adds little to the time until a failure is noticed
+PLANNED_GRACE_S = 0.8  # for what is under way at a primary that still works
+FAILED_GRACE_S = 0.05  # for answers that are on their way
+HOLD_TIMEOUT_S = 1.5  # beyond the longest grace, with two ways between regions
+RIGHT_MARGIN_S = 0.2  # for clocks that differ in speed, and answers on their way
+MEMBER_TIMEOUT_S = 0.5  # an answer takes 50 ms, work and both ways included
+CATCH_UP_S = 1.5  # a replica usually lags by 0.02 s
+CATCH_UP_INTERVAL_S = 0.03
+PROMOTE_WITHIN_S = 6.0  # of the beginning; a slower holder begins anew
+RETRY_S = 1.0  # after a takeover that failed
+WITNESSES = 2
+
+
+class TakeoverTask:
+    """Watches all primaries, and replaces those that leave or have failed.
+
+    Parameters
+    ----------
+    context : HostedContext
+        Parts of the instance that all tasks share.
+    follower : NewsTask
+        What the store says.
+    proxy : Proxy
+        Groups and sessions.
+    promoter : Promotions
+        The platform's call.
+    """
+
+    def __init__(self, context, follower, proxy, promoter):
+        self.context = context
+        self.follower = follower
+        self.proxy = proxy
+        self.promoter = promoter
+        self.running = set()
+        self.absent_since = {}
+        self.seen_since = {}
+        self.retry_at = {}
+        self.term = 0
+        self.loop = None
+        handlers = context.peers.handlers
+        handlers[peer_messages.HoldRequest] = self._on_hold_request
+        handlers[peer_messages.WitnessRequest] = self._on_witness_request
+
+    def start(self):
+        """Begin to watch."""
+        self.loop = timers.start_loop(
+            self.context, CHECK_INTERVAL_S, self._check, now=False
+        )
+
+    def stop(self):
+        """End watching."""
+        if self.loop is not None and self.loop.running:
+            self.loop.stop()
+
+    def set_takeovers(self, known):
+        """Take in the last takeover of each service."""
+        now = self.context.now()
+        for service, takeover in known.items():
+            seen = self.seen_since.get(service)
+            if seen is None or seen[0] != takeover.row_version:
+                self.seen_since[service] = (takeover.row_version, now)
+            self.proxy.set_takeover(takeover)
+            if takeover.is_held and seen != self.seen_since[service]:
+                self._release_soon(service, PLANNED_GRACE_S)
+
+    def _check(self):
+        now = self.context.now()
+        freshness = self.follower.freshness
+        recent = now < freshness.primary_right_until()
+        if not self.follower.is_reader(now) or not recent or self.proxy.is_stopping:
+            self.absent_since.clear()
+            return
+        for service, group in self.proxy.groups.items():
+            if service in self.running or now < self.retry_at.get(service, now):
+                continue
+            reason = takeovers.find_reason(self._collect(group, now))
+            if self._is_unfinished(service, now):
+                reason = takeovers.Reason.ABSENT
+            if reason is not None:
+                self.running.add(service)
+                defer.ensureDeferred(self._run(group, reason))
+
+    def _collect(self, group, now):
+        """Return the Evidence about a service's primary."""
+        primary = group.members.get(group.primary)
+        registered = primary is not None
+        if registered:
+            self.absent_since.pop(group.name, None)
+        absent_since = self.absent_since.setdefault(group.name, now)
+        if registered:
+            del self.absent_since[group.name]
+        silent_for_s = 0.0
+        if registered and primary.position is not None:
+            silent_for_s = now - primary.position_at
+        return takeovers.Evidence(
+            primary=group.primary if registered else None,
+            is_leaving=registered and primary.leaving,
+            members=len(group.members),
+            absent_for_s=now - absent_since,
+            silent_for_s=silent_for_s,
+            store_for_s=now - self.follower.store_since,
+        )
+
+    def _is_unfinished(self, service, now):
+        """Return whether a takeover that nobody carries on has to be finished."""
+        takeover = self.follower.known.takeovers.get(service)
+        if takeover is None or takeover.is_done:
+            return False
+        seen_for_s = now - self.seen_since[service][1]
+        return takeovers.may_start(takeover, self._holder(), seen_for_s)
+
+    def _holder(self):
+        own = self.context.members.own
+        return f"{own.name}/{own.incarnation}"
+
+    async def _run(self, group, reason):
+        """Carry a takeover out, and note how it ended."""
+        service = group.name
+        started_at = self.context.now()
+        outcome = "failed"
+        try:
+            if reason is not takeovers.Reason.SILENT or await self._confirm(group):
+                outcome = await self._take_over(group, reason)
+            else:
+                outcome = "primary answers"
+        except (
+            self.follower.source.StoreUnavailableError,
+            self.promoter.UnavailableError,
+        ) as error:
+            outcome = f"unavailable: {error}"
+        finally:
+            self.running.discard(service)
+        now = self.context.now()
+        if outcome != "promoted":
+            self.retry_at[service] = now + RETRY_S
+        self.context.log.write(
+            events.Event.TAKEOVER_ENDED,
+            service=service,
+            reason=reason.value,
+            outcome=outcome,
+            s=round(now - started_at, 3),
+        )
+
+    async def _take_over(self, group, reason):
+        source = self.follower.source
+        service = group.name
+        old = group.primary
+        known = self.follower.known.takeovers.get(service)
+        row_version = 0 if known is None else known.row_version
+        self.context.log.write(
+            events.Event.TAKEOVER_STARTED,
+            service=service,
+            reason=reason.value,
+            primary=old,
+            row_version=row_version,
+            age_s=round(self.context.now() - self.follower.freshness.members_at, 3),
+        )
+        takeover = await source.begin_takeover(service, self._holder(), row_version)
+        if takeover is None:
+            self.follower.members_asked_at = float("-inf")
+            return "somebody else began"
+        begun_at = self.context.now()
+        self.follower.take_takeover(takeover)
+        planned = reason is takeovers.Reason.LEAVING
+        await self._let_go(takeover, planned, begun_at)
+        successor = await self._promote(group, takeover, old, planned, begun_at)
+        ended = await source.end_takeover(takeover, successor or group.successor)
+        if ended is not None:
+            self.follower.take_takeover(ended)
+            self._tell(ended)
+        return "promoted" if successor else "no candidate"
+
+    async def _let_go(self, takeover, planned, begun_at):
+        """Return once no instance uses the old primary any more."""
+        instances, found = await self.follower.source.fetch_instances()
+        for row in found:
+            self.follower.take_takeover(row)
+        grace_s = PLANNED_GRACE_S if planned else FAILED_GRACE_S
+        own = self.context.members.own.name
+        others = [known for known in instances if known.name != own]
+        message = _hold_message(takeover, grace_s)
+        waiting = [
+            defer.ensureDeferred(self._ask_to_hold(known, message)) for known in others
+        ]
+        waiting.append(self._release_soon(takeover.service, grace_s))
+        answers = await defer.gatherResults(waiting)
+        silent = [
+            known.name
+            for known, held in zip(others, answers[:-1], strict=True)
+            if not held
+        ]
+        self.context.log.write(
+            events.Event.TAKEOVER_STEP,
+            service=takeover.service,
+            step="held",
+            fence=takeover.fence,
+            silent=silent,
+        )
+        until = begun_at + configuration.PRIMARY_RIGHT_S + RIGHT_MARGIN_S
+        if silent and self.context.now() < until:
+            await self._sleep(until - self.context.now())
+
+    async def _ask_to_hold(self, instance, message):
+        try:
+            answer = await self.context.peers.request(instance, message, HOLD_TIMEOUT_S)
+        except peers.PeerUnreachableError:
+            return False
+        return isinstance(answer, peer_messages.Empty)
+
+    def _tell(self, takeover):
+        """Tell all instances how a takeover has ended."""
+        message = _hold_message(takeover, 0.0)
+        for instance in self.follower.known.instances:
+            if instance.name != self.context.members.own.name:
+                self.context.peers.send(instance, message)
+
+    async def _promote(self, group, takeover, old, planned, begun_at):
+        """Choose a member and have it promoted; returns its name or None."""
+        found = await self._open_all(group)
+        connections = {name: opened for name, opened in found.items() if opened}
+        try:
+            candidates = await self._find_candidates(group, connections, old, planned)
+            chosen = takeovers.choose_successor(candidates)
+            if chosen is None:
+                return None
+            self.context.log.write(
+                events.Event.TAKEOVER_STEP,
+                service=group.name,
+                step="chosen",
+                fence=takeover.fence,
+                member=chosen.name,
+                position=f"{chosen.position.term}.{chosen.position.index}",
+                candidates=len(candidates),
+            )
+            if self.context.now() - begun_at > PROMOTE_WITHIN_S:
+                return None
+            promoted = await self.promoter.promote(
+                group.name, chosen.name, takeover.fence
+            )
+            if not promoted:
+                for name, connection in connections.items():
+                    if name != old:
+                        connection.resume(_ignore)
+                return None
+            if old in connections:
+                connections[old].step_down(self.term + 1, _ignore)
+            return chosen.name
+        finally:
+            for connection in connections.values():
+                self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
+
+    async def _open_all(self, group):
+        """Open a connection to each member; None for those that do not answer."""
+        members = list(group.members.values())
+        opened = await defer.gatherResults(
+            [defer.ensureDeferred(self._open(group, member)) for member in members]
+        )
+        names = [member.name for member in members]
+        return dict(zip(names, opened, strict=True))
+
+    async def _open(self, group, member):
+        account = next(iter(self.proxy.current.accounts), "")
+        opening = defer.ensureDeferred(
+            self.proxy.open_connection(
+                self.context.reactor,
+                group.name,
+                member,
+                account,
+                self.context.settings.host,
+            )
+        )
+        opening.addTimeout(MEMBER_TIMEOUT_S, self.context.reactor)
+        try:
+            return await opening
+        except (pools.UpstreamOpenError, defer.TimeoutError):
+            return None
+
+    async def _find_candidates(self, group, connections, old, planned):
+        """Return the replicas that may lead, with what they have received."""
+        states = await self._ask_all(connections, "ask_status")
+        terms = [term for term, _ in states.values()]
+        self.term = max([group.term, *terms])
+        replicas = {name: found for name, found in connections.items() if name != old}
+        if planned and old in states:
+            states = await self._wait_for_all(replicas, states, states[old][1])
+        else:
+            states = await self._ask_all(replicas, "pause", self.term + 1)
+        place = group.members[old].data_centre if old in group.members else ""
+        return [
+            takeovers.Candidate(
+                name,
+                position,
+                group.members[name].leaving,
+                group.members[name].data_centre == place,
+            )
+            for name, (_, position) in states.items()
+            if name != old and name in group.members
+        ]
+
+    async def _wait_for_all(self, replicas, states, target):
+        """Wait until a replica that stays has received all of a primary's log."""
+        until = self.context.now() + CATCH_UP_S
+        while self.context.now() < until:
+            states = await self._ask_all(replicas, "ask_status")
+            if any(position >= target for _, position in states.values()):
+                break
+            await self._sleep(CATCH_UP_INTERVAL_S)
+        return states
+
+    async def _ask_all(self, connections, call, *arguments):
+        """Ask members for their status; returns term and position by name."""
+        names = list(connections)
+        answers = await defer.gatherResults(
+            [self._ask(connections[name], call, arguments) for name in names]
+        )
+        return {
+            name: found
+            for name, found in zip(names, answers, strict=True)
+            if found is not None
+        }
+
+    def _ask(self, connection, call, arguments):
+        done = defer.Deferred()
+        if connection.is_lost:
+            done.callback(None)
+            return done
+        connection.on_lost = lambda outstanding: done.called or done.callback(None)
+        getattr(connection, call)(
+            *arguments,
+            lambda answer: done.called or done.callback(connection.read_status(answer)),
+        )
+        done.addTimeout(MEMBER_TIMEOUT_S, self.context.reactor)
+        done.addErrback(lambda reason: reason.trap(defer.TimeoutError) and None)
+        return done
+
+    async def _confirm(self, group):
+        """Return whether a silent primary answers nobody."""
+        primary = group.members.get(group.primary)
+        if primary is None or await self._answers(group, primary):
+            return False
+        others = [
+            known
+            for known in self.follower.known.instances
+            if known.data_centre != self.context.settings.data_centre
+        ][:WITNESSES]
+        message = peer_messages.WitnessRequest(group.name, primary.name)
+        asked = [
+            defer.ensureDeferred(self._ask_witness(known, message)) for known in others
+        ]
+        answers = await defer.gatherResults(asked)
+        self.context.log.write(
+            events.Event.TAKEOVER_STEP,
+            service=group.name,
+            step="suspected",
+            primary=primary.name,
+            silent_s=round(self.context.now() - primary.position_at, 3),
+            witnesses=[str(answer) for answer in answers],
+        )
+        return True not in answers and not await self._answers(group, primary)
+
+    async def _ask_witness(self, instance, message):
+        """Return whether an instance reaches a member; None if it is not known."""
+        try:
+            answer = await self.context.peers.request(
+                instance, message, 3 * MEMBER_TIMEOUT_S
+            )
+        except peers.PeerUnreachableError:
+            return None
+        return getattr(answer, "reachable", None)
+
+    async def _answers(self, group, member):
+        """Return whether a member answers on a connection of its own."""
+        asked_at = self.context.now()
+        connection = await self._open(group, member)
+        if connection is None:
+            return False
+        found = await self._ask(connection, "ask_status", ())
+        connection.close()
+        if found is not None:
+            group.on_position(member.name, found[1], asked_at)
+        return found is not None
+
+    def _on_witness_request(self, message, envelope):
+        return defer.ensureDeferred(self._witness(message))
+
+    async def _witness(self, message):
+        group = self.proxy.groups.get(message.group)
+        member = None if group is None else group.members.get(message.member)
+        if member is None:
+            return peer_messages.WitnessAnswer(False)
+        return peer_messages.WitnessAnswer(await self._answers(group, member))
+
+    def _on_hold_request(self, message, envelope):
+        takeover = news.read_takeover(message.takeover[0])
+        self.follower.take_takeover(takeover)
+        current = self.follower.known.takeovers[takeover.service]
+        if not current.is_held:
+            return None
+        return self._release_soon(takeover.service, message.grace_ms / 1000.0)
+
+    def _release_soon(self, service, grace_s):
+        """Let what is under way at a held primary end; returns a Deferred."""
+        return defer.ensureDeferred(self._release(service, grace_s))
+
+    async def _release(self, service, grace_s):
+        until = self.context.now() + grace_s
+        while self.proxy.uses_primary(service) and self.context.now() < until:
+            await self._sleep(CATCH_UP_INTERVAL_S)
+        self.proxy.cut_primary(service)
+
+    def _sleep(self, delay_s):
+        return task.deferLater(self.context.reactor, delay_s, _ignore, None)
+
+
+def _hold_message(takeover, grace_s):
+    return peer_messages.HoldRequest(
+        [news.write_takeover(takeover)], int(grace_s * 1000.0)
+    )
+
+
+def _ignore(answer):
+    """Heed nothing of an answer."""
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -206,6 +206,33 @@
     started_ms: int
 
 
+@attrs.frozen
+class TakeoverNews:
+    """The last replacement of a service's primary, as the store has it."""
+
+    service: str
+    holder: str
+    successor: str
+    fence: int
+    row_version: int
+
+
+@attrs.frozen
+class HoldRequest:
+    """Tells that a primary is being replaced, or has been.
+
+    Attributes
+    ----------
+    takeover : list of TakeoverNews
+        The one that this is about.
+    grace_ms : int
+        Time in which what is under way may end; the answer comes after it.
+    """
+
+    takeover: list[TakeoverNews]
+    grace_ms: int
+
+
 @attrs.frozen
 class NewsRequest:
     """Asks what has changed, and how recent what the peer knows is.
@@ -240,6 +267,8 @@
         All members; empty if they are the same.
     instances : list of InstanceNews
         All registered instances; empty if they are the same.
+    takeovers : list of TakeoverNews
+        Last takeover of each service; comes with the instances.
     """
 
     configuration: int
@@ -250,6 +279,7 @@
     upstreams_age_ms: int
     instances_digest: int
     instances: list[InstanceNews]
+    takeovers: list[TakeoverNews] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -394,6 +424,7 @@
     RelayRequest,
     RelayAnswer,
     Ping,
+    HoldRequest,
 )
 
 ITEMS = {
@@ -401,6 +432,8 @@
     "members": MemberNews,
     "upstreams": UpstreamNews,
     "settings": Setting,
+    "takeover": TakeoverNews,
+    "takeovers": TakeoverNews,
 }
 
 
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -24,6 +24,7 @@
     relayRequest @19 :RelayRequest;
     relayAnswer @20 :RelayAnswer;
     ping @21 :Ping;
+    holdRequest @22 :HoldRequest;
   }
 }
 
@@ -136,6 +137,19 @@
   instancesDigest @2 :UInt64;
 }
 
+struct TakeoverNews {
+  service @0 :Text;
+  holder @1 :Text;
+  successor @2 :Text;
+  fence @3 :UInt64;
+  rowVersion @4 :UInt64;
+}
+
+struct HoldRequest {
+  takeover @0 :List(TakeoverNews);
+  graceMs @1 :UInt32;
+}
+
 struct NewsAnswer {
   configuration @0 :UInt64;
   document @1 :Text;
@@ -145,6 +159,7 @@
   upstreamsAgeMs @5 :Int64;
   instancesDigest @6 :UInt64;
   instances @7 :List(InstanceNews);
+  takeovers @8 :List(TakeoverNews);
 }
 
 struct Ping {
--- a/pomelograde/platform/_lines.py
+++ b/pomelograde/platform/_lines.py
@@ -131,6 +131,23 @@
     return b"%d.%d" % (position.term, position.index)
 
 
+def read_status(answer):
+    """Return term and received position that a member's status row states.
+
+    Notes
+    -----
+    The fields are role, term, position received, term held, lag, statements
+    under way, and connections. None stands for an answer of another form.
+    """
+    if answer.error is not None or not answer.rows:
+        return None
+    fields = answer.rows[0].split(b" ")
+    if len(fields) < 3 or not fields[1].isdigit():
+        return None
+    position = read_position(fields[2])
+    return None if position is None else (int(fields[1]), position)
+
+
 def read_statement(line):
     """Read a caller's statement from ``QUERY id text``.
 
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -4,12 +4,13 @@
 
 import attrs
 
-from pomelograde.core import membership
+from pomelograde.core import membership, takeovers
 from pomelograde.platform import manifest, registry, store
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 INSTANCES_TABLE = "instances"  # the fleet's own
+TAKEOVER_PREFIX = "takeover/"  # no instance's name has a slash
 
 
 @attrs.frozen
@@ -70,10 +71,61 @@
         return registry.read_members(found.rows), found.as_of
 
     async def fetch_instances(self):
-        """Return the registered instances, and as of when."""
+        """Return the registered instances, and the last takeover of each service."""
         found = await self.client.read_table(INSTANCES_TABLE)
-        instances = [_read_instance(row) for row in found.rows]
-        return [known for known in instances if known is not None], found.as_of
+        instances = [
+            _read_instance(row)
+            for row in found.rows
+            if not row.key.startswith(TAKEOVER_PREFIX)
+        ]
+        read = [
+            _read_takeover(row)
+            for row in found.rows
+            if row.key.startswith(TAKEOVER_PREFIX)
+        ]
+        return (
+            [known for known in instances if known is not None],
+            [known for known in read if known is not None],
+        )
+
+    async def begin_takeover(self, service, holder, row_version):
+        """Record that a primary is being replaced.
+
+        Parameters
+        ----------
+        service, holder : str
+            What is replaced, and by whom.
+        row_version : int
+            Version that the service's row must have; 0 for none.
+
+        Returns
+        -------
+        Takeover or None
+            None if the row has changed.
+        """
+        key = TAKEOVER_PREFIX + service
+        value = json.dumps({"holder": holder}).encode()
+        version = await self.client.commit(
+            INSTANCES_TABLE, {key: row_version}, {key: value}
+        )
+        if version is None:
+            return None
+        return takeovers.Takeover(service, holder, "", version, version)
+
+    async def end_takeover(self, takeover, successor):
+        """Record its end; returns the Takeover, or None if the row has changed."""
+        key = TAKEOVER_PREFIX + takeover.service
+        body = {"holder": "", "successor": successor, "fence": takeover.fence}
+        version = await self.client.commit(
+            INSTANCES_TABLE,
+            {key: takeover.row_version},
+            {key: json.dumps(body).encode()},
+        )
+        if version is None:
+            return None
+        return attrs.evolve(
+            takeover, holder="", successor=successor, row_version=version
+        )
 
     async def register(self, instance):
         """Write this instance's row."""
@@ -98,3 +150,17 @@
         return membership.Instance(**json.loads(row.value))
     except (ValueError, TypeError):
         return None
+
+
+def _read_takeover(row):
+    try:
+        body = json.loads(row.value)
+        return takeovers.Takeover(
+            service=row.key.removeprefix(TAKEOVER_PREFIX),
+            holder=body["holder"],
+            successor=body.get("successor", ""),
+            fence=body.get("fence", row.version),
+            row_version=row.version,
+        )
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return None
--- a/pomelograde/platform/store.py
+++ b/pomelograde/platform/store.py
@@ -1,24 +1,18 @@
 """Calls to the platform's metadata store."""
 
 import base64
-import json
-import urllib.parse
 
 import attrs
-from twisted.internet import defer, error, protocol
-from twisted.web import client, http_headers
-from twisted.web import http as web_http
 
-CALL_TIMEOUT_S = 1.5  # an answer takes 4 ms; leaves time for others to be asked
+from pomelograde.platform import http
+
 CLOCK_DRIFT = 0.001  # share by which the store's clock and ours may differ
-CONNECTIONS = 3  # one held by a long poll, two for other calls
 OK = 200
 CONFLICT = 412
 HISTORY_LOST = 410
 
 
-class StoreUnavailableError(Exception):
-    """The store did not answer, or would not; a commit may still happen."""
+StoreUnavailableError = http.UnavailableError
 
 
 class HistoryLostError(Exception):
@@ -68,35 +62,18 @@
 
     Parameters
     ----------
-    reactor : IReactorTCP
-        Reactor.
-    address : str
-        Host and port.
-    bind_host : str
-        IP address to connect from.
-    on_call : callable
-        Called with the name of each call and its outcome.
+    http : HttpClient
+        Client of the store's address.
     """
 
-    def __init__(self, reactor, address, bind_host, on_call=lambda name, outcome: None):
-        self.reactor = reactor
-        self.base = f"http://{address}"
-        self.on_call = on_call
+    def __init__(self, http):
+        self.http = http
         self.clock_at = None
         self.clock_ms = 0
-        self.pool = client.HTTPConnectionPool(reactor)
-        self.pool.maxPersistentPerHost = CONNECTIONS
-        self.pool.retryAutomatically = False
-        self.agent = client.Agent(
-            reactor,
-            connectTimeout=CALL_TIMEOUT_S,
-            bindAddress=(bind_host, 0) if bind_host else None,
-            pool=self.pool,
-        )
 
     async def read_table(self, table):
         """Return all rows of a table."""
-        asked_at = self.reactor.seconds()
+        asked_at = self.http.reactor.seconds()
         rows = []
         first_as_of = None
         start = ""
@@ -104,7 +81,7 @@
             query = {"table": table, "part": "", "limit": 500}
             if start:
                 query["from"] = start
-            status, body = await self._call("read", "GET", "/rows-get", query)
+            status, body = await self.http.call("read", "GET", "/rows-get", query)
             if status != OK:
                 raise StoreUnavailableError(f"status {status}")
             as_of = self._locate(body["nowMs"], asked_at)
@@ -131,9 +108,11 @@
         HistoryLostError
             If the table has to be read anew.
         """
-        asked_at = self.reactor.seconds()
+        asked_at = self.http.reactor.seconds()
         query = {"table": table, "after": version, "waitMs": int(wait_s * 1000)}
-        status, body = await self._call("follow", "GET", "/rows-feed", query, wait_s)
+        status, body = await self.http.call(
+            "follow", "GET", "/rows-feed", query, wait_s=wait_s
+        )
         if status == HISTORY_LOST:
             raise HistoryLostError
         if status != OK:
@@ -179,17 +158,13 @@
                 if value is None
             ],
         }
-        status, found = await self._call("commit", "POST", "/rows-tx", {}, 0.0, body)
+        status, found = await self.http.call("commit", "POST", "/rows-tx", body=body)
         if status == CONFLICT:
             return None
         if status != OK:
             raise StoreUnavailableError(f"status {status}")
         return found["ver"]
 
-    def close(self):
-        """Close all connections; returns a Deferred."""
-        return self.pool.closeCachedConnections()
-
     def _locate(self, now_ms, asked_at):
         """Return a time on this instance's clock before the store's answer arose.
 
@@ -210,74 +185,12 @@
         if self.clock_at is not None:
             passed_s = (now_ms - self.clock_ms) / 1000.0
             placed = self.clock_at + passed_s * (1.0 - CLOCK_DRIFT)
-            if placed <= self.reactor.seconds():
+            if placed <= self.http.reactor.seconds():
                 as_of = max(asked_at, placed)
         self.clock_at = as_of
         self.clock_ms = now_ms
         return as_of
 
-    async def _call(self, name, method, path, query, wait_s=0.0, body=None):
-        url = self.base + path
-        if query:
-            url += "?" + urllib.parse.urlencode(query)
-        headers = http_headers.Headers({"Content-Type": ["application/json"]})
-        producer = None if body is None else _Body(json.dumps(body).encode())
-        timeout_s = wait_s + CALL_TIMEOUT_S
-        try:
-            request = self.agent.request(
-                method.encode(), url.encode(), headers, producer
-            )
-            request.addTimeout(timeout_s, self.reactor)
-            response = await request
-            reading = client.readBody(response)
-            reading.addTimeout(timeout_s, self.reactor)
-            content = await reading
-        except _FAILURES as failure:
-            self.on_call(name, "no_answer")
-            raise StoreUnavailableError(type(failure).__name__) from failure
-        self.on_call(name, str(response.code))
-        try:
-            return response.code, json.loads(content) if content else {}
-        except ValueError as failure:
-            raise StoreUnavailableError("unreadable answer") from failure
-
-
-class _Body:
-    """Body of a request."""
-
-    def __init__(self, data):
-        self.data = data
-        self.length = len(data)
-
-    def startProducing(self, consumer):  # noqa: N802
-        """Write everything at once."""
-        consumer.write(self.data)
-        return defer.succeed(None)
-
-    def pauseProducing(self):  # noqa: N802
-        """Do nothing."""
-
-    def resumeProducing(self):  # noqa: N802
-        """Do nothing."""
-
-    def stopProducing(self):  # noqa: N802
-        """Do nothing."""
-
-
-_FAILURES = (
-    defer.TimeoutError,
-    defer.CancelledError,
-    error.ConnectError,
-    error.ConnectionClosed,
-    client.ResponseFailed,
-    client.RequestTransmissionFailed,
-    client.ResponseNeverReceived,
-    client.RequestNotSent,
-    client.PartialDownloadError,
-    web_http.PotentialDataLoss,
-    protocol.connectionDone.type,
-)
-
 
 def _read_row(row):
     value = None
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -121,6 +121,26 @@
         self.prepared.clear()
         self._send([_lines.RESET], done)
 
+    def ask_status(self, done):
+        """Ask what the member knows of itself; `done` is called with the Answer."""
+        self._send([_lines.STATUS], done)
+
+    def read_status(self, answer):
+        """Return term and received position out of an Answer, or None."""
+        return _lines.read_status(answer)
+
+    def pause(self, term, done):
+        """Let a replica receive nothing more; `done` is called with the Answer."""
+        self._send([_lines.write_pause(term)], done)
+
+    def resume(self, done):
+        """Let a replica receive again."""
+        self._send([_lines.RESUME], done)
+
+    def step_down(self, term, done):
+        """Make a primary of a lower term a replica."""
+        self._send([_lines.write_step_down(term)], done)
+
     def close(self):
         """Close the connection, and tell whoever waits."""
         if not self.is_lost:
@@ -220,6 +240,13 @@
             on_lost(outstanding)
 
 
+_NOT_OPENED = (
+    net_error.ConnectError,
+    net_error.ConnectingCancelledError,
+    defer.CancelledError,
+)
+
+
 async def open_connection(reactor, service, member, role, bind_host):
     """Open a connection to a member.
 
@@ -256,7 +283,7 @@
     )
     try:
         await endpoints.connectProtocol(endpoint, connection)
-    except (net_error.ConnectError, defer.CancelledError) as error:
+    except _NOT_OPENED as error:
         raise pools.UpstreamOpenError(str(error) or "no answer") from error
     connection.ready.addTimeout(OPEN_TIMEOUT_S, reactor)
     try:
