--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -167,6 +167,10 @@
         """Return what a member holds."""
         return http.send("GET", f"http://{self.members}/{name}")
 
+    def show_promotions(self):
+        """Return member, holder and fence of each promotion."""
+        return http.send("GET", f"http://{self.members}/promotions")
+
     def change_member(self, name, **changes):
         """Change attributes of a member."""
         http.post(f"http://{self.members}/{name}", changes)
--- a/pomelograde/standins/hosting/host.py
+++ b/pomelograde/standins/hosting/host.py
@@ -76,10 +76,13 @@
         self.host = host
 
     def render_GET(self, request):  # noqa: N802
-        """Show what a member holds and has run."""
+        """Show what a member holds and has run, or all promotions."""
+        if request.path == b"/promotions":
+            return http.answer(request, 200, self.host.promotions)
         found = self.host.find(request.path.decode().strip("/"))
         shown = {
             "role": found.role,
+            "down": found.down,
             "log": found.log,
             "runs": found.runs,
             "connections": found.connections,
@@ -115,6 +118,8 @@
         members = [member.Member(f"i-{zone}", zone, member.REPLICA) for zone in ZONES]
         members[0].role = member.PRIMARY
         self.group = member.Group(SERVICE, members, CONNECTIONS)
+        self.site.on_promote = self.promote
+        self.promotions = []
         self.ports = {}
         self.seq = 0
 
@@ -136,10 +141,23 @@
         """Return the member of a name."""
         return next(found for found in self.group.members if found.name == name)
 
+    def promote(self, body, holder, fence):
+        """Make a member lead; returns the status of the answer."""
+        self.promotions.append([body["id"], holder, fence])
+        found = self.find(body["id"])
+        if found.down:
+            return 409
+        self.group.promote(found.name)
+        self.beat()
+        return 200
+
     def beat(self):
         """Let each member write its row."""
         self.seq += 1
         for found in self.group.members:
+            if found.down:
+                self.site.put("servers", found.name, None)
+                continue
             row = member.describe(self.group, found, self.ports[found.name], self.seq)
             self.site.put("servers", found.name, row)
 
--- a/pomelograde/standins/hosting/member.py
+++ b/pomelograde/standins/hosting/member.py
@@ -37,6 +37,12 @@
         Number of writes to come that are run and not answered.
     runs : list of tuple
         Client account, id and text of each statement that was run.
+    state : str
+        ``ready`` or ``draining``.
+    down : bool
+        Whether it answers nobody and writes no row.
+    paused : bool
+        Whether a replica receives nothing.
     """
 
     name: str
@@ -49,6 +55,9 @@
     fail: str = ""
     drop_answers: int = 0
     runs: list = attrs.field(factory=list)
+    state: str = "ready"
+    down: bool = False
+    paused: bool = False
     connections: int = 0
     most_connections: int = 0
 
@@ -93,10 +102,13 @@
         term = max(member.term for member in self.members) + 1
         for member in self.members:
             member.role = REPLICA
+            member.paused = False
         chosen.role = PRIMARY
         chosen.term = term
 
     def _apply(self, replica, primary):
+        if replica.paused or replica.down:
+            return
         if replica.role == REPLICA and primary.role == PRIMARY:
             replica.log = list(primary.log)
             replica.applied = len(replica.log)
@@ -125,6 +137,9 @@
 
     def lineReceived(self, line):  # noqa: N802
         """Answer one message."""
+        if self.member.down:
+            self.transport.abortConnection()
+            return
         word, _, rest = line.decode("latin-1").partition(" ")
         if self.account is None:
             self._start(word, rest)
@@ -240,6 +255,26 @@
         self.prepared.clear()
         self._done()
 
+    def _status(self, request_id, arguments, text):
+        member = self.member
+        received = f"{member.term}.{len(member.log)}"
+        self._done(
+            [f"{member.role} {member.term} {received} 0 0 0 {member.connections}"]
+        )
+
+    def _pause(self, request_id, arguments, text):
+        self.member.paused = True
+        self._status(request_id, arguments, text)
+
+    def _resume(self, request_id, arguments, text):
+        self.member.paused = False
+        self._status(request_id, arguments, text)
+
+    def _step_down(self, request_id, arguments, text):
+        if self.member.term < int(arguments):
+            self.member.role = REPLICA
+        self._status(request_id, arguments, text)
+
     def _done(self, rows=(), request_id=None):
         for row in rows:
             self.sendLine(f"DATAROW {row}".encode("latin-1"))
@@ -267,6 +302,10 @@
     "SET": MemberProtocol._set,
     "PARSE": MemberProtocol._parse,
     "DISCARD": MemberProtocol._discard,
+    "STATUS": MemberProtocol._status,
+    "PAUSE": MemberProtocol._pause,
+    "RESUME": MemberProtocol._resume,
+    "STEPDOWN": MemberProtocol._step_down,
 }
 
 
@@ -293,7 +332,7 @@
             "zone": member.zone,
             "version": "v1",
             "slots": 3,
-            "state": "ready",
+            "state": member.state,
             "coldRemainingMs": 0,
             "dbRole": member.role,
             "seq": seq,
--- a/pomelograde/standins/hosting/store.py
+++ b/pomelograde/standins/hosting/store.py
@@ -112,6 +112,7 @@
         self.faults = StoreFaults()
         self.waiting = []
         self.calls = {}
+        self.on_promote = None
 
     def render(self, request):
         """Answer a call."""
@@ -130,6 +131,13 @@
             self.tables.oldest = self.tables.version + 1
             self._wake()
             return http.answer(request, 200, {})
+        if path == "/promote":
+            status = self.on_promote(
+                http.read_body(request),
+                request.getHeader("Lease-Holder"),
+                int(request.getHeader("Fencing-Token")),
+            )
+            return http.answer(request, status, {})
         self.calls[path] = self.calls.get(path, 0) + 1
         if self.faults.silent:
             return server.NOT_DONE_YET
