Let requests wait for the rate after an outage; trust restarted keepers sooner

Waits are now long after times of plenty and short in a standing queue; suspicion starts at 0.3 s and doubles. An instance that the store turns away asks others sooner.

--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -8,6 +8,8 @@
 
 MAX_WAIT_S = 1.0  # longest wait for the rate
 WAIT_PART = 0.5  # part of a request's time that it may wait for the rate
+PLENTY = 2.0  # tokens; one may be there between two requests of a long queue
+STANDING_S = 2.0  # after an outage what has gathered is served within about that
 DEMAND_WINDOW_S = 0.25
 KEEP_S = 0.1  # a lender keeps its own demand of this time
 LOW_S = 0.1  # tokens for less than this time are too few
@@ -94,9 +96,15 @@
         Its rate and burst are this instance's.
     reserved : float
         Room for tokens that peers have been asked for.
+    plentiful_at : float
+        When the bucket last held plenty, or else the start.
 
     Notes
     -----
+    Soon after the start, or after times of plenty, requests may wait for long,
+    since what gathered in an outage can still be served. The queue of an
+    account that keeps asking for too much would only delay everybody.
+
     Tokens are moved between instances and never copied. A borrower keeps room
     free for what it has asked for, so tokens held and tokens on the way never
     exceed the bursts of all buckets together. Tokens that are lost on the way
@@ -114,6 +122,7 @@
         self.peers = {}
         self.gained = 0.0
         self.next_expiry = float("inf")
+        self.plentiful_at = now
         self.borrow_at = float("-inf")
 
     def resize(self, rate_per_s, burst, part, now):
@@ -127,6 +136,9 @@
     def take(self, now):
         """Take one token if there is one and nobody waits; returns whether."""
         self._note_demand(now)
+        self.bucket.refill(now)
+        if self.burst > 0.0 and self.bucket.tokens >= self._plenty():
+            self.plentiful_at = now
         return not self.waiters and self._take(now)
 
     def wait(self, deadline, now, context, longest_s=MAX_WAIT_S, priority=0):
@@ -141,7 +153,7 @@
         context : object
             What the driver needs to answer it.
         longest_s : float
-            Longest wait that is of use to the caller.
+            Longest wait while the queue is a standing one.
         priority : int
             0 is served first; requests of one priority keep their order.
 
@@ -151,6 +163,8 @@
             The queued request, or the seconds after which it may be sent
             again if it can't be admitted in time.
         """
+        if now - self.plentiful_at < STANDING_S:
+            longest_s = MAX_WAIT_S
         place = bisect.bisect_right(self.waiters, priority, key=_priority)
         wait_s = self.expected_wait_s(place + 1, now)
         limit = now + min((deadline - now) * WAIT_PART, longest_s)
@@ -291,6 +305,10 @@
         low = min(self.burst / 2.0, 1.0 + self._demand_per_s() * LOW_S)
         return bool(self.waiters) or (self.demand > 0.5 and self.bucket.tokens < low)
 
+    def _plenty(self):
+        """Return the tokens of a bucket that nobody has been waiting at."""
+        return max(self.burst / 2.0, min(self.burst, PLENTY))
+
     def _missing(self):
         """Return what the next whole token lacks, or 1.0 if there is one."""
         return 1.0 - self.bucket.tokens if self.bucket.tokens < 1.0 else 1.0
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -18,7 +18,7 @@
 RETRY_INTERVAL_S = 0.3  # until the first answer of the store
 ASK_TIMEOUT_S = 0.3  # a peer answers within 50 ms
 SUSPECT_S = 3.0  # time before a reader that did not help is asked again
-STALE_S = 2.0  # age of news that makes another source worth asking
+STALE_S = 1.5  # age of news that makes another source worth asking
 UNKNOWN_AGE_MS = 2**40
 
 
@@ -157,7 +157,8 @@
         if reader.name != self.context.members.own.name:
             return defer.ensureDeferred(self._ask(reader))
         self._read(now)
-        if now - self.freshness.configuration_at <= STALE_S:
+        recent = now - self.freshness.configuration_at <= STALE_S
+        if self.has_store and recent:
             return None
         return defer.ensureDeferred(self._ask_any())
 
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -18,7 +18,9 @@
 PROBE_AFTER_S = 0.25  # an answer on a live network takes 0.1 s, work included
 PROBE_TIMEOUT_S = 0.3
 KEPT_MARGIN_S = 1.0  # beyond the time after which its own instance ends it
-SUSPECT_S = 2.0  # time before a silent keeper is used again
+FIRST_SUSPECT_S = 0.3  # a process that was killed is back about that soon
+SUSPECT_S = 2.0  # longest time before a silent keeper is used again
+FORGET_S = 5.0  # without trouble, after which a keeper is trusted as before
 
 _KIND = retries.ErrorKind
 _OP = statements.Operation
@@ -184,6 +186,8 @@
     ----------
     suspects : dict of str to float
         Time until which each silent keeper is passed over.
+    pauses : dict of str to tuple
+        End and length of the last such time.
     kept : dict of int to Kept
         Transactions that are open for other instances.
     """
@@ -192,6 +196,7 @@
         self.context = context
         self.proxy = proxy
         self.suspects = {}
+        self.pauses = {}
         self.outstanding = {}
         self.probing = set()
         self.kept = {}
@@ -329,15 +334,22 @@
             self.probing.discard(keeper.name)
 
     def _suspect(self, name, reason):
-        now = self.context.now()
-        if now >= self.suspects.get(name, now):
-            self.context.log.write(
-                events.Event.KEEPER_SUSPECTED, keeper=name, reason=reason
-            )
-        self.suspects[name] = now + SUSPECT_S
-        self.context.peers.renew(name)
+        """Pass a keeper over for a while, and give up what it has not answered."""
         for connection in list(self.outstanding.pop(name, ())):
             connection.lose()
+        now = self.context.now()
+        if now < self.suspects.get(name, now):
+            return
+        self.context.log.write(
+            events.Event.KEEPER_SUSPECTED, keeper=name, reason=reason
+        )
+        until, pause_s = self.pauses.get(name, (now, FIRST_SUSPECT_S / 2.0))
+        pause_s = min(SUSPECT_S, 2.0 * pause_s)
+        if now - until > FORGET_S:
+            pause_s = FIRST_SUSPECT_S
+        self.suspects[name] = now + pause_s
+        self.pauses[name] = (now + pause_s, pause_s)
+        self.context.peers.renew(name)
 
     def _on_answer(self, message, connection):
         if not connection.parts or len(connection.parts) == 1:
