Finish the takeovers of processes that are gone; give the rate of what never ran back

Meanwhile each refused attempt used up a token, so that all accounts were over their rates. Requests to peers that were never sent also left a time limit behind that failed unnoticed.

--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -141,6 +141,11 @@
             self.plentiful_at = now
         return not self.waiters and self._take(now)
 
+    def give_back(self, now):
+        """Take back the token of a request that never ran."""
+        self.bucket.refill(now)
+        self.bucket.tokens = min(self.bucket.burst, self.bucket.tokens + 1.0)
+
     def wait(self, deadline, now, context, longest_s=MAX_WAIT_S, priority=0):
         """Queue a request.
 
--- a/pomelograde/core/statements/__init__.py
+++ b/pomelograde/core/statements/__init__.py
@@ -11,6 +11,7 @@
 Close = _actions.Close
 Discard = _actions.Discard
 Execute = _actions.Execute
+GiveBack = _actions.GiveBack
 Note = _actions.Note
 Operation = _statements.Operation
 Prepared = _statements.Prepared
@@ -34,6 +35,7 @@
     "Close",
     "Discard",
     "Execute",
+    "GiveBack",
     "Note",
     "Operation",
     "Prepared",
--- a/pomelograde/core/statements/_actions.py
+++ b/pomelograde/core/statements/_actions.py
@@ -28,6 +28,13 @@
     priority: int
 
 
+@attrs.frozen
+class GiveBack:
+    """Give back what was taken of the rate for an operation that never ran."""
+
+    account: str
+
+
 @attrs.frozen
 class Acquire:
     """Get a connection to a member.
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -95,6 +95,8 @@
         Times that it ran as a read, and failed.
     acquiring : bool
         Whether a connection or the rate is waited for.
+    admitted : bool
+        Whether a part of the client account's rate was taken for it.
     """
 
     statement: _statements.Statement
@@ -114,6 +116,7 @@
     attempts: int = 0
     failed_reads: int = 0
     acquiring: bool = False
+    admitted: bool = False
 
     def describe(self):
         """Return what decided on the statement, for the log."""
@@ -219,6 +222,7 @@
         """Take that the client account's rate has room."""
         attempt = self.attempt
         attempt.acquiring = False
+        attempt.admitted = True
         if attempt.statement.operation in (_OP.BEGIN, _OP.BEGIN_READ_ONLY):
             read_only = attempt.statement.operation is _OP.BEGIN_READ_ONLY
             self.transaction = Transaction(read_only, attempt.route, idle_since=now)
@@ -384,6 +388,7 @@
             actions = self._end_transaction()
             return [*actions, *self._refuse(failure)]
         self._start(statement, prepared, writes, transaction.route, now)
+        self.attempt.admitted = True
         if transaction.connection is None:
             return self._place(now)
         attempt = self.attempt
@@ -645,6 +650,9 @@
             actions.append(_actions.CancelAcquire())
         if attempt.connection is not None:
             actions.append(_actions.Discard(attempt.connection))
+        has_run = self.transaction is not None and self.transaction.has_run
+        if attempt.admitted and not attempt.attempts and not has_run:
+            actions.append(_actions.GiveBack(self.account))
         if self.transaction is not None:
             self.transaction.connection = None
             self.transaction.failed = True
--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -40,7 +40,7 @@
         return bool(self.holder)
 
 
-def may_start(takeover, holder, seen_for_s):
+def may_start(takeover, holder, holders, seen_for_s):
     """Return whether an instance may begin a takeover.
 
     Parameters
@@ -49,9 +49,11 @@
         The last one of the service.
     holder : str
         Instance, and its incarnation, that wants to.
+    holders : set of str
+        Registered instances, each with its incarnation.
     seen_for_s : float
         How long the row has been seen unchanged.
     """
     if takeover is None or takeover.is_done or takeover.holder == holder:
         return True
-    return seen_for_s > ABANDONED_S
+    return takeover.holder not in holders or seen_for_s > ABANDONED_S
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -176,6 +176,11 @@
     waiting.addCallback(task._on_admission, task.current)
 
 
+@_carry_out.register
+def _(action: statements.GiveBack, task):
+    task.proxy.rates.give_back(action.account)
+
+
 @_carry_out.register
 def _(action: statements.Acquire, task):
     role = task.account
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -121,11 +121,9 @@
         if takeover is None or takeover.is_done:
             return False
         seen_for_s = now - self.seen_since[service][1]
-        return takeovers.may_start(takeover, self._holder(), seen_for_s)
-
-    def _holder(self):
-        own = self.context.members.own
-        return f"{own.name}/{own.incarnation}"
+        holders = {_holder(found) for found in self.follower.known.instances}
+        own = _holder(self.context.members.own)
+        return takeovers.may_start(takeover, own, holders, seen_for_s)
 
     async def _run(self, group, reason):
         """Carry a takeover out, and note how it ended."""
@@ -169,7 +167,9 @@
             row_version=row_version,
             age_s=round(self.context.now() - self.follower.freshness.members_at, 3),
         )
-        takeover = await source.begin_takeover(service, self._holder(), row_version)
+        takeover = await source.begin_takeover(
+            service, _holder(self.context.members.own), row_version
+        )
         if takeover is None:
             self.follower.members_asked_at = float("-inf")
             return "somebody else began"
@@ -426,6 +426,11 @@
         return task.deferLater(self.context.reactor, delay_s, _ignore, None)
 
 
+def _holder(instance):
+    """Return what a takeover names the process by that carries it out."""
+    return f"{instance.name}/{instance.incarnation}"
+
+
 def _hold_message(takeover, grace_s):
     return peer_messages.HoldRequest(
         [news.write_takeover(takeover)], int(grace_s * 1000.0)
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -178,6 +178,10 @@
             raise PeerUnreachableError(instance.name) from error
         finally:
             self.waiting.pop(request_id, None)
+            if not answer.called:
+                # Nothing was sent; the time limit would fail unnoticed later.
+                answer.addErrback(lambda reason: None)
+                answer.cancel()
 
     def receive(self, envelope, connection):
         """Take a message from a peer."""
--- a/pomelograde/net/rates.py
+++ b/pomelograde/net/rates.py
@@ -114,6 +114,15 @@
             self._borrow(account, share, now)
         return admitted
 
+    def give_back(self, account):
+        """Take back what a request took that never ran."""
+        share = self.shares.get(account)
+        if share is not None:
+            now = self.clock()
+            share.give_back(now)
+            if share.waiters:
+                self._serve(account, share, now)
+
     def wait(self, account, deadline, longest_s=limits.MAX_WAIT_S, priority=0):
         """Wait for one request of a client account's rate.
 
--- a/tests/core/statements/test_session.py
+++ b/tests/core/statements/test_session.py
@@ -156,6 +156,31 @@
         self.assertIsInstance(actions[0], statements.CancelAcquire)
 
 
+class RateTests(SessionTests):
+    def give_backs(self, actions):
+        return [a for a in actions if isinstance(a, statements.GiveBack)]
+
+    def test_what_never_ran_gives_its_part_of_the_rate_back(self):
+        self.gate.found.right_until = 0.0
+        self.start(OP.WRITE)
+        actions = self.session.on_wake(NOW + 0.11)
+        self.assertEqual(1, len(self.give_backs(actions)))
+
+    def test_what_was_sent_does_not(self):
+        self.connect(self.start(OP.WRITE))
+        self.assertEqual([], self.give_backs(self.session.on_time(NOW + 0.9, 3.0)))
+
+    def test_what_was_not_admitted_has_nothing_to_give_back(self):
+        self.session.on_statement(self.statement(OP.READ), NOW)
+        failure = retries.Failure(KIND.RATE_EXCEEDED)
+        self.assertEqual([], self.give_backs(self.session.on_refused(failure, NOW)))
+
+    def test_transaction_that_has_run_does_not(self):
+        self.begin()
+        self.gate.found.right_until = NOW
+        self.assertEqual([], self.give_backs(self.start(OP.READ)))
+
+
 class RetryTests(SessionTests):
     def test_lagging_replica_is_passed_over(self):
         self.connect(self.start(OP.READ))
