--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -178,10 +178,9 @@
             raise PeerUnreachableError(instance.name) from error
         finally:
             self.waiting.pop(request_id, None)
-            if not answer.called:
-                # Nothing was sent; the time limit would fail unnoticed later.
-                answer.addErrback(lambda reason: None)
-                answer.cancel()
+            # Where nothing was sent, nobody awaits what the time limit does.
+            answer.addErrback(lambda reason: None)
+            answer.cancel()
 
     def receive(self, envelope, connection):
         """Take a message from a peer."""
