--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -97,6 +97,7 @@
         self.members_asked_at = float("-inf")
         self.suspects = {}
         self.turn = 0
+        self.unanswered = set()
         self.has_store = None
         self.loop = None
         self.stopped = False
@@ -187,24 +188,26 @@
             defer.ensureDeferred(self._fetch())
 
     async def _follow(self):
+        answered = False
         try:
             age_s = self.context.now() - self.freshness.configuration_at
             wait_s = LONG_POLL_S if age_s < STALE_S else 0.0
             document = await self.source.wait_for_configuration(
                 self.follow_version, wait_s
             )
-            self._set_store(True)
-            self._take_document(document)
+            answered = True
         except self.source.HistoryLostError:
             await self._read_configuration_again()
         except self.source.StoreUnavailableError as error:
             self._set_store(False, str(error))
+        finally:
             self.following = False
-            return
-        self.following = False
-        now = self.context.now()
-        if self.is_reader(now):
-            self._read(now)
+        if answered:
+            self._set_store(True)
+            self._take_document(document)
+            now = self.context.now()
+            if self.is_reader(now):
+                self._read(now)
 
     async def _read_configuration_again(self):
         try:
@@ -216,12 +219,14 @@
         try:
             members, as_of = await self.source.fetch_members()
             instances = await self.source.fetch_instances()
-            self._set_store(True)
-            self._take_instances(*instances)
-            self._take_members(members, as_of)
         except self.source.StoreUnavailableError as error:
             self._set_store(False, str(error))
-        self.fetching = False
+            return
+        finally:
+            self.fetching = False
+        self._set_store(True)
+        self._take_instances(*instances)
+        self._take_members(members, as_of)
 
     async def _ask_any(self):
         """Ask another instance while the store does not answer this one."""
@@ -237,8 +242,13 @@
     async def _ask(self, reader):
         answer, asked_at = await self._request(reader)
         if answer is None:
+            if reader.name in self.unanswered:
+                # Twice in a row: the connection may have gone silent.
+                self.context.peers.renew(reader.name)
+            self.unanswered.add(reader.name)
             self._suspect(reader.name, "no answer")
             return
+        self.unanswered.discard(reader.name)
         self._take_answer(answer, asked_at)
         if answer.configuration_age_ms > STALE_S * 1000.0:
             self._suspect(reader.name, "old news")
@@ -261,6 +271,8 @@
     def _suspect(self, name, reason):
         now = self.context.now()
         self.suspects[name] = now + SUSPECT_S
+        if now - self.freshness.configuration_at > STALE_S:
+            self._read(now)
         self.context.log.write(
             events.Event.NEWS_SOURCE_SUSPECTED, source=name, reason=reason
         )
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -9,6 +9,7 @@
 SWEEP_INTERVAL_S = 0.05  # a sixteenth of the shortest time limit in use
 FULL_PAUSE_S = 1.0  # before a member that was full is asked for more again
 POSITION_INTERVAL_S = 0.4  # three floors within the shortest staleness in use
+DENIAL_AGE_S = 2.5  # of the configuration; a new one is in force 3 s after its ack
 ABANDON_LIMIT_S = 2.0  # for an outstanding answer and the rollback behind it
 
 _KIND = retries.ErrorKind
@@ -180,7 +181,12 @@
         """Return why statements of a session may not run, or None."""
         if not self.freshness.may_accept_keys(now):
             return retries.Failure(_KIND.CONFIGURATION_STALE)
-        return self._find_withdrawn(database, key)
+        failure = self._find_withdrawn(database, key)
+        age_s = now - self.freshness.configuration_at
+        if failure is not None and age_s > DENIAL_AGE_S:
+            # A newer configuration may well have the route and the key.
+            return retries.Failure(_KIND.CONFIGURATION_STALE)
+        return failure
 
     def connect_remote(self, action, account):
         """Return a connection that another instance keeps, or None.
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -20,6 +20,7 @@
 MEMBER_TIMEOUT_S = 0.5  # an answer takes 50 ms, work and both ways included
 CATCH_UP_S = 1.5  # a replica usually lags by 0.02 s
 CATCH_UP_INTERVAL_S = 0.03
+LEADING_S = 2.5  # a promotion takes 1 s at most
 PROMOTE_WITHIN_S = 6.0  # of the beginning; a slower holder begins anew
 RETRY_S = 1.0  # after a takeover that failed
 WITNESSES = 2
@@ -258,11 +259,26 @@
                 return None
             if old in connections:
                 connections[old].step_down(self.term + 1, _ignore)
+            await self._wait_until_leading(connections[chosen.name])
             return chosen.name
         finally:
             for connection in connections.values():
                 self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
 
+    async def _wait_until_leading(self, connection):
+        """Wait until a promoted member leads.
+
+        Notes
+        -----
+        Until then it is a replica, which runs reads on what it has applied.
+        """
+        until = self.context.now() + LEADING_S
+        while self.context.now() < until and not connection.is_lost:
+            found = await self._ask(connection, "ask_status", ())
+            if found is not None and found[0]:
+                return
+            await self._sleep(CATCH_UP_INTERVAL_S)
+
     async def _open_all(self, group):
         """Open a connection to each member; None for those that do not answer."""
         members = list(group.members.values())
@@ -292,11 +308,11 @@
     async def _find_candidates(self, group, connections, old, planned):
         """Return the replicas that may lead, with what they have received."""
         states = await self._ask_all(connections, "ask_status")
-        terms = [term for term, _ in states.values()]
+        terms = [term for _, term, _ in states.values()]
         self.term = max([group.term, *terms])
         replicas = {name: found for name, found in connections.items() if name != old}
         if planned and old in states:
-            states = await self._wait_for_all(replicas, states, states[old][1])
+            states = await self._wait_for_all(replicas, states, states[old][2])
         else:
             states = await self._ask_all(replicas, "pause", self.term + 1)
         place = group.members[old].data_centre if old in group.members else ""
@@ -307,7 +323,7 @@
                 group.members[name].leaving,
                 group.members[name].data_centre == place,
             )
-            for name, (_, position) in states.items()
+            for name, (_, _, position) in states.items()
             if name != old and name in group.members
         ]
 
@@ -316,13 +332,13 @@
         until = self.context.now() + CATCH_UP_S
         while self.context.now() < until:
             states = await self._ask_all(replicas, "ask_status")
-            if any(position >= target for _, position in states.values()):
+            if any(position >= target for _, _, position in states.values()):
                 break
             await self._sleep(CATCH_UP_INTERVAL_S)
         return states
 
     async def _ask_all(self, connections, call, *arguments):
-        """Ask members for their status; returns term and position by name."""
+        """Ask members for their status; returns what they state, by name."""
         names = list(connections)
         answers = await defer.gatherResults(
             [self._ask(connections[name], call, arguments) for name in names]
@@ -391,7 +407,7 @@
         found = await self._ask(connection, "ask_status", ())
         connection.close()
         if found is not None:
-            group.on_position(member.name, found[1], asked_at)
+            group.on_position(member.name, found[2], asked_at)
         return found is not None
 
     def _on_witness_request(self, message, envelope):
--- a/pomelograde/platform/_lines.py
+++ b/pomelograde/platform/_lines.py
@@ -132,12 +132,17 @@
 
 
 def read_status(answer):
-    """Return term and received position that a member's status row states.
+    """Return what a member's status row states, or None.
+
+    Returns
+    -------
+    tuple of (bool, int, Position) or None
+        Whether it leads, newest term, and position up to which it has received.
 
     Notes
     -----
     The fields are role, term, position received, term held, lag, statements
-    under way, and connections. None stands for an answer of another form.
+    under way, and connections.
     """
     if answer.error is not None or not answer.rows:
         return None
@@ -145,7 +150,9 @@
     if len(fields) < 3 or not fields[1].isdigit():
         return None
     position = read_position(fields[2])
-    return None if position is None else (int(fields[1]), position)
+    if position is None:
+        return None
+    return fields[0] == b"primary", int(fields[1]), position
 
 
 def read_statement(line):
--- a/pomelograde/platform/http.py
+++ b/pomelograde/platform/http.py
@@ -7,7 +7,8 @@
 from twisted.web import client, http_headers
 from twisted.web import http as web_http
 
-CALL_TIMEOUT_S = 1.5  # an answer takes 4 ms; leaves time for others to be asked
+CALL_TIMEOUT_S = 0.8  # an answer takes 4 ms, and 0.25 s from a slow store
+KEEP_S = 1.5  # an idle connection may have gone silent; a new one costs 1 ms
 CONNECTIONS = 3  # one held by a long poll, two for other calls
 
 
@@ -36,6 +37,7 @@
         self.on_call = on_call
         self.pool = client.HTTPConnectionPool(reactor)
         self.pool.maxPersistentPerHost = CONNECTIONS
+        self.pool.cachedConnectionTimeout = KEEP_S
         self.pool.retryAutomatically = False
         self.agent = client.Agent(
             reactor,
@@ -105,6 +107,7 @@
     defer.TimeoutError,
     defer.CancelledError,
     error.ConnectError,
+    error.ConnectingCancelledError,
     error.ConnectionClosed,
     client.ResponseFailed,
     client.RequestTransmissionFailed,
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -138,11 +138,14 @@
 
 
 def _find_document(found):
+    """Return the newest configuration among rows; a feed has each change."""
+    document = Document("", 0, found.version, found.as_of)
     for row in found.rows:
-        if row.key == CONFIGURATION_KEY and row.value is not None:
+        newer = row.version > document.row_version
+        if row.key == CONFIGURATION_KEY and row.value is not None and newer:
             text = row.value.decode("utf-8", "replace")
-            return Document(text, row.version, found.version, found.as_of)
-    return Document("", 0, found.version, found.as_of)
+            document = attrs.evolve(document, text=text, row_version=row.version)
+    return document
 
 
 def _read_instance(row):
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -126,7 +126,7 @@
         self._send([_lines.STATUS], done)
 
     def read_status(self, answer):
-        """Return term and received position out of an Answer, or None."""
+        """Return whether it leads, term and received position, or None."""
         return _lines.read_status(answer)
 
     def pause(self, term, done):
