--- a/pomelograde/platform/callers.py
+++ b/pomelograde/platform/callers.py
@@ -6,7 +6,6 @@
 from pomelograde.platform import _lines
 
 START_TIMEOUT_S = 5.0  # callers give up a start after 2 s
-MAX_WAITING_STATEMENTS = 64  # more than a transaction has; callers wait for answers
 
 _KIND = retries.ErrorKind
 
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -132,10 +132,6 @@
         value = json.dumps(attrs.asdict(instance)).encode()
         await self.client.commit(INSTANCES_TABLE, {}, {instance.name: value})
 
-    async def unregister(self, name):
-        """Remove an instance's row."""
-        await self.client.commit(INSTANCES_TABLE, {}, {name: None})
-
 
 def _find_document(found):
     """Return the newest configuration among rows; a feed has each change."""
