--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -7,7 +7,7 @@
 import attrs
 
 from pomelograde.core.retries import _decide, _errors
-from pomelograde.core.statements import _actions, _statements
+from pomelograde.core.statements import _actions, _state, _statements
 
 WAIT_PART = 0.25  # of the latency objective; leaves the rest for the statement
 POLL_INTERVAL_S = 0.01  # half of the usual lag of a replica
@@ -21,117 +21,6 @@
 _LOCAL_ANSWER = _statements.Answer()
 
 
-@attrs.define
-class Transaction:
-    """A transaction of the caller.
-
-    Attributes
-    ----------
-    read_only : bool
-        Whether it was begun to read only.
-    route : Route
-        Route in force when it began.
-    connection : object or None
-        Connection that it is open on; None before its first statement.
-    member : str
-        Member of that connection.
-    on_primary : bool
-        Whether that member led when the transaction was opened there.
-    has_run : bool
-        Whether a statement of it was answered with success.
-    failed : bool
-        Whether it is lost and waits for its end.
-    idle_since : float
-        When its last statement was answered.
-    """
-
-    read_only: bool
-    route: _statements.Route
-    connection: object = None
-    member: str = ""
-    on_primary: bool = False
-    has_run: bool = False
-    failed: bool = False
-    idle_since: float = 0.0
-
-
-@attrs.define
-class Attempt:
-    """The statement under way.
-
-    Attributes
-    ----------
-    statement : Statement
-        The statement.
-    prepared : Prepared or None
-        What it executes.
-    route : Route
-        Route that it follows.
-    writes : bool
-        Whether it may write.
-    started_at : float
-        When it arrived.
-    deadline : float
-        When it is given up.
-    phase : Phase
-        How far the present attempt has come.
-    sent_at : float
-        When it was last sent.
-    beginning : bool
-        Whether the answer awaited is that to the opening of a transaction.
-    connection : object or None
-        Connection in use.
-    member : str
-        Member of the connection in use or awaited.
-    on_primary : bool
-        Whether that member was chosen as the primary.
-    required : Position or None
-        What the member must hold.
-    tried : set of str
-        Members that refused it.
-    attempts : int
-        Times that it was sent.
-    failed_reads : int
-        Times that it ran as a read, and failed.
-    acquiring : bool
-        Whether a connection or the rate is waited for.
-    admitted : bool
-        Whether a part of the client account's rate was taken for it.
-    """
-
-    statement: _statements.Statement
-    prepared: _statements.Prepared | None
-    route: _statements.Route
-    writes: bool
-    started_at: float
-    deadline: float
-    phase: _decide.Phase = _PHASE.NOT_SENT
-    sent_at: float = 0.0
-    beginning: bool = False
-    connection: object = None
-    member: str = ""
-    on_primary: bool = False
-    required: object = None
-    tried: set = attrs.field(factory=set)
-    attempts: int = 0
-    failed_reads: int = 0
-    acquiring: bool = False
-    admitted: bool = False
-
-    def describe(self):
-        """Return what decided on the statement, for the log."""
-        required = self.required
-        return {
-            "route": self.route.route_type.value,
-            "member": self.member,
-            "on_primary": self.on_primary,
-            "required": None
-            if required is None
-            else f"{required.term}.{required.index}",
-            "attempts": self.attempts,
-        }
-
-
 class Session:
     """Decides on the statements of one caller, one after the other.
 
@@ -225,7 +114,9 @@
         attempt.admitted = True
         if attempt.statement.operation in (_OP.BEGIN, _OP.BEGIN_READ_ONLY):
             read_only = attempt.statement.operation is _OP.BEGIN_READ_ONLY
-            self.transaction = Transaction(read_only, attempt.route, idle_since=now)
+            self.transaction = _state.Transaction(
+                read_only, attempt.route, idle_since=now
+            )
             self.attempt = None
             return [_actions.Respond(_LOCAL_ANSWER, b"T")]
         return self._place(now)
@@ -358,7 +249,7 @@
         return actions
 
     def _start(self, statement, prepared, writes, route, now):
-        self.attempt = self.last = Attempt(
+        self.attempt = self.last = _state.Attempt(
             statement, prepared, route, writes, now, now + route.timeout_s
         )
 
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -1,8 +1,6 @@
 """Entry point and composition root of an instance on a hosting platform."""
 
-import functools
 import random
-import signal
 import sys
 import time
 
@@ -12,6 +10,7 @@
 from twisted.web import server
 
 from pomelograde.core import configuration, membership
+from pomelograde.daemon import running
 from pomelograde.net import (
     events,
     exposition,
@@ -201,32 +200,10 @@
     reactor = steady_reactor.install()
     daemon = build(reactor, loaded.ok_value)
     faults.install(daemon.context.log)
-    failures = []
-
-    def start():
-        started = defer.ensureDeferred(daemon.start())
-        started.addErrback(on_failure)
-
-    def on_failure(reason):
-        failures.append(reason)
-        daemon.context.log.write(
-            events.Event.DAEMON_FAILED,
-            error=reason.type.__name__,
-            reason=reason.getErrorMessage(),
-        )
-        reactor.stop()
-
-    reactor.callWhenRunning(start)
-    reactor.callWhenRunning(_ignore_hangups)
-    reactor.addSystemEventTrigger(
-        "before", "shutdown", lambda: defer.ensureDeferred(daemon.stop())
-    )
-    reactor.run()
-    if failures:
-        sys.exit(1)
+    running.run(reactor, daemon, _ignore_hangup)
 
 
-def _ignore_hangups():
+def _ignore_hangup():
     """Keep running when told that the settings file has changed.
 
     Notes
@@ -234,8 +211,3 @@
     Nothing in the file changes during a process's life except what it starts
     with; the platform starts a process anew to move it.
     """
-    signal.signal(signal.SIGHUP, functools.partial(_on_hangup))
-
-
-def _on_hangup(number, frame):
-    """Do nothing."""
--- a/pomelograde/daemon/main.py
+++ b/pomelograde/daemon/main.py
@@ -1,15 +1,13 @@
 """Entry point of `pomelograded`."""
 
-import signal
 import sys
 
 import click
 from absl import flags, logging
-from twisted.internet import defer
 
-from pomelograde.daemon import reference, root
+from pomelograde.daemon import reference, root, running
 from pomelograde.daemon import settings as settings_module
-from pomelograde.net import events, faults, steady_reactor
+from pomelograde.net import faults, steady_reactor
 
 EXIT_SETTINGS = 2
 
@@ -66,32 +64,7 @@
     reactor = steady_reactor.install()
     daemon = root.build(reactor, settings)
     faults.install(daemon.context.log)
-    failures = []
-
-    def start():
-        started = defer.ensureDeferred(daemon.start())
-        started.addErrback(on_failure)
-
-    def on_failure(reason):
-        failures.append(reason)
-        daemon.context.log.write(
-            events.Event.DAEMON_FAILED,
-            error=reason.type.__name__,
-            reason=reason.getErrorMessage(),
-        )
-        reactor.stop()
-
-    def on_hangup(number, frame):
-        reactor.callFromThread(daemon.reload_certificates)
-
-    reactor.callWhenRunning(start)
-    reactor.callWhenRunning(signal.signal, signal.SIGHUP, on_hangup)
-    reactor.addSystemEventTrigger(
-        "before", "shutdown", lambda: defer.ensureDeferred(daemon.stop())
-    )
-    reactor.run()
-    if failures:
-        sys.exit(1)
+    running.run(reactor, daemon, daemon.reload_certificates)
 
 
 if __name__ == "__main__":
