--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -395,7 +395,8 @@
             self.on_fresh()
 
     def _set_store(self, available, reason=""):
-        if available == self.has_store:
+        # Calls that the end of the process breaks off say nothing of the store.
+        if self.stopped or available == self.has_store:
             return
         self.has_store = available
         self.store_since = self.context.now() if available else float("inf")
