Give the statements of test callers ids that never come twice

Cause, of test_many_callers_at_once_are_all_served, which failed once (240 writes, 230 ids): ids were made from the address of the caller object, and a later caller got the address of one that had ended, with its ten statements.

--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -1,5 +1,6 @@
 """Instances on the hosting platform's stand-in, and callers for scripts."""
 
+import itertools
 import json
 import os
 import socket
@@ -13,6 +14,7 @@
 
 PROGRAM = "from pomelograde.daemon import hosted; hosted.main()"
 CALL_TIMEOUT_S = 10.0
+_SERIALS = itertools.count(1)
 
 
 class Caller:
@@ -34,6 +36,7 @@
     def __init__(self, port, database="meters", key=host.KEY, address="127.0.0.1"):
         self.socket = socket.create_connection((address, port), CALL_TIMEOUT_S)
         self.file = self.socket.makefile("rb")
+        self.serial = next(_SERIALS)
         self.number = 0
         self.send(f"START {database} {key}")
         self.start = self.read_answer(first=True)
@@ -56,7 +59,7 @@
     def query(self, text, request_id=None):
         """Send a statement and return the lines of its answer."""
         self.number += 1
-        self.send(f"QUERY {request_id or f'q{id(self)}-{self.number}'} {text}")
+        self.send(f"QUERY {request_id or f'q{self.serial}-{self.number}'} {text}")
         return self.read_answer()
 
     def close(self):
