Say what stood twice once, and send takeovers only where they are read

Behaviour stays. One pair of functions turns instances into news and back, for both sides; operations of a session open in one place, and connections are let go in one; the search for a keeper looks only at the member's data centre; an answer with news leaves takeovers out that the asker has and does not read; a count of instances that nothing used is gone.

--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -101,11 +101,7 @@
             writes = prepared.writes
         if self.transaction is not None:
             return self._continue(statement, prepared, writes, now)
-        route = self.gate.resolve(now)
-        if isinstance(route, _errors.Failure):
-            return self._refuse(route)
-        self._start(statement, prepared, writes, route, now)
-        return self._admit()
+        return self._open(statement, prepared, writes, now)
 
     def on_admitted(self, now):
         """Take that the client account's rate has room."""
@@ -181,7 +177,7 @@
             return []
         attempt.connection = None
         fresh = transaction is None or not transaction.has_run
-        commits = attempt.statement.operation is _OP.COMMIT and not attempt.beginning
+        commits = attempt.commits
         repeatable = not attempt.writes or (transaction is not None and not commits)
         if fresh and repeatable:
             attempt.tried.add(attempt.member)
@@ -231,7 +227,7 @@
             connection, transaction.connection = transaction.connection, None
             transaction.failed = True
             return [_actions.Discard(connection)]
-        commits = attempt.statement.operation is _OP.COMMIT and not attempt.beginning
+        commits = attempt.commits
         return self._fail(_decide_loss(attempt, transaction is not None, commits))
 
     def on_closed(self):
@@ -248,6 +244,14 @@
             actions.append(_actions.Abandon(transaction.connection, True))
         return actions
 
+    def _open(self, statement, prepared, writes, now):
+        """Begin an operation by the route in force."""
+        route = self.gate.resolve(now)
+        if isinstance(route, _errors.Failure):
+            return self._refuse(route)
+        self._start(statement, prepared, writes, route, now)
+        return self._admit()
+
     def _start(self, statement, prepared, writes, route, now):
         self.attempt = self.last = _state.Attempt(
             statement, prepared, route, writes, now, now + route.timeout_s
@@ -293,11 +297,7 @@
     def _begin(self, statement, now):
         if self.transaction is not None:
             return self._refuse(_errors.Failure(_KIND.INVALID_TRANSACTION_STATE))
-        route = self.gate.resolve(now)
-        if isinstance(route, _errors.Failure):
-            return self._refuse(route)
-        self._start(statement, None, False, route, now)
-        return self._admit()
+        return self._open(statement, None, False, now)
 
     def _rollback(self, statement, now):
         return [*self._end_transaction(), _actions.Respond(_LOCAL_ANSWER, b"I")]
@@ -445,10 +445,7 @@
         error = answer.error
         member = attempt.member
         connection, attempt.connection = attempt.connection, None
-        ended = answer.status == b"I"
-        actions = [_actions.Release(connection)]
-        if not ended:
-            actions = [_actions.Abandon(connection, in_transaction=True)]
+        actions = [_let_go(connection, answer)]
         if self.transaction is not None:
             self.transaction.connection = None
         if error is _ERROR.BEHIND:
@@ -497,10 +494,7 @@
         attempt = self.attempt
         connection, attempt.connection = attempt.connection, None
         self.transaction.connection = None
-        ended = answer.status == b"I"
-        actions = [_actions.Release(connection)]
-        if not ended:
-            actions = [_actions.Abandon(connection, in_transaction=True)]
+        actions = [_let_go(connection, answer)]
         kind = _KIND.TRANSACTION_LOST
         if commits and answer.error not in _statements.NOT_RUN:
             kind = _FAILURES.get(answer.error, _KIND.UPSTREAM_FAILED)
@@ -522,9 +516,8 @@
     def _expire(self):
         attempt = self.attempt
         in_transaction = self.transaction is not None
-        commits = attempt.statement.operation is _OP.COMMIT and not attempt.beginning
         found = _decide.Attempt(
-            attempt.phase, not attempt.writes, in_transaction, commits
+            attempt.phase, not attempt.writes, in_transaction, attempt.commits
         )
         kind = _decide.expiry_kind(found)
         if kind is _KIND.DEADLINE_BEFORE_RUN and self._needs_primary():
@@ -566,6 +559,13 @@
         return _actions.Note(reason, member or self.attempt.member)
 
 
+def _let_go(connection, answer):
+    """Return the action that frees a connection after an error."""
+    if answer.status == b"I":
+        return _actions.Release(connection)
+    return _actions.Abandon(connection, in_transaction=True)
+
+
 def _decide_loss(attempt, in_transaction, commits):
     found = _decide.Attempt(attempt.phase, not attempt.writes, in_transaction, commits)
     if attempt.beginning:
--- a/pomelograde/core/statements/_state.py
+++ b/pomelograde/core/statements/_state.py
@@ -103,6 +103,14 @@
     acquiring: bool = False
     admitted: bool = False
 
+    @property
+    def commits(self):
+        """Whether what was sent last may end the transaction."""
+        return (
+            self.statement.operation is _statements.Operation.COMMIT
+            and not self.beginning
+        )
+
     def describe(self):
         """Return what decided on the statement, for the log."""
         required = self.required
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -283,7 +283,7 @@
             self._take_text(answer.document, answer.configuration)
         if answer.instances:
             self._take_instances(
-                [_read_instance(news) for news in answer.instances],
+                [peer_messages.read_instance(news) for news in answer.instances],
                 [read_takeover(news) for news in answer.takeovers],
             )
         if answer.upstreams:
@@ -302,6 +302,7 @@
     def _on_news_request(self, message, envelope):
         now = self.context.now()
         known = self.known
+        same_instances = message.instances_digest == known.instances_digest
         return peer_messages.NewsAnswer(
             configuration=known.row_version,
             document=known.text if message.configuration != known.row_version else "",
@@ -313,9 +314,11 @@
             upstreams_age_ms=_age_ms(self.freshness.members_at, now),
             instances_digest=known.instances_digest,
             instances=[]
-            if message.instances_digest == known.instances_digest
-            else [_write_instance(found) for found in known.instances],
-            takeovers=[write_takeover(found) for found in known.takeovers.values()],
+            if same_instances
+            else [peer_messages.write_instance(found) for found in known.instances],
+            takeovers=[]
+            if same_instances
+            else [write_takeover(found) for found in known.takeovers.values()],
         )
 
     def _take_document(self, document):
@@ -455,30 +458,6 @@
     return found
 
 
-def _write_instance(instance):
-    return peer_messages.InstanceNews(
-        name=instance.name,
-        data_centre=instance.data_centre,
-        region=instance.region,
-        incarnation=instance.incarnation,
-        host=instance.host,
-        peer_port=instance.peer_port,
-        leaving=instance.leaving,
-    )
-
-
-def _read_instance(news):
-    return membership.Instance(
-        name=news.name,
-        data_centre=news.data_centre,
-        incarnation=news.incarnation,
-        host=news.host,
-        peer_port=news.peer_port,
-        leaving=news.leaving,
-        region=news.region,
-    )
-
-
 def write_takeover(takeover):
     """Return the message part that tells of a takeover."""
     return peer_messages.TakeoverNews(**attrs.asdict(takeover))
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -53,7 +53,6 @@
         self.pools = {}
         self.takeovers = {}
         self.sessions = set()
-        self.instances = 1
         self.is_stopping = False
         self.loops = []
         self.rates = rates.RegisteredRates(context)
@@ -91,7 +90,6 @@
 
     def set_instances(self, instances):
         """Adapt to the registered instances."""
-        self.instances = max(1, len(instances))
         self.rates.set_instances(instances)
         self.relays.set_instances(instances)
         self._resize_pools()
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -230,18 +230,16 @@
         """
         now = self.context.now()
         own = self.context.members.own
-        living = [
-            found
+        near = {
+            found.name: found
             for found in self.instances
-            if found.name == own.name or now >= self.suspects.get(found.name, now)
-        ]
-        near = [found for found in living if found.data_centre == member.data_centre]
+            if found.data_centre == member.data_centre
+            and (found.name == own.name or now >= self.suspects.get(found.name, now))
+        }
         if not near:
             return own
-        names = [found.name for found in near]
         key = f"{member.name}/{account}"
-        chosen = membership.rendezvous(key, names, 1)[0]
-        return next(found for found in near if found.name == chosen)
+        return near[membership.rendezvous(key, near, 1)[0]]
 
     def count_keepers(self, member):
         """Return how many instances may keep connections to a member."""
@@ -512,7 +510,7 @@
         if message.on_primary and answer.position is not None and answer.error is None:
             group = relays.proxy.groups.get(message.service)
             if group is not None:
-                group.on_position(message.member, answer.position, self._sent_at())
+                group.on_position(message.member, answer.position, connection.sent_at)
         if answer.status == b"I":
             relays.kept.pop(number, None)
             number = 0
@@ -528,9 +526,6 @@
             connection.on_lost = lambda outstanding: relays.kept.pop(number, None)
         self.done.callback(_write_answer(answer, number))
 
-    def _sent_at(self):
-        return self.connection.sent_at
-
     def _on_lost(self, outstanding):
         self.relays.kept.pop(self.message.transaction, None)
         if not self.done.called:
--- a/pomelograde/net/membership.py
+++ b/pomelograde/net/membership.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import attrs
 from twisted.internet import defer, task
 
 from pomelograde.core import membership
@@ -170,31 +171,15 @@
 
 
 def _to_news(record):
-    instance = record.instance
-    return peer_messages.InstanceNews(
-        name=instance.name,
-        data_centre=instance.data_centre,
-        region=instance.region,
-        incarnation=instance.incarnation,
-        host=instance.host,
-        peer_port=instance.peer_port,
-        leaving=instance.leaving,
-        beat=record.beat,
-        state=int(record.state),
+    return peer_messages.write_instance(
+        record.instance, beat=record.beat, state=int(record.state)
     )
 
 
 def _to_record(news):
     state = membership.State(news.state)
-    instance = membership.Instance(
-        name=news.name,
-        data_centre=news.data_centre,
-        incarnation=news.incarnation,
-        host=news.host,
-        peer_port=news.peer_port,
-        leaving=state is membership.State.LEAVING,
-        region=news.region,
-    )
+    leaving = state is membership.State.LEAVING
+    instance = attrs.evolve(peer_messages.read_instance(news), leaving=leaving)
     return membership.Record(instance, news.beat, state)
 
 
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -6,6 +6,8 @@
 import attrs
 import capnp
 
+from pomelograde.core import membership
+
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
 
 
@@ -437,6 +439,17 @@
 }
 
 
+def write_instance(instance, **known):
+    """Return the news of an instance; `known` are its further fields."""
+    return InstanceNews(**attrs.asdict(instance), **known)
+
+
+def read_instance(news):
+    """Return the Instance that the news is of."""
+    fields = [field.name for field in attrs.fields(membership.Instance)]
+    return membership.Instance(**{name: getattr(news, name) for name in fields})
+
+
 def _camel(name):
     head, *rest = name.split("_")
     return head + "".join(word.capitalize() for word in rest)
