Let a stopping instance end what it keeps for others, and tell them that it stops

Transactions and statements that it kept for other instances were cut, and these went on to choose it as keeper until the connection broke. Now it tells the others at once (Leaving) and stays until nothing is open for them, or the grace period ends.

--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -101,7 +101,7 @@
         )
         self.proxy.begin_stop()
         deadline = self.context.now() + self.context.settings.grace_s - STOP_MARGIN_S
-        while self.proxy.sessions and self.context.now() < deadline:
+        while self.proxy.is_busy and self.context.now() < deadline:
             await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
         self.news.stop()
         self.takeovers.stop()
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -287,9 +287,15 @@
         metrics.count(metrics.refusals, failure.kind.value)
         self.context.log.write(events.Event.CALLER_REFUSED, reason=failure.kind.value)
 
+    @property
+    def is_busy(self):
+        """Whether sessions, or other instances, have anything under way here."""
+        return bool(self.sessions) or self.relays.is_busy
+
     def begin_stop(self):
         """Refuse new work, and close sessions as soon as they are idle."""
         self.is_stopping = True
+        self.relays.begin_stop()
         for task in list(self.sessions):
             if task.core.is_idle:
                 task.close()
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -190,6 +190,10 @@
         End and length of the last such time.
     kept : dict of int to Kept
         Transactions that are open for other instances.
+    tasks : set of KeeperTask
+        Requests of other instances that are not answered yet.
+    leaving : dict of str to int
+        Incarnation of each instance that has told that it stops.
     """
 
     def __init__(self, context, proxy):
@@ -200,18 +204,32 @@
         self.outstanding = {}
         self.probing = set()
         self.kept = {}
+        self.tasks = set()
+        self.leaving = {}
         self.numbers = itertools.count(1)
         self.instances = []
         handlers = context.peers.handlers
         handlers[peer_messages.RelayRequest] = self._on_request
         handlers[peer_messages.FloorRequest] = self._on_floor_request
         handlers[peer_messages.Ping] = lambda message, envelope: None
+        handlers[peer_messages.Leaving] = self._on_leaving
         context.peers.on_lost = self._on_peer_lost
 
     def set_instances(self, instances):
         """Take in the registered instances."""
         self.instances = instances
 
+    @property
+    def is_busy(self):
+        """Whether anything is under way or open for other instances."""
+        return bool(self.kept or self.tasks)
+
+    def begin_stop(self):
+        """Let the other instances choose other keepers from now on."""
+        for found in self.instances:
+            if found.name != self.context.members.own.name:
+                self.context.peers.send(found, peer_messages.Leaving())
+
     def find_keeper(self, member, account):
         """Return the instance that keeps an account's connections to a member.
 
@@ -234,13 +252,19 @@
             found.name: found
             for found in self.instances
             if found.data_centre == member.data_centre
-            and (found.name == own.name or now >= self.suspects.get(found.name, now))
+            and (found.name == own.name or self._may_keep(found, now))
         }
         if not near:
             return own
         key = f"{member.name}/{account}"
         return near[membership.rendezvous(key, near, 1)[0]]
 
+    def _may_keep(self, instance, now):
+        name = instance.name
+        if self.leaving.get(name, -1) >= instance.incarnation:
+            return False
+        return now >= self.suspects.get(name, now)
+
     def count_keepers(self, member):
         """Return how many instances may keep connections to a member."""
         near = sum(
@@ -375,9 +399,19 @@
 
     def _on_request(self, message, envelope):
         task = KeeperTask(self, message, envelope.sender)
+        self.tasks.add(task)
+        task.done.addCallback(self._on_task_done, task)
         task.start()
         return task.done
 
+    def _on_task_done(self, message, task):
+        self.tasks.discard(task)
+        return message
+
+    def _on_leaving(self, message, envelope):
+        self.leaving[envelope.sender] = envelope.incarnation
+        self.context.log.write(events.Event.KEEPER_LEAVING, keeper=envelope.sender)
+
     def _on_floor_request(self, message, envelope):
         group = self.proxy.groups.get(message.group)
         now = self.context.now()
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -289,6 +289,11 @@
     """Asks for any answer at all."""
 
 
+@attrs.frozen
+class Leaving:
+    """Tells that its sender has begun to stop."""
+
+
 @attrs.frozen
 class Setting:
     """A setting of a session."""
@@ -427,6 +432,7 @@
     RelayAnswer,
     Ping,
     HoldRequest,
+    Leaving,
 )
 
 ITEMS = {
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -25,6 +25,7 @@
     relayAnswer @20 :RelayAnswer;
     ping @21 :Ping;
     holdRequest @22 :HoldRequest;
+    leaving @23 :Leaving;
   }
 }
 
@@ -165,6 +166,9 @@
 struct Ping {
 }
 
+struct Leaving {
+}
+
 struct Setting {
   name @0 :Data;
   value @1 :Data;
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -320,6 +320,26 @@
         names = [record["name"] for record in instance.read_log()]
         self.assertEqual("DAEMON_STOPPED", names[-1])
 
+    def test_stopping_keeper_ends_what_others_began_and_is_replaced(self):
+        keeper = self.fleet.instances[0]
+        opened = self.call(1)
+        opened.query("BEGIN")
+        opened.query("WRITE kept 1")
+        writer = self.call(1)
+        writer.query("WRITE before 1")
+        keeper.child.send_signal(signal.SIGTERM)
+        answers = []
+        for number in range(40):
+            answers.append(writer.query(f"WRITE while-stopping {number}")[0])
+            time.sleep(0.02)
+        self.assertIsNone(keeper.child.poll())
+        answers.append(opened.query("COMMIT")[0])
+        self.assertEqual(0, keeper.child.wait(timeout=8.0))
+        for number in range(10):
+            answers.append(writer.query(f"WRITE after-stop {number}")[0])
+        failed = [found for found in answers if not found.startswith("COMPLETE d.")]
+        self.assertEqual([], failed)
+
     def test_failed_statement_is_found_in_the_log_by_its_id(self):
         self.fleet.change_member(PRIMARY, fail="FAILED")
         self.addCleanup(self.fleet.change_member, PRIMARY, fail="")
