Leave a takeover alone that another instance carries out

Whether a takeover may be begun was asked only for those that were to be finished. It is asked for all now, and once more after the last question to a silent primary.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -88,8 +88,11 @@
         for service, group in self.proxy.groups.items():
             if service in self.running or now < self.retry_at.get(service, now):
                 continue
+            if not self._may_start(service, now):
+                continue
             reason = takeovers.find_reason(self._collect(group, now))
-            if self._is_unfinished(service, now):
+            takeover = self.follower.known.takeovers.get(service)
+            if takeover is not None and not takeover.is_done:
                 reason = takeovers.Reason.ABSENT
             if reason is not None:
                 self.running.add(service)
@@ -116,12 +119,12 @@
             store_for_s=now - self.follower.store_since,
         )
 
-    def _is_unfinished(self, service, now):
-        """Return whether a takeover that nobody carries on has to be finished."""
+    def _may_start(self, service, now):
+        """Return whether no other instance is carrying a takeover out."""
         takeover = self.follower.known.takeovers.get(service)
-        if takeover is None or takeover.is_done:
-            return False
-        seen_for_s = now - self.seen_since[service][1]
+        seen_for_s = 0.0
+        if takeover is not None:
+            seen_for_s = now - self.seen_since[service][1]
         holders = {_holder(found) for found in self.follower.known.instances}
         own = _holder(self.context.members.own)
         return takeovers.may_start(takeover, own, holders, seen_for_s)
@@ -157,6 +160,9 @@
     async def _take_over(self, group, reason):
         source = self.follower.source
         service = group.name
+        # Another instance may have begun while the primary was asked once more.
+        if not self._may_start(service, self.context.now()):
+            return "somebody else began"
         old = group.primary
         known = self.follower.known.takeovers.get(service)
         row_version = 0 if known is None else known.row_version
--- /dev/null
+++ b/tests/net/hosted/test_takeovers.py
@@ -0,0 +1,109 @@
+"""Tests of the task that replaces primaries."""
+
+import types
+
+import testtools
+from twisted.internet import defer, task
+
+from pomelograde.core import configuration, membership, placement, takeovers
+from pomelograde.net.hosted import takeovers as hosted_takeovers
+
+PRIMARY = placement.Member(
+    name="p",
+    data_centre="x",
+    host="127.0.0.1",
+    port=1,
+    role=placement.Role.PRIMARY,
+    leaving=True,
+    slots=1,
+    started_ms=1,
+)
+
+
+def make_instance(name):
+    return membership.Instance(name, "x", 1, "127.0.0.1", 2)
+
+
+class Source:
+    class StoreUnavailableError(Exception):
+        pass
+
+    def __init__(self):
+        self.begun = []
+
+    def begin_takeover(self, service, holder, row_version):
+        self.begun.append((service, holder, row_version))
+        return defer.Deferred()
+
+
+class TakeoverTaskTests(testtools.TestCase):
+    """The reader of the store, another instance, and a primary that leaves."""
+
+    def setUp(self):
+        super().setUp()
+        clock = task.Clock()
+        clock.advance(100.0)
+        own = make_instance("reader")
+        context = types.SimpleNamespace(
+            reactor=clock,
+            now=clock.seconds,
+            peers=types.SimpleNamespace(handlers={}),
+            log=types.SimpleNamespace(write=lambda event, **_: None),
+            members=types.SimpleNamespace(own=own),
+        )
+        group = placement.Group("g")
+        group.update([PRIMARY])
+        self.source = Source()
+        self.known = types.SimpleNamespace(
+            takeovers={}, instances=[own, make_instance("other")]
+        )
+        follower = types.SimpleNamespace(
+            known=self.known,
+            source=self.source,
+            freshness=configuration.Freshness(5.0, 99.9, 99.9),
+            is_reader=lambda now: True,
+            store_since=0.0,
+        )
+        proxy = types.SimpleNamespace(
+            groups={"g": group},
+            is_stopping=False,
+            set_takeover=lambda takeover: None,
+            uses_primary=lambda service: False,
+            cut_primary=lambda service: None,
+        )
+        promoter = types.SimpleNamespace(UnavailableError=ValueError)
+        self.group = group
+        self.task = hosted_takeovers.TakeoverTask(context, follower, proxy, promoter)
+
+    def learn(self, takeover):
+        self.known.takeovers[takeover.service] = takeover
+        self.task.set_takeovers(self.known.takeovers)
+
+    def test_leaving_primary_is_taken_over_from(self):
+        self.task._check()
+        self.assertEqual([("g", "reader/1", 0)], self.source.begun)
+
+    def test_takeover_that_another_instance_carries_out_is_left_alone(self):
+        self.learn(takeovers.Takeover("g", "other/1", "", 7, 7))
+        self.task._check()
+        self.assertEqual([], self.source.begun)
+
+    def test_takeover_of_a_process_that_is_gone_is_begun_anew(self):
+        self.learn(takeovers.Takeover("g", "gone/1", "", 7, 7))
+        self.task._check()
+        self.assertEqual([("g", "reader/1", 7)], self.source.begun)
+
+    def test_takeover_begun_by_another_during_the_last_question_is_left_alone(self):
+        asked = defer.Deferred()
+
+        async def confirm(group):
+            await asked
+            return True
+
+        self.task._confirm = confirm
+        running = self.task._run(self.group, takeovers.Reason.SILENT)
+        done = defer.ensureDeferred(running)
+        self.learn(takeovers.Takeover("g", "other/1", "", 7, 7))
+        asked.callback(None)
+        self.assertTrue(done.called)
+        self.assertEqual([], self.source.begun)
