End the registrations of instances that are gone

After a machine was replaced, each takeover waited 2.5 s for the rights of one that no longer existed, and its part of all rates lay idle.

The instance that reads the store marks registrations of which it has heard nothing for 5 s, and removes them 3 s later, when no right can be left. One that was taken for gone by mistake registers anew, and gets no new rights to primaries before. A stopping instance removes its own. Incarnations are now the version of the row that registered them, so that they rise also over a removal. Tests: decisions in core; a stop, a kill, and an instance that wakes, on real processes.

--- a/pomelograde/core/membership/__init__.py
+++ b/pomelograde/core/membership/__init__.py
@@ -1,6 +1,6 @@
 """Live and leaving instances."""
 
-from pomelograde.core.membership import _detector, _instances
+from pomelograde.core.membership import _detector, _instances, _registrations
 
 PROBE_TIMEOUT_S = _detector.PROBE_TIMEOUT_S
 
@@ -10,6 +10,7 @@
 Membership = _instances.Membership
 Probe = _detector.Probe
 Record = _instances.Record
+Registrations = _registrations.Registrations
 SendRecords = _detector.SendRecords
 State = _instances.State
 rendezvous = _instances.rendezvous
@@ -22,6 +23,7 @@
     "Membership",
     "Probe",
     "Record",
+    "Registrations",
     "SendRecords",
     "State",
     "rendezvous",
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -106,6 +106,7 @@
         self.news.stop()
         self.takeovers.stop()
         self.proxy.stop()
+        await self.news.leave()
         self.context.peers.stop()
         for port in self.ports:
             await defer.maybeDeferred(port.stopListening)
--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -20,6 +20,7 @@
 SUSPECT_S = 3.0  # time before a reader that did not help is asked again
 STALE_S = 1.5  # age of news that makes another source worth asking
 UNKNOWN_AGE_MS = 2**40
+LEAVE_TIMEOUT_S = 0.3  # the platform ends the process 0.5 s after the last wait
 
 
 @attrs.define
@@ -37,7 +38,7 @@
     members_digest : int
         Hash of them.
     instances : list of Instance
-        Registered instances.
+        All registrations, also those that are marked as ended.
     takeovers : dict of str to Takeover
         Last takeover of each service.
     instances_digest : int
@@ -52,6 +53,11 @@
     takeovers: dict = attrs.field(factory=dict)
     instances_digest: int = 0
 
+    @property
+    def registered(self):
+        """Registered instances."""
+        return [found for found in self.instances if not found.leaving]
+
 
 class NewsTask:
     """Keeps this instance's knowledge recent.
@@ -99,6 +105,8 @@
         self.turn = 0
         self.unanswered = set()
         self.has_store = None
+        self.registrations = membership.Registrations()
+        self.registering = False
         self.loop = None
         self.stopped = False
         context.peers.handlers[peer_messages.NewsRequest] = self._on_news_request
@@ -141,13 +149,20 @@
         self._take_instances(*instances)
         self._take_members(*members)
 
+    async def leave(self):
+        """End the registration of this instance, which uses nothing any more."""
+        leaving = defer.ensureDeferred(
+            self.source.remove_registration(self.context.members.own)
+        )
+        leaving.addTimeout(LEAVE_TIMEOUT_S, self.context.reactor)
+        try:
+            await leaving
+        except (self.source.StoreUnavailableError, defer.TimeoutError) as error:
+            self._note_kept_registration(self.context.members.own, error)
+
     async def _register(self):
-        own = self.context.members.own
-        for instance in self.known.instances:
-            if instance.name == own.name:
-                own = attrs.evolve(own, incarnation=instance.incarnation + 1)
+        own = await self.source.register(self.context.members.own)
         self.context.members.own = own
-        await self.source.register(own)
         # A takeover that began before the registration may not have waited for
         # this instance.
         self._take_instances(*await self.source.fetch_instances())
@@ -158,11 +173,83 @@
         if reader.name != self.context.members.own.name:
             return defer.ensureDeferred(self._ask(reader))
         self._read(now)
+        self._end_registrations(now)
         recent = now - self.freshness.configuration_at <= STALE_S
         if self.has_store and recent:
             return None
         return defer.ensureDeferred(self._ask_any())
 
+    def _end_registrations(self, now):
+        """End the registrations of instances that are gone."""
+        if not self.has_store:
+            return
+        own = self.context.members.own.name
+        silent, expired = self.registrations.find_ended(self.known.instances, own, now)
+        for instance in silent:
+            self._end_registration(instance, "silent", self.source.end_registration)
+        for instance in expired:
+            self._end_registration(instance, "gone", self.source.remove_registration)
+
+    def _end_registration(self, instance, reason, write):
+        self.context.log.write(
+            events.Event.REGISTRATION_ENDED,
+            instance_name=instance.name,
+            incarnation=instance.incarnation,
+            reason=reason,
+        )
+        ending = defer.ensureDeferred(write(instance))
+        ending.addErrback(self._on_not_ended, instance)
+
+    def _on_not_ended(self, reason, instance):
+        reason.trap(self.source.StoreUnavailableError)
+        self._note_kept_registration(instance, reason.value)
+
+    def _note_kept_registration(self, instance, error):
+        self.context.log.write(
+            events.Event.REGISTRATION_KEPT,
+            instance_name=instance.name,
+            reason=str(error) or type(error).__name__,
+        )
+
+    def _check_registration(self):
+        """Register anew if others took this instance for gone.
+
+        Notes
+        -----
+        Until then it gets no new rights to primaries: whoever replaces one does
+        not wait for an instance that is not registered.
+        """
+        own = self.context.members.own
+        for found in self.known.registered:
+            if found.name == own.name and found.incarnation >= own.incarnation:
+                # An answer of the store that was lost may have had the newer one.
+                self.context.members.own = found
+                return
+        if self.loop is not None and not self.registering and not self.stopped:
+            self.registering = True
+            defer.ensureDeferred(self._register_again())
+
+    async def _register_again(self):
+        try:
+            await self._register()
+        except self.source.StoreUnavailableError as error:
+            self._set_store(False, str(error))
+        finally:
+            self.registering = False
+
+    @property
+    def is_registered(self):
+        """Whether the store has this instance's registration."""
+        name = self.context.members.own.name
+        return any(found.name == name for found in self.known.registered)
+
+    def _note_members(self, as_of):
+        """Take that members and instances were read."""
+        if self.is_registered or self.loop is None:
+            self.freshness.note_members(as_of)
+        else:
+            self._check_registration()
+
     def is_reader(self, now):
         """Return whether this instance reads the store for the others."""
         own = self.context.members.own
@@ -171,7 +258,7 @@
     def _find_reader(self, now):
         """Return the first instance by name that is not suspected."""
         own = self.context.members.own
-        found = {instance.name: instance for instance in self.known.instances}
+        found = {instance.name: instance for instance in self.known.registered}
         found[own.name] = own
         for name in sorted(found):
             if name == own.name or now >= self.suspects.get(name, now):
@@ -231,7 +318,7 @@
     async def _ask_any(self):
         """Ask another instance while the store does not answer this one."""
         own = self.context.members.own
-        others = [found for found in self.known.instances if found.name != own.name]
+        others = [found for found in self.known.registered if found.name != own.name]
         if not others:
             return
         self.turn = (self.turn + 1) % len(others)
@@ -249,6 +336,7 @@
             self._suspect(reader.name, "no answer")
             return
         self.unanswered.discard(reader.name)
+        self.registrations.hear(reader.name, self.context.now())
         self._take_answer(answer, asked_at)
         if answer.configuration_age_ms > STALE_S * 1000.0:
             self._suspect(reader.name, "old news")
@@ -292,7 +380,7 @@
                 asked_at - answer.upstreams_age_ms / 1000.0,
             )
         else:
-            self.freshness.note_members(asked_at - answer.upstreams_age_ms / 1000.0)
+            self._note_members(asked_at - answer.upstreams_age_ms / 1000.0)
         if answer.configuration >= self.known.row_version:
             self.freshness.note_configuration(
                 asked_at - answer.configuration_age_ms / 1000.0
@@ -301,6 +389,7 @@
 
     def _on_news_request(self, message, envelope):
         now = self.context.now()
+        self.registrations.hear(envelope.sender, now)
         known = self.known
         same_instances = message.instances_digest == known.instances_digest
         return peer_messages.NewsAnswer(
@@ -350,7 +439,7 @@
             self.on_configuration(found)
 
     def _take_members(self, members, as_of):
-        self.freshness.note_members(as_of)
+        self._note_members(as_of)
         digest = _digest(_write_members(members))
         if digest != self.known.members_digest:
             self.known.members = members
@@ -377,16 +466,17 @@
             return
         self.known.instances = instances
         self._set_instances_digest()
+        registered = self.known.registered
+        names = [found.name for found in registered]
         for name in list(self.context.members.records):
-            if name not in {found.name for found in instances}:
+            if name not in names:
                 self.context.members.forget(name)
-        for found in instances:
+        for found in registered:
             self.context.members.merge(membership.Record(found))
-        self.context.log.write(
-            events.Event.INSTANCES_CHANGED, names=[found.name for found in instances]
-        )
+        self.context.log.write(events.Event.INSTANCES_CHANGED, names=names)
+        self._check_registration()
         if self.on_instances is not None:
-            self.on_instances(instances)
+            self.on_instances(registered)
 
     def _set_instances_digest(self):
         known = self.known
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -125,7 +125,7 @@
         seen_for_s = 0.0
         if takeover is not None:
             seen_for_s = now - self.seen_since[service][1]
-        holders = {_holder(found) for found in self.follower.known.instances}
+        holders = {_holder(found) for found in self.follower.known.registered}
         own = _holder(self.context.members.own)
         return takeovers.may_start(takeover, own, holders, seen_for_s)
 
@@ -376,7 +376,7 @@
             return False
         others = [
             known
-            for known in self.follower.known.instances
+            for known in self.follower.known.registered
             if known.data_centre != self.context.settings.data_centre
         ][:WITNESSES]
         message = peer_messages.WitnessRequest(group.name, primary.name)
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -42,6 +42,11 @@
     ----------
     client : Store
         Client of the store.
+
+    Attributes
+    ----------
+    row_versions : dict of str to int
+        Version of each instance's row when it was last read or written.
     """
 
     HistoryLostError = store.HistoryLostError
@@ -50,6 +55,7 @@
 
     def __init__(self, client):
         self.client = client
+        self.row_versions = {}
 
     async def fetch_configuration(self):
         """Return the Document in force."""
@@ -73,6 +79,7 @@
     async def fetch_instances(self):
         """Return the registered instances, and the last takeover of each service."""
         found = await self.client.read_table(INSTANCES_TABLE)
+        self.row_versions = {row.key: row.version for row in found.rows}
         instances = [
             _read_instance(row)
             for row in found.rows
@@ -128,9 +135,26 @@
         )
 
     async def register(self, instance):
-        """Write this instance's row."""
-        value = json.dumps(attrs.asdict(instance)).encode()
-        await self.client.commit(INSTANCES_TABLE, {}, {instance.name: value})
+        """Write an instance's row; returns the Instance with its incarnation."""
+        version = await self.client.commit(
+            INSTANCES_TABLE, {}, {instance.name: _write_instance(instance)}
+        )
+        self.row_versions[instance.name] = version
+        return attrs.evolve(instance, incarnation=version)
+
+    async def end_registration(self, instance):
+        """Mark an instance's row as ended, unless it has changed."""
+        ended = attrs.evolve(instance, leaving=True)
+        await self._replace(instance.name, _write_instance(ended))
+
+    async def remove_registration(self, instance):
+        """Remove an instance's row, unless it has changed."""
+        await self._replace(instance.name, None)
+
+    async def _replace(self, name, value):
+        version = self.row_versions.get(name)
+        if version is not None:
+            await self.client.commit(INSTANCES_TABLE, {name: version}, {name: value})
 
 
 def _find_document(found):
@@ -144,9 +168,14 @@
     return document
 
 
+def _write_instance(instance):
+    return json.dumps(attrs.asdict(instance)).encode()
+
+
 def _read_instance(row):
     try:
-        return membership.Instance(**json.loads(row.value))
+        found = membership.Instance(**json.loads(row.value))
+        return attrs.evolve(found, incarnation=row.version)
     except (ValueError, TypeError):
         return None
 
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -305,6 +305,63 @@
         self.assertTrue(time.monotonic() - started > 2.5)
 
 
+class RegistrationTests(FleetTests):
+    def find_records(self, name, number=0):
+        log = self.fleet.instances[number].read_log()
+        return [record for record in log if record["name"] == name]
+
+    def find_names(self, number=0):
+        """Return the instances that are registered, as an instance last said."""
+        return self.find_records("INSTANCES_CHANGED", number)[-1]["names"]
+
+    def was_removed(self, name):
+        return any(
+            (record["instance_name"], record["reason"]) == (name, "gone")
+            for number in range(len(self.fleet.instances))
+            for record in self.find_records("REGISTRATION_ENDED", number)
+        )
+
+    def test_registration_ends_with_a_stop(self):
+        instance = self.fleet.start_instance(3)
+        self.assertTrue(wait_until(lambda: instance.name in self.find_names()))
+        instance.child.send_signal(signal.SIGTERM)
+        instance.child.wait(timeout=8.0)
+        self.assertTrue(wait_until(lambda: instance.name not in self.find_names(), 2.0))
+
+    def test_nothing_waits_for_an_instance_that_is_gone(self):
+        instance = self.fleet.start_instance(4)
+        self.assertTrue(wait_until(lambda: instance.name in self.find_names()))
+        instance.child.kill()
+        self.assertTrue(wait_until(lambda: self.was_removed(instance.name), 15.0))
+        time.sleep(1.0)
+        started = time.monotonic()
+        self.fleet.change_member(PRIMARY, state="draining")
+        self.addCleanup(self.fleet.change_member, PRIMARY, state="ready")
+
+        def has_moved():
+            return self.fleet.show_member(PRIMARY)["role"] != "primary"
+
+        self.assertTrue(wait_until(has_moved))
+        self.assertTrue(time.monotonic() - started < 2.5)
+
+    def test_instance_that_wakes_after_its_registration_ended_serves_again(self):
+        instance = self.fleet.instances[2]
+        instance.child.send_signal(signal.SIGSTOP)
+        try:
+            self.assertTrue(
+                wait_until(lambda: instance.name not in self.find_names(), 10.0)
+            )
+        finally:
+            instance.child.send_signal(signal.SIGCONT)
+        self.assertTrue(wait_until(lambda: instance.name in self.find_names(), 3.0))
+
+        def serves():
+            with self.call(2) as caller:
+                return caller.query("WRITE woken 1")[0].startswith("COMPLETE d.")
+
+        self.assertTrue(wait_until(serves, 3.0))
+
+
 class StopTests(FleetTests):
     def test_stopping_instance_leaves_rotation_and_cuts_no_transaction(self):
         idle = self.call(2)
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -55,7 +55,7 @@
         group.update([PRIMARY])
         self.source = Source()
         self.known = types.SimpleNamespace(
-            takeovers={}, instances=[own, make_instance("other")]
+            takeovers={}, registered=[own, make_instance("other")]
         )
         follower = types.SimpleNamespace(
             known=self.known,
