--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -1,6 +1,6 @@
 """Rates and bursts of client accounts."""
 
-from pomelograde.core.limits import _bucket, _lease, _share
+from pomelograde.core.limits import _allotment, _bucket, _lease, _share
 
 LOAN_S = _lease.LOAN_S
 MAX_WAIT_S = _share.MAX_WAIT_S
@@ -18,6 +18,7 @@
 TableRow = _lease.TableRow
 TokenBucket = _bucket.TokenBucket
 Waiter = _share.Waiter
+allot = _allotment.allot
 
 __all__ = [
     "LOAN_S",
@@ -35,4 +36,5 @@
     "TableRow",
     "TokenBucket",
     "Waiter",
+    "allot",
 ]
--- a/pomelograde/daemon/hosted_settings.py
+++ b/pomelograde/daemon/hosted_settings.py
@@ -39,8 +39,10 @@
         Time between a request to stop and the end of the process.
     rate_window_s : float
         Length of the windows in which rates are judged.
+    rate_excess : float
+        Share beyond rate and burst that a window may hold.
     rate_slack : float
-        Operations beyond rate and burst that a window may hold.
+        Operations beyond that share that a window may hold.
     member_heartbeat_s : float
         Time between two heartbeats of a member.
     """
@@ -59,6 +61,7 @@
     revocation_s: float
     grace_s: float
     rate_window_s: float
+    rate_excess: float
     rate_slack: float
     member_heartbeat_s: float
 
@@ -80,6 +83,7 @@
     "revocation_s": checks.positive,
     "grace_s": checks.not_negative,
     "rate_window_s": checks.positive,
+    "rate_excess": checks.not_negative,
     "rate_slack": checks.not_negative,
     "member_heartbeat_s": checks.positive,
 }
--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -1,8 +1,8 @@
 """Rates of client accounts, split between the registered instances."""
 
+from pomelograde.core import limits
 from pomelograde.net import rates
 
-SLACK_PART = 0.5  # of the excess that operators tolerate; the rest is a margin
 RETIRED_S = 6.0  # a silent instance serves no key for longer than 4.8 s
 
 
@@ -16,10 +16,6 @@
 
     Notes
     -----
-    Small parts of a burst lose what accrues while nobody asks for it, and an
-    account at its limit then gets a tenth less than its rate. A part of the
-    excess that operators tolerate is therefore added to the burst.
-
     A registration outlives its process, so the part of an instance that was
     killed is its own again when it starts. The part of one that is cut off
     lies idle, since nothing is admitted without recent news. When a registration
@@ -29,15 +25,20 @@
     def __init__(self, context):
         super().__init__(context)
         self.rates = {}
-        self.slack = SLACK_PART * context.settings.rate_slack
         self.instances = 0
         self.shrink_at = float("inf")
         self.registered = 0
 
     def set_configuration(self, configuration):
         """Take in the rates of a configuration."""
+        settings = self.context.settings
         self.rates = {
-            account.name: (account.rate_per_s, account.burst + self.slack)
+            account.name: limits.allot(
+                account.rate_per_s,
+                account.burst,
+                settings.rate_excess,
+                settings.rate_slack,
+            )
             for account in configuration.accounts.values()
         }
         self.resize()
--- a/pomelograde/platform/settings.py
+++ b/pomelograde/platform/settings.py
@@ -53,6 +53,7 @@
                 revocation_s=bounds["revokeMs"] / 1000.0,
                 grace_s=float(bounds["graceS"]),
                 rate_window_s=float(bounds["quotaWindowS"]),
+                rate_excess=float(bounds["quotaExcess"]),
                 rate_slack=float(bounds["quotaSlack"]),
                 member_heartbeat_s=body["heartbeatMs"] / 1000.0,
             )
--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -196,6 +196,7 @@
             "revokeMs": 5000,
             "graceS": 6,
             "quotaWindowS": 5,
+            "quotaExcess": 0.1,
             "quotaSlack": 20,
         },
         "platform": {"address": store},
--- a/tests/core/limits/test_scarce_rates.py
+++ b/tests/core/limits/test_scarce_rates.py
@@ -1,5 +1,6 @@
 """An account that asks for more than its rate, on a fleet of seven."""
 
+import bisect
 import heapq
 import itertools
 import random
@@ -15,12 +16,17 @@
 ROUND_TRIP_S = 0.026  # between regions
 LONGEST_WAIT_S = 0.15
 LEAST_STEP_S = 0.001
+WINDOW_S = 5.0
+EXCESS = 0.1
+SLACK = 20.0
 
 
 class Load:
     """Callers of uneven number at each instance, and tokens lent between them."""
 
-    def __init__(self, seed, demand_per_s, burst, priorities=(0,)):
+    def __init__(
+        self, seed, demand_per_s, burst, priorities=(0,), rate_per_s=RATE_PER_S
+    ):
         self.random = random.Random(seed)
         self.priorities = priorities
         weights = [self.random.random() ** 2 + 0.05 for _ in range(INSTANCES)]
@@ -28,12 +34,13 @@
         self.demand = [weight * scale for weight in weights]
         self.shares = [limits.Share(0.0) for _ in range(INSTANCES)]
         for share in self.shares:
-            share.resize(RATE_PER_S, burst, 1.0 / INSTANCES, 0.0)
+            share.resize(rate_per_s, burst, 1.0 / INSTANCES, 0.0)
         self.events = []
         self.order = itertools.count()
         self.admitted = dict.fromkeys(priorities, 0)
         self.refused = dict.fromkeys(priorities, 0)
         self.waits = []
+        self.served_at = []
 
     def run(self):
         for number in range(INSTANCES):
@@ -52,7 +59,7 @@
         share = self.shares[number]
         priority = self.random.choice(self.priorities)
         if share.take(now):
-            self.admitted[priority] += 1
+            self.admit(now, priority)
             return
         waiter = share.wait(now + 10.0, now, (priority, now), LONGEST_WAIT_S, priority)
         if isinstance(waiter, limits.Waiter):
@@ -60,15 +67,26 @@
         else:
             self.refused[priority] += 1
 
+    def admit(self, now, priority):
+        self.admitted[priority] += 1
+        self.served_at.append(now)
+
+    def most_in_a_window(self):
+        ends = [
+            bisect.bisect_right(self.served_at, start + WINDOW_S)
+            for start in self.served_at
+        ]
+        return max(end - first for first, end in enumerate(ends))
+
     def serve(self, now, number):
         share = self.shares[number]
         for action in share.serve(now):
             priority, since = action.waiter.context
             self.waits.append((since, now - since))
-            counts = self.refused
             if isinstance(action, limits.Admit):
-                counts = self.admitted
-            counts[priority] += 1
+                self.admit(now, priority)
+            else:
+                self.refused[priority] += 1
         if share.waiters:
             names = [str(n) for n in range(INSTANCES) if n != number]
             self.random.shuffle(names)
@@ -87,6 +105,16 @@
 
 
 class ScarceRateTests(testtools.TestCase):
+    def test_account_beyond_its_rate_gets_all_of_it_within_the_tolerated_window(self):
+        rate_per_s, burst = limits.allot(RATE_PER_S, BURST, EXCESS, SLACK)
+        bound = (RATE_PER_S * WINDOW_S + BURST) * (1.0 + EXCESS) + SLACK
+        for seed in range(3):
+            load = Load(seed, 30.0, burst, rate_per_s=rate_per_s).run()
+            served = sum(load.admitted.values())
+            self.assertTrue(served >= 0.99 * RATE_PER_S * RUN_S, served)
+            most = load.most_in_a_window()
+            self.assertTrue(most < 0.8 * bound, most)
+
     def test_account_beyond_its_rate_gets_nearly_all_of_it_and_no_more(self):
         allowed = RATE_PER_S * RUN_S
         for seed in range(3):
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -11,7 +11,7 @@
 NAMES = re.compile(
     r"rows-tx|rows-get|rows-feed|expectedRev|tombstone|nowMs|waitMs|txIdleMs|"
     r"apiKeys|ratePerS|routeType|maxStalenessMs|latencySloMs|maxConns|syncReplicas|"
-    r"dbRole|coldRemainingMs|internalPorts|revokeMs|quotaSlack|POMELOGRADE_NODE_FILE|"
+    r"dbRole|coldRemainingMs|internalPorts|revokeMs|quotaSlack|quotaExcess|POMELOGRADE_NODE_FILE|"
     r"DATAROW|\bCOMPLETE |READONLY|LAGGING|MISROUTED|INDOUBT|NODATABASE|STEPDOWN|"
     r"Fencing-Token|Lease-Holder|\btenants?\b|\bmanifests?\b|\bback end"
 )
