Ask a silent primary here and elsewhere at the same time

Cause (a primary that goes dark): the instance asked the primary, then two others, then the primary again, 0.5 s each, and waited 1.5 s for one that could not be reached, before the takeover began 2.5 s after the crash. All ask at the same time now. Two of the new tests failed before.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -18,6 +18,7 @@
 HOLD_TIMEOUT_S = 1.5  # beyond the longest grace, with two ways between regions
 RIGHT_MARGIN_S = 0.2  # for clocks that differ in speed, and answers on their way
 MEMBER_TIMEOUT_S = 0.5  # an answer takes 50 ms, work and both ways included
+WITNESS_TIMEOUT_S = 0.7  # its own question to a silent member, and both ways
 CATCH_UP_S = 1.5  # a replica usually lags by 0.02 s
 CATCH_UP_INTERVAL_S = 0.03
 LEADING_S = 2.5  # a promotion takes 1 s at most
@@ -372,7 +373,7 @@
     async def _confirm(self, group):
         """Return whether a silent primary answers nobody."""
         primary = group.members.get(group.primary)
-        if primary is None or await self._answers(group, primary):
+        if primary is None:
             return False
         others = [
             known
@@ -383,22 +384,24 @@
         asked = [
             defer.ensureDeferred(self._ask_witness(known, message)) for known in others
         ]
-        answers = await defer.gatherResults(asked)
+        asked.append(defer.ensureDeferred(self._answers(group, primary)))
+        *answers, here = await defer.gatherResults(asked)
         self.context.log.write(
             events.Event.TAKEOVER_STEP,
             service=group.name,
             step="suspected",
             primary=primary.name,
             silent_s=round(self.context.now() - primary.position_at, 3),
+            answers=here,
             witnesses=[str(answer) for answer in answers],
         )
-        return True not in answers and not await self._answers(group, primary)
+        return not here and True not in answers
 
     async def _ask_witness(self, instance, message):
         """Return whether an instance reaches a member; None if it is not known."""
         try:
             answer = await self.context.peers.request(
-                instance, message, 3 * MEMBER_TIMEOUT_S
+                instance, message, WITNESS_TIMEOUT_S
             )
         except peers.PeerUnreachableError:
             return None
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -2,10 +2,12 @@
 
 import types
 
+import attrs
 import testtools
 from twisted.internet import defer, task
 
 from pomelograde.core import configuration, membership, placement, takeovers
+from pomelograde.net import peer_messages
 from pomelograde.net.hosted import takeovers as hosted_takeovers
 
 PRIMARY = placement.Member(
@@ -93,6 +95,37 @@
         self.task._check()
         self.assertEqual([("g", "reader/1", 7)], self.source.begun)
 
+    def confirm(self, here, elsewhere, after_s):
+        """Ask a primary that is silent; returns the verdict, None for none yet."""
+        clock = self.task.context.reactor
+        witness = attrs.evolve(make_instance("witness"), data_centre="y")
+        self.known.registered.append(witness)
+        self.task.context.settings = types.SimpleNamespace(data_centre="x")
+        self.group.members["p"].position_at = 98.0
+
+        def answer(found):
+            return lambda *_: task.deferLater(clock, 0.5, lambda: found)
+
+        async def answers(group, member):
+            return await answer(here)()
+
+        self.task._answers = answers
+        self.task.context.peers.request = answer(peer_messages.WitnessAnswer(elsewhere))
+        done = defer.ensureDeferred(self.task._confirm(self.group))
+        clock.advance(after_s)
+        found = []
+        done.addCallback(found.append)
+        return found[0] if found else None
+
+    def test_silent_primary_is_asked_here_and_elsewhere_at_the_same_time(self):
+        self.assertIs(True, self.confirm(False, False, 0.5))
+
+    def test_primary_that_answers_here_is_kept(self):
+        self.assertIs(False, self.confirm(True, False, 0.5))
+
+    def test_primary_that_answers_elsewhere_is_kept(self):
+        self.assertIs(False, self.confirm(False, True, 0.5))
+
     def test_takeover_begun_by_another_during_the_last_question_is_left_alone(self):
         asked = defer.Deferred()
 
