--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -109,7 +109,9 @@
         self.registering = False
         self.loop = None
         self.stopped = False
-        context.peers.handlers[peer_messages.NewsRequest] = self._on_news_request
+        handlers = context.peers.handlers
+        handlers[peer_messages.NewsRequest] = self._on_news_request
+        handlers[peer_messages.NewsOffer] = self._on_news_offer
 
     async def start(self):
         """Read everything once, register this instance, and go on following."""
@@ -174,8 +176,7 @@
             return defer.ensureDeferred(self._ask(reader))
         self._read(now)
         self._end_registrations(now)
-        recent = now - self.freshness.configuration_at <= STALE_S
-        if self.has_store and recent:
+        if self.has_store and not self._is_stale():
             return None
         return defer.ensureDeferred(self._ask_any())
 
@@ -322,9 +323,7 @@
         if not others:
             return
         self.turn = (self.turn + 1) % len(others)
-        answer, asked_at = await self._request(others[self.turn])
-        if answer is not None:
-            self._take_answer(answer, asked_at)
+        await self._ask_for_news(others[self.turn])
 
     async def _ask(self, reader):
         answer, asked_at = await self._request(reader)
@@ -339,8 +338,15 @@
         self.registrations.hear(reader.name, self.context.now())
         self._take_answer(answer, asked_at)
         if answer.configuration_age_ms > STALE_S * 1000.0:
+            if not self._is_stale():
+                # It may never have heard of this instance.
+                own = peer_messages.write_instance(self.context.members.own)
+                self.context.peers.send(reader, peer_messages.NewsOffer([own]))
             self._suspect(reader.name, "old news")
 
+    def _is_stale(self):
+        return self.context.now() - self.freshness.configuration_at > STALE_S
+
     async def _request(self, instance):
         """Ask an instance; returns its answer or None, and when it was asked."""
         asked_at = self.context.now()
@@ -356,10 +362,20 @@
             answer = None
         return answer, asked_at
 
+    def _on_news_offer(self, message, envelope):
+        if self._is_stale():
+            found = peer_messages.read_instance(message.instances[0])
+            defer.ensureDeferred(self._ask_for_news(found))
+
+    async def _ask_for_news(self, instance):
+        answer, asked_at = await self._request(instance)
+        if answer is not None:
+            self._take_answer(answer, asked_at)
+
     def _suspect(self, name, reason):
         now = self.context.now()
         self.suspects[name] = now + SUSPECT_S
-        if now - self.freshness.configuration_at > STALE_S:
+        if self._is_stale():
             self._read(now)
         self.context.log.write(
             events.Event.NEWS_SOURCE_SUSPECTED, source=name, reason=reason
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -219,6 +219,19 @@
     row_version: int
 
 
+@attrs.frozen
+class NewsOffer:
+    """Tells an instance whose news are old whom to ask.
+
+    Attributes
+    ----------
+    instances : list of InstanceNews
+        The sender, which the receiver may not know.
+    """
+
+    instances: list[InstanceNews]
+
+
 @attrs.frozen
 class HoldRequest:
     """Tells that a primary is being replaced, or has been.
@@ -433,6 +446,7 @@
     Ping,
     HoldRequest,
     Leaving,
+    NewsOffer,
 )
 
 ITEMS = {
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -26,6 +26,7 @@
     ping @21 :Ping;
     holdRequest @22 :HoldRequest;
     leaving @23 :Leaving;
+    newsOffer @24 :NewsOffer;
   }
 }
 
@@ -151,6 +152,10 @@
   graceMs @1 :UInt32;
 }
 
+struct NewsOffer {
+  instances @0 :List(InstanceNews);
+}
+
 struct NewsAnswer {
   configuration @0 :UInt64;
   document @1 :Text;
--- a/tests/net/hosted/test_news.py
+++ b/tests/net/hosted/test_news.py
@@ -5,8 +5,8 @@
 import testtools
 from twisted.internet import defer, task
 
-from pomelograde.core import configuration
-from pomelograde.net import events
+from pomelograde.core import configuration, membership
+from pomelograde.net import events, peer_messages
 from pomelograde.net.hosted import news
 
 
@@ -27,17 +27,60 @@
         return self.calls[-1]
 
     fetch_configuration = fetch_members = fetch_instances = call
+    wait_for_configuration = call
+
+
+class Peers:
+    """Records what is sent; requests are answered by the test."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+        self.requests = []
+
+    def send(self, instance, message):
+        self.sent.append((instance.name, message))
+
+    def request(self, instance, message, timeout_s):
+        self.requests.append((instance.name, defer.Deferred()))
+        return self.requests[-1][1]
+
+    def receive(self, message, sender):
+        envelope = types.SimpleNamespace(sender=sender)
+        return self.handlers[type(message)](message, envelope)
+
+
+def make_instance(name):
+    return membership.Instance(name, "x", 1, "127.0.0.1", 2)
+
+
+def make_answer(age_ms, instances=()):
+    return peer_messages.NewsAnswer(
+        configuration=0,
+        document="",
+        configuration_age_ms=age_ms,
+        upstreams_digest=0,
+        upstreams=[],
+        upstreams_age_ms=age_ms,
+        instances_digest=0,
+        instances=[peer_messages.write_instance(found) for found in instances],
+        takeovers=[],
+    )
 
 
 class NewsTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.clock = task.Clock()
+        self.clock.advance(100.0)
         self.logged = []
+        self.peers = Peers()
+        self.own = make_instance("own")
         context = types.SimpleNamespace(
             reactor=self.clock,
             now=self.clock.seconds,
-            peers=types.SimpleNamespace(handlers={}),
+            peers=self.peers,
+            members=membership.Membership(self.own),
             log=types.SimpleNamespace(
                 write=lambda event, **_: self.logged.append(event)
             ),
@@ -62,3 +105,36 @@
         self.task.stop()
         self.fail_calls()
         self.assertEqual([], self.logged)
+
+    def test_instance_with_old_news_is_told_whom_to_ask(self):
+        self.task._take_instances([self.own, make_instance("a")], [])
+        self.task.freshness.note_configuration(99.9)
+        defer.ensureDeferred(self.task._ask(make_instance("a")))
+        self.peers.requests[0][1].callback(make_answer(3000))
+        ((name, offer),) = self.peers.sent
+        self.assertEqual(
+            ("a", ["own"]), (name, [found.name for found in offer.instances])
+        )
+
+    def test_nobody_offers_news_that_are_old_themselves(self):
+        self.task._take_instances([self.own, make_instance("a")], [])
+        defer.ensureDeferred(self.task._ask(make_instance("a")))
+        self.peers.requests[0][1].callback(make_answer(3000))
+        self.assertEqual([], self.peers.sent)
+
+    def test_unknown_instance_that_offers_news_is_asked(self):
+        new = make_instance("new")
+        offer = peer_messages.NewsOffer([peer_messages.write_instance(new)])
+        self.peers.receive(offer, "new")
+        ((name, asked),) = self.peers.requests
+        self.assertEqual("new", name)
+        asked.callback(make_answer(100, [self.own, new]))
+        self.assertEqual(99.9, round(self.task.freshness.configuration_at, 2))
+        names = [found.name for found in self.task.known.registered]
+        self.assertEqual(["new", "own"], names)
+
+    def test_offer_is_not_needed_while_news_are_recent(self):
+        self.task.freshness.note_configuration(99.9)
+        offer = peer_messages.NewsOffer([peer_messages.write_instance(self.own)])
+        self.peers.receive(offer, "new")
+        self.assertEqual([], self.peers.requests)
