Let few instances hold a small rate, and the others ask them

Where the parts are that small, one holder for each 5 tokens holds the rate, spread over the data centres, and the others ask one of them for each request, near and answering ones first. Small fleets hold rates as before. A request whose turn and end of wait come together is admitted.

--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -1,6 +1,6 @@
 """Rates and bursts of client accounts."""
 
-from pomelograde.core.limits import _allotment, _bucket, _lease, _share
+from pomelograde.core.limits import _allotment, _bucket, _holders, _lease, _share
 
 LOAN_S = _lease.LOAN_S
 MAX_WAIT_S = _share.MAX_WAIT_S
@@ -11,6 +11,7 @@
 Borrow = _share.Borrow
 Commit = _lease.Commit
 Expire = _share.Expire
+Holders = _holders.Holders
 Loan = _lease.Loan
 PeerView = _share.PeerView
 Share = _share.Share
@@ -28,6 +29,7 @@
     "Borrow",
     "Commit",
     "Expire",
+    "Holders",
     "MAX_WAIT_S",
     "Loan",
     "PeerView",
--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -200,10 +200,10 @@
 
     def serve(self, now):
         """Admit and expire waiting requests; returns the actions."""
-        actions = self.expire(now)
+        actions = []
         while self.waiters and self._take(now):
             actions.append(Admit(self.waiters.pop(0)))
-        return actions
+        return [*actions, *self.expire(now)]
 
     def expire(self, now):
         """Refuse the waiting requests whose time is over; returns the actions."""
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -55,8 +55,8 @@
         self.sessions = set()
         self.is_stopping = False
         self.loops = []
-        self.rates = rates.RegisteredRates(context)
         self.relays = relays.Relays(context, self)
+        self.rates = rates.RegisteredRates(context, self.relays)
 
     def start(self):
         """Start the regular work."""
--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -1,30 +1,48 @@
 """Rates of client accounts, split between the registered instances."""
 
+import math
+
+from twisted.internet import defer
+
 from pomelograde.core import limits
-from pomelograde.net import rates
+from pomelograde.net import peer_messages, rates
+from pomelograde.net.hosted import admissions
 
+RETURNED_S = 1.0  # a token given back serves a request that comes soon after
+MAX_RETURNED = 3  # of these; a bound on what all instances keep
 RETIRED_S = 6.0  # a silent instance serves no key for longer than 4.8 s
 
 
 class RegisteredRates(rates.RateTask):
-    """Gives each registered instance the same part of all rates.
+    """Gives the holders of each rate the same part of it.
 
     Parameters
     ----------
     context : HostedContext
         Parts of the instance that all tasks share.
+    relays : Relays
+        Calls other instances.
 
     Notes
     -----
+    Where a burst is too small for all instances, some of them hold it, and the
+    others ask one of these for each request.
+
     A registration outlives its process, so the part of an instance that was
     killed is its own again when it starts. The part of one that is cut off
     lies idle, since nothing is admitted without recent news. When a registration
     ends, its part is shared out only after `RETIRED_S`.
     """
 
-    def __init__(self, context):
+    def __init__(self, context, relays):
         super().__init__(context)
+        self.relays = relays
         self.rates = {}
+        self.holders = limits.Holders([])
+        self.found = {}
+        self.by_name = {}
+        self.returned = {}
+        context.peers.handlers[peer_messages.AdmitRequest] = self._on_admit_request
         self.instances = 0
         self.shrink_at = float("inf")
         self.registered = 0
@@ -41,11 +59,15 @@
             )
             for account in configuration.accounts.values()
         }
+        self.found.clear()
         self.resize()
 
     def set_instances(self, instances):
         """Take in the registered instances."""
         self.set_peers(instances)
+        self.by_name = {found.name: found for found in instances}
+        self.holders = limits.Holders(instances)
+        self.found.clear()
         self.registered = len(instances)
         if self.registered >= self.instances:
             self.instances = self.registered
@@ -69,5 +91,93 @@
         return self.instances > 0
 
     def allotments(self):
-        """Return rate and burst of each client account."""
-        return self.rates
+        """Return rate and burst of each client account that is held here."""
+        own = self.context.members.own.name
+        return {
+            name: found
+            for name, found in self.rates.items()
+            if own in self.find_holders(name)
+        }
+
+    def part_of(self, name, part):
+        """Return this instance's part of one rate that it holds."""
+        count = len(self.find_holders(name))
+        return part if count >= self.registered or not part else 1.0 / count
+
+    def find_holders(self, account):
+        """Return the names of the instances that hold an account's rate."""
+        found = self.found.get(account)
+        if found is None:
+            limits_found = self.rates.get(account)
+            if limits_found is None:
+                return []
+            found = self.holders.find(account, limits_found[1])
+            self.found[account] = found
+        return found
+
+    def find_lenders(self, name):
+        """Return the other holders, those of the own data centre first."""
+        holders = self.find_holders(name)
+        return [found for found in self._peer_order() if found in holders]
+
+    def try_admit(self, account, now):
+        """Take one request of a client account's rate if it may run now."""
+        returned = self.returned.pop(account, None)
+        if returned and self.clock() - returned[-1] < RETURNED_S:
+            self.returned[account] = returned[:-1]
+            return True
+        return super().try_admit(account, now)
+
+    def give_back(self, account):
+        """Take back what a request took that never ran."""
+        if account in self.shares:
+            super().give_back(account)
+        elif account in self.rates:
+            kept = self.returned.get(account, [])[1 - MAX_RETURNED :]
+            self.returned[account] = [*kept, self.clock()]
+
+    def wait(self, account, deadline, longest_s=limits.MAX_WAIT_S, priority=0):
+        """Wait for one request of a client account's rate, here or at a holder."""
+        if account in self.shares or not self.find_holders(account):
+            return super().wait(account, deadline, longest_s, priority)
+        done = defer.Deferred()
+        budget_ms = max(1, int((deadline - self.context.now()) * 1000.0))
+        wait_ms = int(longest_s * 1000.0)
+        request = peer_messages.AdmitRequest(account, budget_ms, wait_ms, priority)
+        admissions.AdmissionCall(
+            self.relays, self._order_holders(account), request, done
+        ).start()
+        return done
+
+    def _order_holders(self, account):
+        """Return the holders to ask, near and usable ones first."""
+        now = self.context.now()
+        own = self.context.members.own
+        turn = next(self.turn)
+        holders = [self.by_name[name] for name in self.find_holders(account)]
+        turned = holders[turn % len(holders) :] + holders[: turn % len(holders)]
+        return sorted(
+            turned,
+            key=lambda found: (
+                not self.relays.is_usable(found, now),
+                found.region != own.region,
+                found.data_centre != own.data_centre,
+            ),
+        )
+
+    def _on_admit_request(self, message, envelope):
+        """Admit a request of another instance, at once or after a while."""
+        account = message.account
+        if self.try_admit(account, self.context.now()):
+            return peer_messages.AdmitAnswer()
+        deadline = self.context.now() + message.budget_ms / 1000.0
+        longest_s = message.wait_ms / 1000.0
+        waiting = super().wait(account, deadline, longest_s, message.priority)
+        return waiting.addCallback(_write_answer)
+
+
+def _write_answer(failure):
+    if failure is None:
+        return peer_messages.AdmitAnswer()
+    wait_ms = math.ceil(failure.retry_after_s * 1000.0)
+    return peer_messages.AdmitAnswer(failure.kind.value, wait_ms)
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -135,8 +135,16 @@
         )
         self.relays.send(self, request)
 
+    @property
+    def is_waiting(self):
+        """Whether the keeper has not answered everything."""
+        return bool(self.parts) and not (self.is_lost or self.is_abandoned)
+
     def on_answer(self, message):
         """Take the keeper's answer."""
+        if not isinstance(message, peer_messages.RelayAnswer):
+            self.lose()
+            return
         if self.is_lost or self.is_abandoned:
             self.transaction = message.transaction
             self.relays.discard(self)
@@ -252,14 +260,15 @@
             found.name: found
             for found in self.instances
             if found.data_centre == member.data_centre
-            and (found.name == own.name or self._may_keep(found, now))
+            and (found.name == own.name or self.is_usable(found, now))
         }
         if not near:
             return own
         key = f"{member.name}/{account}"
         return near[membership.rendezvous(key, near, 1)[0]]
 
-    def _may_keep(self, instance, now):
+    def is_usable(self, instance, now):
+        """Return whether an instance neither stops nor is silent."""
         name = instance.name
         if self.leaving.get(name, -1) >= instance.incarnation:
             return False
@@ -282,19 +291,27 @@
             return None
         return RemoteConnection(self, keeper, service, member.name, account)
 
-    def send(self, connection, request):
-        """Send a request over the connection to its keeper."""
-        self.outstanding.setdefault(connection.keeper.name, set()).add(connection)
+    def send(self, call, request):
+        """Send a request to an instance, and find out if it goes silent.
+
+        Parameters
+        ----------
+        call : RemoteConnection or AdmissionCall
+            `call.on_answer(message)` takes the answer, `call.lose()` that there
+            will be none from `call.keeper`; `call.sent_at` and
+            `call.is_waiting` tell since when, and whether, it waits.
+        request : object
+            One of the message classes.
+        """
+        self.outstanding.setdefault(call.keeper.name, set()).add(call)
         sent = defer.ensureDeferred(
-            self.context.peers.request(connection.keeper, request, REQUEST_TIMEOUT_S)
-        )
-        sent.addCallbacks(
-            self._on_answer, self._on_unreachable, [connection], None, [connection]
+            self.context.peers.request(call.keeper, request, REQUEST_TIMEOUT_S)
         )
+        sent.addCallbacks(self._on_answer, self._on_unreachable, [call], None, [call])
 
-    def forget(self, connection):
-        """Expect nothing more for a connection."""
-        self.outstanding.get(connection.keeper.name, set()).discard(connection)
+    def forget(self, call):
+        """Expect nothing more for a call."""
+        self.outstanding.get(call.keeper.name, set()).discard(call)
 
     def discard(self, connection):
         """Tell the keeper to close what a connection stands for."""
@@ -323,7 +340,7 @@
         for name, waiting in self.outstanding.items():
             if name in self.probing or not waiting:
                 continue
-            oldest = min(connection.sent_at for connection in waiting)
+            oldest = min(call.sent_at for call in waiting)
             if now - oldest >= PROBE_AFTER_S:
                 self.probing.add(name)
                 keeper = next(iter(waiting)).keeper
@@ -357,8 +374,8 @@
 
     def _suspect(self, name, reason):
         """Pass a keeper over for a while, and give up what it has not answered."""
-        for connection in list(self.outstanding.pop(name, ())):
-            connection.lose()
+        for call in list(self.outstanding.pop(name, ())):
+            call.lose()
         now = self.context.now()
         if now < self.suspects.get(name, now):
             return
@@ -373,19 +390,16 @@
         self.pauses[name] = (now + pause_s, pause_s)
         self.context.peers.renew(name)
 
-    def _on_answer(self, message, connection):
-        if not connection.parts or len(connection.parts) == 1:
-            self.forget(connection)
-        if isinstance(message, peer_messages.RelayAnswer):
-            connection.on_answer(message)
-        else:
-            connection.lose()
+    def _on_answer(self, message, call):
+        call.on_answer(message)
+        if not call.is_waiting:
+            self.forget(call)
 
-    def _on_unreachable(self, reason, connection):
+    def _on_unreachable(self, reason, call):
         reason.trap(peers.PeerUnreachableError)
-        self.forget(connection)
-        self._suspect(connection.keeper.name, "connection lost")
-        connection.lose()
+        self.forget(call)
+        self._suspect(call.keeper.name, "connection lost")
+        call.lose()
 
     def _on_peer_lost(self, name, accepted):
         """Roll back what was open for a peer whose connection is gone."""
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -142,6 +142,8 @@
 
     def _on_admission(self, failure, statement):
         if self.closed or self.current is not statement:
+            if failure is None:
+                self.proxy.rates.give_back(self.account)
             return
         now = self.context.now()
         if failure is None:
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -219,6 +219,44 @@
     row_version: int
 
 
+@attrs.frozen
+class AdmitRequest:
+    """Asks a holder of an account's rate for one token.
+
+    Attributes
+    ----------
+    account : str
+        Client account.
+    budget_ms : int
+        Time that the request has left.
+    wait_ms : int
+        Longest wait that is of use to the caller.
+    priority : int
+        0 is served first.
+    """
+
+    account: str
+    budget_ms: int
+    wait_ms: int
+    priority: int
+
+
+@attrs.frozen
+class AdmitAnswer:
+    """What a holder decided.
+
+    Attributes
+    ----------
+    refusal : str
+        Error kind; empty for an admitted request.
+    retry_after_ms : int
+        When a refused request may be sent again.
+    """
+
+    refusal: str = ""
+    retry_after_ms: int = 0
+
+
 @attrs.frozen
 class NewsOffer:
     """Tells an instance whose news are old whom to ask.
@@ -447,6 +485,8 @@
     HoldRequest,
     Leaving,
     NewsOffer,
+    AdmitRequest,
+    AdmitAnswer,
 )
 
 ITEMS = {
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -27,6 +27,8 @@
     holdRequest @22 :HoldRequest;
     leaving @23 :Leaving;
     newsOffer @24 :NewsOffer;
+    admitRequest @25 :AdmitRequest;
+    admitAnswer @26 :AdmitAnswer;
   }
 }
 
@@ -152,6 +154,18 @@
   graceMs @1 :UInt32;
 }
 
+struct AdmitRequest {
+  account @0 :Text;
+  budgetMs @1 :UInt32;
+  waitMs @2 :UInt32;
+  priority @3 :UInt8;
+}
+
+struct AdmitAnswer {
+  refusal @0 :Text;
+  retryAfterMs @1 :UInt32;
+}
+
 struct NewsOffer {
   instances @0 :List(InstanceNews);
 }
--- a/pomelograde/net/rates.py
+++ b/pomelograde/net/rates.py
@@ -78,6 +78,14 @@
         """Return rate and burst of each name."""
         raise NotImplementedError
 
+    def part_of(self, name, part):
+        """Return the part of one rate that goes with a part of all rates."""
+        return part
+
+    def find_lenders(self, name):
+        """Return the peers that may lend tokens, those to be asked first in front."""
+        return self._peer_order()
+
     def describe(self):
         """Return the limits in force on this instance as JSON values, by name."""
         return {
@@ -168,7 +176,7 @@
             share = self.shares.get(name)
             if share is None:
                 share = self.shares[name] = limits.Share(now)
-            share.resize(rate_per_s, burst, part, now)
+            share.resize(rate_per_s, burst, self.part_of(name, part), now)
             if share.waiters:
                 self._serve(name, share, now)
 
@@ -223,7 +231,7 @@
     def _borrow(self, account, share, now):
         if not self.peers:
             return
-        for action in share.borrow(self._peer_order(), now):
+        for action in share.borrow(self.find_lenders(account), now):
             defer.ensureDeferred(self._ask(account, share, action))
 
     def _peer_order(self):
@@ -255,6 +263,7 @@
 
 
 def _rate_failure(account, retry_after_s):
+    """Return the refusal of a request beyond the rate."""
     kind = retries.ErrorKind.RATE_EXCEEDED
     return retries.Failure(kind, account, retry_after_s=retry_after_s)
 
--- /dev/null
+++ b/tests/core/limits/test_holders.py
@@ -0,0 +1,49 @@
+"""Tests of the choice of instances that hold a rate."""
+
+import collections
+
+import testtools
+
+from pomelograde.core import limits, membership
+
+
+def make_instances(count, data_centres=6):
+    return [
+        membership.Instance(f"i{n}", f"dc{n % data_centres}", 1, "127.0.0.1", 2)
+        for n in range(count)
+    ]
+
+
+class HolderTests(testtools.TestCase):
+    def test_burst_that_is_large_enough_is_held_by_all(self):
+        found = limits.Holders(make_instances(7, 3)).find("a", 15.0)
+        self.assertEqual([f"i{n}" for n in range(7)], sorted(found))
+
+    def test_small_burst_is_held_by_few_in_different_data_centres(self):
+        instances = make_instances(72)
+        places = {found.name: found.data_centre for found in instances}
+        holders = limits.Holders(instances)
+        for account in ("a", "b", "c"):
+            found = holders.find(account, 22.0)
+            self.assertEqual(4, len(found))
+            self.assertEqual(4, len({places[name] for name in found}))
+
+    def test_burst_of_few_tokens_is_held_by_one(self):
+        self.assertEqual(1, len(limits.Holders(make_instances(72)).find("a", 4.0)))
+
+    def test_nobody_holds_anything_without_instances(self):
+        self.assertEqual([], limits.Holders([]).find("a", 10.0))
+
+    def test_accounts_are_spread_and_few_move_when_an_instance_goes(self):
+        instances = make_instances(72)
+        accounts = [f"account-{n}" for n in range(500)]
+        before = limits.Holders(instances)
+        after = limits.Holders(instances[:-1])
+        load = collections.Counter()
+        moved = 0
+        for account in accounts:
+            found = before.find(account, 40.0)
+            load.update(found)
+            moved += set(found) - {"i71"} != set(found) & set(after.find(account, 40.0))
+        self.assertEqual(0, moved)
+        self.assertTrue(max(load.values()) < 10 * 500 * 8 / 72, load.most_common(3))
