Send less between regions: compressed configurations, positions told on

Now one instance of a region asks the keeper and tells the others, and configurations are compressed. An instance that starts reads the instances once and not twice. A test on real processes waits until the instances know each other: one that knows nobody else rightly keeps connections itself.

--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -5,6 +5,9 @@
 no recent news from the reader asks others, and reads the store itself.
 """
 
+import functools
+import zlib
+
 import attrs
 import xxhash
 from twisted.internet import defer
@@ -138,17 +141,15 @@
             [
                 defer.ensureDeferred(self.source.fetch_configuration()),
                 defer.ensureDeferred(self.source.fetch_members()),
-                defer.ensureDeferred(self.source.fetch_instances()),
             ],
             consumeErrors=True,
         )
         try:
-            document, members, instances = await reading
+            document, members = await reading
         except defer.FirstError as error:
             error.subFailure.raiseException()
         self._set_store(True)
         self._take_document(document)
-        self._take_instances(*instances)
         self._take_members(*members)
 
     async def leave(self):
@@ -384,7 +385,8 @@
 
     def _take_answer(self, answer, asked_at):
         if answer.document and answer.configuration > self.known.row_version:
-            self._take_text(answer.document, answer.configuration)
+            text = zlib.decompress(answer.document).decode("utf-8", "replace")
+            self._take_text(text, answer.configuration)
         if answer.instances:
             self._take_instances(
                 [peer_messages.read_instance(news) for news in answer.instances],
@@ -410,7 +412,9 @@
         same_instances = message.instances_digest == known.instances_digest
         return peer_messages.NewsAnswer(
             configuration=known.row_version,
-            document=known.text if message.configuration != known.row_version else "",
+            document=b""
+            if message.configuration == known.row_version
+            else _compress(known.text),
             configuration_age_ms=_age_ms(self.freshness.configuration_at, now),
             upstreams_digest=known.members_digest,
             upstreams=[]
@@ -523,6 +527,11 @@
         return done
 
 
+@functools.lru_cache(maxsize=1)
+def _compress(text):
+    return zlib.compress(text.encode())
+
+
 def _age_ms(at, now):
     return UNKNOWN_AGE_MS if at == float("-inf") else int((now - at) * 1000.0) + 1
 
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -346,9 +346,41 @@
                 keeper = next(iter(waiting)).keeper
                 defer.ensureDeferred(self._probe(keeper))
 
-    async def ask_position(self, group, primary):
-        """Ask the instance that keeps the primary for its position."""
+    def find_teller(self, group, primary):
+        """Return the instance to ask for a primary's position.
+
+        Parameters
+        ----------
+        group : Group
+            Database service.
+        primary : Member
+            Its primary.
+
+        Returns
+        -------
+        Instance
+            The one that keeps the primary, for one instance of each region;
+            that one, for the others.
+        """
+        own = self.context.members.own
+        now = self.context.now()
         keeper = self.find_keeper(primary, "")
+        if keeper.region == own.region:
+            return keeper
+        near = {
+            found.name: found
+            for found in self.instances
+            if found.region == own.region
+            and (found.name == own.name or self.is_usable(found, now))
+        }
+        if not near:
+            return keeper
+        teller = near[membership.rendezvous(group.name, near, 1)[0]]
+        return keeper if teller.name == own.name else teller
+
+    async def ask_position(self, group, primary):
+        """Ask another instance for the position of a primary."""
+        keeper = self.find_teller(group, primary)
         if keeper.name == self.context.members.own.name:
             return
         asked_at = self.context.now()
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -311,8 +311,9 @@
     ----------
     configuration : int
         Version of the configuration's row.
-    document : str
-        The configuration, as the operator wrote it; empty if it is the same.
+    document : bytes
+        The configuration, as the operator wrote it, compressed by zlib; empty
+        if it is the same.
     configuration_age_ms, upstreams_age_ms : int
         Time between the peer's own question to the store and the arrival of
         this request; negative if the question came later.
@@ -325,7 +326,7 @@
     """
 
     configuration: int
-    document: str
+    document: bytes
     configuration_age_ms: int
     upstreams_digest: int
     upstreams: list[UpstreamNews]
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -70,6 +70,14 @@
         except OSError:
             return None
 
+    def find_records(self, name, number=0):
+        log = self.fleet.instances[number].read_log()
+        return [record for record in log if record["name"] == name]
+
+    def find_names(self, number=0):
+        """Return the instances that are registered, as an instance last said."""
+        return self.find_records("INSTANCES_CHANGED", number)[-1]["names"]
+
 
 class ServingTests(FleetTests):
     def test_ids_texts_rows_and_digests_are_passed_through(self):
@@ -306,14 +314,6 @@
 
 
 class RegistrationTests(FleetTests):
-    def find_records(self, name, number=0):
-        log = self.fleet.instances[number].read_log()
-        return [record for record in log if record["name"] == name]
-
-    def find_names(self, number=0):
-        """Return the instances that are registered, as an instance last said."""
-        return self.find_records("INSTANCES_CHANGED", number)[-1]["names"]
-
     def was_removed(self, name):
         return any(
             (record["instance_name"], record["reason"]) == (name, "gone")
@@ -379,11 +379,13 @@
 
     def test_stopping_keeper_ends_what_others_began_and_is_replaced(self):
         keeper = self.fleet.instances[0]
+        # Before it knows the others, an instance keeps everything itself.
+        self.assertTrue(wait_until(lambda: len(self.find_names(1)) == 3))
         opened = self.call(1)
         opened.query("BEGIN")
-        opened.query("WRITE kept 1")
+        self.assertEqual("COMPLETE", opened.query("WRITE kept 1")[0][:8])
         writer = self.call(1)
-        writer.query("WRITE before 1")
+        self.assertEqual("COMPLETE", writer.query("WRITE before 1")[0][:8])
         keeper.child.send_signal(signal.SIGTERM)
         answers = []
         for number in range(40):
--- /dev/null
+++ b/tests/net/hosted/test_relays.py
@@ -0,0 +1,86 @@
+"""Tests of the choice of other instances."""
+
+import types
+
+import testtools
+
+from pomelograde.core import membership, placement
+from pomelograde.net import peer_messages
+from pomelograde.net.hosted import relays
+
+INSTANCES = [
+    membership.Instance(name, place, 5, "127.0.0.1", 2, region=place[0])
+    for name, place in (
+        ("a1", "a-x"),
+        ("a2", "a-x"),
+        ("b1", "b-x"),
+        ("b2", "b-x"),
+        ("b3", "b-y"),
+    )
+]
+PRIMARY = placement.Member(
+    name="p",
+    data_centre="a-x",
+    host="127.0.0.1",
+    port=1,
+    role=placement.Role.PRIMARY,
+    leaving=False,
+    slots=1,
+    started_ms=1,
+)
+
+
+class RelayTests(testtools.TestCase):
+    def make(self, own):
+        context = types.SimpleNamespace(
+            now=lambda: 100.0,
+            members=types.SimpleNamespace(own=own),
+            peers=types.SimpleNamespace(handlers={}),
+            log=types.SimpleNamespace(write=lambda event, **_: None),
+        )
+        found = relays.Relays(context, None)
+        found.set_instances(INSTANCES)
+        return found
+
+    def find_tellers(self, silent=()):
+        group = placement.Group("g")
+        found = {}
+        for own in INSTANCES:
+            known = self.make(own)
+            known.suspects.update(dict.fromkeys(silent, 200.0))
+            found[own.name] = known.find_teller(group, PRIMARY).name
+        return found
+
+    def test_one_instance_of_a_region_asks_the_keeper_and_tells_the_others(self):
+        found = self.find_tellers()
+        keeper = found["a1"]
+        self.assertEqual({keeper}, {found["a1"], found["a2"]})
+        asking = [name for name in ("b1", "b2", "b3") if found[name] == keeper]
+        self.assertEqual(1, len(asking))
+        others = {found[name] for name in ("b1", "b2", "b3") if name not in asking}
+        self.assertEqual(set(asking), others)
+
+    def test_silent_instance_tells_nobody(self):
+        (teller,) = {
+            name for name in self.find_tellers().values() if name.startswith("b")
+        }
+        found = self.find_tellers(silent=[teller])
+        told = {told for name, told in found.items() if name != teller}
+        self.assertNotIn(teller, told)
+
+    def test_instance_that_stops_keeps_nothing_until_it_has_started_again(self):
+        found = self.make(INSTANCES[2])
+        keeper = found.find_keeper(PRIMARY, "account")
+        envelope = types.SimpleNamespace(sender=keeper.name, incarnation=5)
+        handlers = found.context.peers.handlers
+        handlers[peer_messages.Leaving](peer_messages.Leaving(), envelope)
+        self.assertNotEqual(keeper, found.find_keeper(PRIMARY, "account"))
+        found.set_instances(
+            [
+                membership.Instance(
+                    known.name, known.data_centre, 6, "127.0.0.1", 2, region="a"
+                )
+                for known in INSTANCES
+            ]
+        )
+        self.assertEqual(keeper.name, found.find_keeper(PRIMARY, "account").name)
