--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -2,13 +2,14 @@
 
 from twisted.internet import defer
 
-from pomelograde.core import configuration, placement, retries
+from pomelograde.core import configuration, placement, pooling, retries
 from pomelograde.net import events, pools, timers
 from pomelograde.net.hosted import rates, relays, sessions
 
 SWEEP_INTERVAL_S = 0.05  # a sixteenth of the shortest time limit in use
 FULL_PAUSE_S = 1.0  # before a member that was full is asked for more again
 POSITION_INTERVAL_S = 0.4  # three floors within the shortest staleness in use
+SETTLED_S = 3.0  # after the start; the instances then know each other
 DENIAL_AGE_S = 2.5  # of the configuration; a new one is in force 3 s after its ack
 ABANDON_LIMIT_S = 2.0  # for an outstanding answer and the rollback behind it
 
@@ -54,12 +55,14 @@
         self.takeovers = {}
         self.sessions = set()
         self.is_stopping = False
+        self.started_at = float("inf")
         self.loops = []
         self.relays = relays.Relays(context, self)
         self.rates = rates.RegisteredRates(context, self.relays)
 
     def start(self):
         """Start the regular work."""
+        self.started_at = self.context.now()
         self.loops = [
             timers.start_loop(self.context, SWEEP_INTERVAL_S, self._sweep, now=False),
             timers.start_loop(
@@ -394,20 +397,62 @@
                 self._ask_position(group, primary)
 
     def _ask_position(self, group, primary):
-        """Ask the primary for its position over a connection that is idle."""
+        """Ask the primary for its position over a connection that is idle.
+
+        Notes
+        -----
+        An instance that has none asks another one; the keeper opens one.
+        """
         pool = self.pools.get(primary.name)
         role = None
         if pool is not None:
             role = next((found.role for found in pool.idle), None)
         connection = None if role is None else pool.take_at_once(role)
-        if connection is None:
-            defer.ensureDeferred(self.relays.ask_position(group, primary))
+        question = PositionQuestion(self, group, primary.name)
+        if connection is not None:
+            question.on_connection(connection)
             return
-        asked_at = self.context.now()
+        teller = self.relays.find_teller(group, primary)
+        if teller.name != self.context.members.own.name:
+            defer.ensureDeferred(self.relays.ask_position(group, primary, teller))
+        elif pool is not None and not pool.open:
+            now = self.context.now()
+            if now - self.started_at >= SETTLED_S:
+                role = next(iter(self.current.accounts), "")
+                deadline = now + POSITION_INTERVAL_S
+                pool.request(pooling.Waiter(role, role, deadline, question))
+
+
+class PositionQuestion:
+    """Asks a primary for its position once there is a connection.
 
-        def done(answer):
-            if answer.error is None and answer.position is not None:
-                group.on_position(primary.name, answer.position, asked_at)
-            self.release(connection)
+    Parameters
+    ----------
+    proxy : Proxy
+        Takes the connection back.
+    group : Group
+        Takes the position.
+    member : str
+        Name of the primary.
+    """
 
-        connection.ask_position(done)
+    def __init__(self, proxy, group, member):
+        self.proxy = proxy
+        self.group = group
+        self.member = member
+        self.connection = None
+        self.asked_at = 0.0
+
+    def on_connection(self, connection):
+        """Ask over a connection."""
+        self.connection = connection
+        self.asked_at = self.proxy.context.now()
+        connection.ask_position(self._on_answer)
+
+    def on_refused(self, failure):
+        """Take that there is no connection; the next round asks again."""
+
+    def _on_answer(self, answer):
+        if answer.error is None and answer.position is not None:
+            self.group.on_position(self.member, answer.position, self.asked_at)
+        self.proxy.release(self.connection)
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -399,17 +399,14 @@
         teller = near[membership.rendezvous(group.name, near, 1)[0]]
         return keeper if teller.name == own.name else teller
 
-    async def ask_position(self, group, primary):
+    async def ask_position(self, group, primary, teller):
         """Ask another instance for the position of a primary."""
-        keeper = self.find_teller(group, primary)
-        if keeper.name == self.context.members.own.name:
-            return
         asked_at = self.context.now()
         request = peer_messages.FloorRequest(group.name)
         try:
-            answer = await self.context.peers.request(keeper, request, PROBE_TIMEOUT_S)
+            answer = await self.context.peers.request(teller, request, PROBE_TIMEOUT_S)
         except peers.PeerUnreachableError:
-            self._suspect(keeper.name, "no answer")
+            self._suspect(teller.name, "no answer")
             return
         if getattr(answer, "known", False):
             position = sessions.Position(answer.term, answer.index)
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -160,6 +160,16 @@
         self.assertTrue(self.call().query("READ k1")[0].startswith("DATAROW"))
 
 
+class IdleTests(FleetTests):
+    def test_primary_that_nobody_uses_is_asked_over_one_connection(self):
+        def count():
+            return self.fleet.show_member(PRIMARY)["connections"]
+
+        self.assertTrue(wait_until(lambda: count() > 0, 6.0))
+        time.sleep(1.0)
+        self.assertEqual(1, count())
+
+
 class FaultTests(FleetTests):
     def test_lost_answer_of_a_write_is_in_doubt_and_runs_once(self):
         caller = self.call(1)
