Compress long messages between instances, whatever they hold

Cause: each start and stop changes the list of instances, and each change sends 5.6 kB to every other instance of a fleet of 72: 33 MB in a rolling restart, half of it between regions.

--- a/pomelograde/net/hosted/news.py
+++ b/pomelograde/net/hosted/news.py
@@ -5,9 +5,6 @@
 no recent news from the reader asks others, and reads the store itself.
 """
 
-import functools
-import zlib
-
 import attrs
 import xxhash
 from twisted.internet import defer
@@ -385,8 +382,7 @@
 
     def _take_answer(self, answer, asked_at):
         if answer.document and answer.configuration > self.known.row_version:
-            text = zlib.decompress(answer.document).decode("utf-8", "replace")
-            self._take_text(text, answer.configuration)
+            self._take_text(answer.document, answer.configuration)
         if answer.instances:
             self._take_instances(
                 [peer_messages.read_instance(news) for news in answer.instances],
@@ -412,9 +408,7 @@
         same_instances = message.instances_digest == known.instances_digest
         return peer_messages.NewsAnswer(
             configuration=known.row_version,
-            document=b""
-            if message.configuration == known.row_version
-            else _compress(known.text),
+            document=known.text if message.configuration != known.row_version else "",
             configuration_age_ms=_age_ms(self.freshness.configuration_at, now),
             upstreams_digest=known.members_digest,
             upstreams=[]
@@ -527,11 +521,6 @@
         return done
 
 
-@functools.lru_cache(maxsize=1)
-def _compress(text):
-    return zlib.compress(text.encode())
-
-
 def _age_ms(at, now):
     return UNKNOWN_AGE_MS if at == float("-inf") else int((now - at) * 1000.0) + 1
 
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -2,12 +2,19 @@
 
 import functools
 import pathlib
+import zlib
 
 import attrs
 import capnp
 
 from pomelograde.core import membership
 
+COMPRESS_FROM_BYTES = 1024  # rows of usual answers are shorter, and don't shrink
+COMPRESS_LEVEL = 1  # fast; names and addresses shrink to a quarter
+MAX_BYTES = 64 * 1024 * 1024  # of one message, unpacked; four times the longest frame
+PLAIN = b"\0"
+COMPRESSED = b"\1"
+
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
 
 
@@ -311,9 +318,8 @@
     ----------
     configuration : int
         Version of the configuration's row.
-    document : bytes
-        The configuration, as the operator wrote it, compressed by zlib; empty
-        if it is the same.
+    document : str
+        The configuration, as the operator wrote it; empty if it is the same.
     configuration_age_ms, upstreams_age_ms : int
         Time between the peer's own question to the store and the arrival of
         this request; negative if the question came later.
@@ -326,7 +332,7 @@
     """
 
     configuration: int
-    document: bytes
+    document: str
     configuration_age_ms: int
     upstreams_digest: int
     upstreams: list[UpstreamNews]
@@ -542,7 +548,10 @@
     else:
         target = built.body.init(_field_name(type(message)))
         _fill(target, message)
-    return built.to_bytes_packed()
+    packed = built.to_bytes_packed()
+    if len(packed) < COMPRESS_FROM_BYTES:
+        return PLAIN + packed
+    return COMPRESSED + zlib.compress(packed, COMPRESS_LEVEL)
 
 
 def decode(data):
@@ -550,10 +559,15 @@
 
     Raises
     ------
-    capnp.KjException
+    capnp.KjException, ValueError
         If they are malformed.
     """
-    built = SCHEMA.Envelope.from_bytes_packed(data)
+    packed = data[1:]
+    if data[:1] == COMPRESSED:
+        packed = _decompress(packed)
+    elif data[:1] != PLAIN:
+        raise ValueError("unknown form of message")
+    built = SCHEMA.Envelope.from_bytes_packed(packed)
     which = built.body.which()
     message = Empty()
     if which != "empty":
@@ -563,6 +577,17 @@
     )
 
 
+def _decompress(data):
+    unpacker = zlib.decompressobj()
+    try:
+        packed = unpacker.decompress(data, MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise ValueError("message is cut off or too long")
+    return packed
+
+
 def _fill(target, message):
     for name, camel in _names(type(message)):
         value = getattr(message, name)
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -172,7 +172,7 @@
 
 struct NewsAnswer {
   configuration @0 :UInt64;
-  document @1 :Data;
+  document @1 :Text;
   configurationAgeMs @2 :Int64;
   upstreamsDigest @3 :UInt64;
   upstreams @4 :List(UpstreamNews);
--- a/tests/net/hosted/test_news.py
+++ b/tests/net/hosted/test_news.py
@@ -57,7 +57,7 @@
 def make_answer(age_ms, instances=()):
     return peer_messages.NewsAnswer(
         configuration=0,
-        document=b"",
+        document="",
         configuration_age_ms=age_ms,
         upstreams_digest=0,
         upstreams=[],
