Revert: let few instances keep a member's connections

The cause given was wrong: with 54 connections for 78 accounts about a fifth of the statements miss, and the first 936 connections are the first of each account and member.

--- a/pomelograde/core/placement/__init__.py
+++ b/pomelograde/core/placement/__init__.py
@@ -1,6 +1,6 @@
 """Which upstream member a statement is sent to."""
 
-from pomelograde.core.placement import _choose, _group, _keepers
+from pomelograde.core.placement import _choose, _group
 
 Group = _group.Group
 Member = _group.Member
@@ -8,7 +8,6 @@
 Requirement = _group.Requirement
 Role = _group.Role
 choose_replicas = _choose.choose_replicas
-count_keepers = _keepers.count_keepers
 covers = _choose.covers
 
 __all__ = [
@@ -18,6 +17,5 @@
     "Requirement",
     "Role",
     "choose_replicas",
-    "count_keepers",
     "covers",
 ]
--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -11,14 +11,7 @@
 import attrs
 from twisted.internet import defer
 
-from pomelograde.core import (
-    membership,
-    placement,
-    pooling,
-    retries,
-    sessions,
-    statements,
-)
+from pomelograde.core import membership, pooling, retries, sessions, statements
 from pomelograde.net import events, peer_messages, peers
 
 REQUEST_TIMEOUT_S = 20.0  # beyond the time limit of every route
@@ -271,12 +264,8 @@
         }
         if not near:
             return own
-        wanted = self._count_wanted(member, len(near))
-        names = near
-        if wanted < len(near):
-            names = membership.rendezvous(member.name, near, wanted)
         key = f"{member.name}/{account}"
-        return near[membership.rendezvous(key, names, 1)[0]]
+        return near[membership.rendezvous(key, near, 1)[0]]
 
     def is_usable(self, instance, now):
         """Return whether an instance neither stops nor is silent."""
@@ -292,18 +281,8 @@
         )
         own = self.context.members.own
         if near and own.data_centre == member.data_centre:
-            return self._count_wanted(member, near)
-        return max(1, len(self.instances))
-
-    def _count_wanted(self, member, near):
-        """Return how many of the instances near a member keep connections."""
-        pool = self.proxy.pools.get(member.name)
-        configuration = self.proxy.current
-        service = None if pool is None else configuration.services.get(pool.service)
-        if service is None:
             return near
-        accounts = len(configuration.accounts)
-        return placement.count_keepers(service.max_connections, accounts, near)
+        return max(1, len(self.instances))
 
     def connect(self, member, service, account):
         """Return a RemoteConnection, or None if this instance is the keeper."""
