--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format demo measure history matrix slopes explore
+.PHONY: test lint format demo measure history matrix slopes explore soak
 
 $(STAMP): requirements.lock
 	test -x $(PYTHON) || python3.11 -m venv $(VENV) || python3 -m venv $(VENV)
@@ -37,3 +37,6 @@
 
 explore: $(STAMP)
 	$(PYTHON) -m measure explore $(ARGS)
+
+soak: $(STAMP)
+	$(PYTHON) -m soak $(if $(SEED),--seed $(SEED)) $(if $(SEEDS),--seeds $(SEEDS)) $(ARGS)
--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -130,12 +130,22 @@
         for instance in self.instances:
             processes.wait_for_port("127.0.0.1", instance.port)
 
-    def start_instance(self, number, ports=None):
-        """Start one instance; returns it."""
+    def start_instance(self, number, ports=None, store=None):
+        """Start one instance; returns it.
+
+        Parameters
+        ----------
+        number : int
+            Its data centre and name follow from it.
+        ports : list of int or None
+            Four ports; None for free ones.
+        store : str or None
+            Address through which it reaches the store; None for the store's.
+        """
         zone = host.ZONES[number % len(host.ZONES)]
         name = f"{zone}-{number}"
         ports = ports or processes.free_ports(4)
-        settings = make_settings(name, zone, self.store, ports)
+        settings = make_settings(name, zone, store or self.store, ports)
         directory = self.running.directory
         path = directory / f"{name}.json"
         path.write_text(json.dumps(settings))
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real instances with faults from outside."""
