--- a/pomelograde/core/limits/_holders.py
+++ b/pomelograde/core/limits/_holders.py
@@ -20,11 +20,10 @@
     Notes
     -----
     A small burst split between many instances leaves each less than a token.
-    It is held by a few of them, spread over the data centres, and the others
-    ask one of those. Neighbouring data centres in the order that holders are
-    chosen in are of different regions. In each data centre the instances stand on a ring by the
-    hash of their names, and the holders follow the hash of the account, so few
-    accounts move when an instance comes or goes.
+    It is held by a few of them, spread over the regions and data centres, and
+    the others ask one of those. In each data centre the instances stand on a
+    ring by the hash of their names, and the holders follow the hash of the
+    account, so few accounts move when an instance comes or goes.
     """
 
     def __init__(self, instances):
