--- a/pomelograde/standins/hosting/store.py
+++ b/pomelograde/standins/hosting/store.py
@@ -143,7 +143,9 @@
             return server.NOT_DONE_YET
         if self.faults.refuse:
             return http.answer(request, 503, {})
-        self.reactor.callLater(self.faults.slow_s, self._answer, request, path)
+        # The connection may be gone, and the body with it, once it is answered.
+        body = request.content.read()
+        self.reactor.callLater(self.faults.slow_s, self._answer, request, path, body)
         return server.NOT_DONE_YET
 
     def put(self, table, key, value):
@@ -152,9 +154,9 @@
         self._wake()
         return version
 
-    def _answer(self, request, path):
+    def _answer(self, request, path, body):
         if path == "/rows-tx":
-            status, answer = self.tables.commit(json.loads(request.content.read()))
+            status, answer = self.tables.commit(json.loads(body))
             self._wake()
             if not self.faults.lose_answers:
                 self._finish(request, status, answer)
