Replace no primary that only has no room, nor on the word of one that slept

- An instance that woke from a freeze took its own silence for that of three healthy primaries.
- It was confirmed at once: members that refuse a connection, for want of room, counted as silent, here and at both witnesses.
Replicas without room were no candidates either.
- An instance whose registration had been ended carried a takeover out, while another one, to which it seemed gone, began its own over the same row, and the lower fence came last.

Whoever was late with its checks gives primaries their time again. A member that refuses is alive, and is asked over a pooled connection where there is one. An instance that is not registered begins nothing; only a holder that was replaced by a later process counts as gone, and holders give up 4.4 s after their beginning, before another one may begin at 5.5 s. An instance that stops ends its takeovers first.

--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-ABANDONED_S = 4.0  # a takeover takes 3.5 s at most; its holder is gone after that
+PROMOTE_WITHIN_S = 4.4  # of the beginning; rights end within 2.7 s, members answer in 1
+ABANDONED_S = 5.5  # the last moment to promote, and the time limit of the call
 
 
 @attrs.frozen
@@ -40,7 +41,7 @@
         return bool(self.holder)
 
 
-def may_start(takeover, holder, holders, seen_for_s):
+def may_start(takeover, holder, incarnations, seen_for_s):
     """Return whether an instance may begin a takeover.
 
     Parameters
@@ -49,11 +50,19 @@
         The last one of the service.
     holder : str
         Instance, and its incarnation, that wants to.
-    holders : set of str
-        Registered instances, each with its incarnation.
+    incarnations : dict of str to int
+        Incarnation of each registered instance.
     seen_for_s : float
         How long the row has been seen unchanged.
+
+    Notes
+    -----
+    A holder whose name has a later incarnation is another process by now. One
+    that is not registered may well be alive, and about to promote.
     """
     if takeover is None or takeover.is_done or takeover.holder == holder:
         return True
-    return takeover.holder not in holders or seen_for_s > ABANDONED_S
+    name, _, incarnation = takeover.holder.rpartition("/")
+    if incarnations.get(name, 0) > int(incarnation):
+        return True
+    return seen_for_s > ABANDONED_S
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -93,6 +93,11 @@
             caller_port=found.caller_port,
         )
 
+    @property
+    def is_busy(self):
+        """Whether anything is under way that should end before the stop."""
+        return self.proxy.is_busy or bool(self.takeovers.running)
+
     async def stop(self):
         """Stop without cutting what can still end."""
         self.readiness.is_stopping = True
@@ -101,7 +106,7 @@
         )
         self.proxy.begin_stop()
         deadline = self.context.now() + self.context.settings.grace_s - STOP_MARGIN_S
-        while self.proxy.is_busy and self.context.now() < deadline:
+        while self.is_busy and self.context.now() < deadline:
             await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
         self.news.stop()
         self.takeovers.stop()
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -13,6 +13,7 @@
 from pomelograde.net.hosted import news
 
 CHECK_INTERVAL_S = 0.1  # adds little to the time until a failure is noticed
+GAP_S = 0.5  # between checks; whoever is late was asleep, and heard nobody
 PLANNED_GRACE_S = 0.8  # for what is under way at a primary that still works
 FAILED_GRACE_S = 0.05  # for answers that are on their way
 HOLD_TIMEOUT_S = 1.5  # beyond the longest grace, with two ways between regions
@@ -22,7 +23,6 @@
 CATCH_UP_S = 1.5  # a replica usually lags by 0.02 s
 CATCH_UP_INTERVAL_S = 0.03
 LEADING_S = 2.5  # a promotion takes 1 s at most
-PROMOTE_WITHIN_S = 6.0  # of the beginning; a slower holder begins anew
 RETRY_S = 1.0  # after a takeover that failed
 WITNESSES = 2
 
@@ -49,6 +49,8 @@
         self.promoter = promoter
         self.running = set()
         self.absent_since = {}
+        self.checked_at = float("-inf")
+        self.awake_since = float("-inf")
         self.seen_since = {}
         self.retry_at = {}
         self.term = 0
@@ -82,8 +84,12 @@
     def _check(self):
         now = self.context.now()
         freshness = self.follower.freshness
+        if now - self.checked_at > GAP_S:
+            self.awake_since = now
+        self.checked_at = now
+        may_act = self.follower.is_reader(now) and self.follower.is_registered
         recent = now < freshness.primary_right_until()
-        if not self.follower.is_reader(now) or not recent or self.proxy.is_stopping:
+        if not may_act or not recent or self.proxy.is_stopping:
             self.absent_since.clear()
             return
         for service, group in self.proxy.groups.items():
@@ -110,7 +116,7 @@
             del self.absent_since[group.name]
         silent_for_s = 0.0
         if registered and primary.position is not None:
-            silent_for_s = now - primary.position_at
+            silent_for_s = now - max(primary.position_at, self.awake_since)
         return takeovers.Evidence(
             primary=group.primary if registered else None,
             is_leaving=registered and primary.leaving,
@@ -126,9 +132,11 @@
         seen_for_s = 0.0
         if takeover is not None:
             seen_for_s = now - self.seen_since[service][1]
-        holders = {_holder(found) for found in self.follower.known.registered}
+        incarnations = {
+            found.name: found.incarnation for found in self.follower.known.registered
+        }
         own = _holder(self.context.members.own)
-        return takeovers.may_start(takeover, own, holders, seen_for_s)
+        return takeovers.may_start(takeover, own, incarnations, seen_for_s)
 
     async def _run(self, group, reason):
         """Carry a takeover out, and note how it ended."""
@@ -254,7 +262,7 @@
                 position=f"{chosen.position.term}.{chosen.position.index}",
                 candidates=len(candidates),
             )
-            if self.context.now() - begun_at > PROMOTE_WITHIN_S:
+            if self.context.now() - begun_at > takeovers.PROMOTE_WITHIN_S:
                 return None
             promoted = await self.promoter.promote(
                 group.name, chosen.name, takeover.fence
@@ -296,6 +304,20 @@
         return dict(zip(names, opened, strict=True))
 
     async def _open(self, group, member):
+        """Return a connection to a member, or None if there is none to be had."""
+        try:
+            return await self._connect(group, member)
+        except pools.UpstreamOpenError as error:
+            return self._take_pooled(member) if error.refused else None
+
+    async def _connect(self, group, member):
+        """Open a connection to a member.
+
+        Raises
+        ------
+        UpstreamOpenError
+            If the member refuses it, or does not answer in time.
+        """
         account = next(iter(self.proxy.current.accounts), "")
         opening = defer.ensureDeferred(
             self.proxy.open_connection(
@@ -309,8 +331,17 @@
         opening.addTimeout(MEMBER_TIMEOUT_S, self.context.reactor)
         try:
             return await opening
-        except (pools.UpstreamOpenError, defer.TimeoutError):
+        except defer.TimeoutError as error:
+            raise pools.UpstreamOpenError("no answer in time") from error
+
+    def _take_pooled(self, member):
+        """Return a connection of the pool to a member that takes no more, or None."""
+        pool = self.proxy.pools.get(member.name)
+        if pool is None:
             return None
+        roles = {found.role for found in pool.idle}
+        taken = (pool.take_at_once(role) for role in roles)
+        return next((found for found in taken if found is not None), None)
 
     async def _find_candidates(self, group, connections, old, planned):
         """Return the replicas that may lead, with what they have received."""
@@ -408,11 +439,17 @@
         return getattr(answer, "reachable", None)
 
     async def _answers(self, group, member):
-        """Return whether a member answers on a connection of its own."""
+        """Return whether a member answers on a connection of its own.
+
+        Notes
+        -----
+        One that refuses it, as for want of room, is alive.
+        """
         asked_at = self.context.now()
-        connection = await self._open(group, member)
-        if connection is None:
-            return False
+        try:
+            connection = await self._connect(group, member)
+        except pools.UpstreamOpenError as error:
+            return error.refused
         found = await self._ask(connection, "ask_status", ())
         connection.close()
         if found is not None:
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -231,8 +231,10 @@
         if not self.is_ready and not self.ready.called:
             full = self.start_error is statements.UpstreamError.TOO_MANY_CONNECTIONS
             reason = self.start_error.value if self.start_error else "closed"
+            # Another member may have the address by now.
+            refused = self.start_error is not statements.UpstreamError.MISDIRECTED
             self.ready.errback(
-                pools.UpstreamOpenError(reason, refused=True, is_full=full)
+                pools.UpstreamOpenError(reason, refused=refused, is_full=full)
             )
         if on_closed is not None:
             on_closed(self)
