--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,12 +14,13 @@
 @click.option("--seed", type=int, help="First seed; by default from the time.")
 @click.option("--seeds", type=int, default=1, help="How many seeds to play.")
 @click.option("--seconds", type=float, default=20.0, help="How long faults strike.")
-def main(seed, seeds, seconds):
+@click.option("--logs", help="Folder for the logs of runs that failed.")
+def main(seed, seeds, seconds, logs):
     """Play real instances under faults from outside, and check the promises."""
     first = seed if seed is not None else int(time.time())
     failed = []
     for number in range(first, first + seeds):
-        broken, served = run.Run(number, seconds).play()
+        broken, served = run.Run(number, seconds, logs).play()
         click.echo(f"seed {number}: {served} served, {len(broken)} broken")
         for found in broken:
             click.echo(f"  {found.promise}: {found.detail}")
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,8 @@
 """One run: processes, callers, faults, and the verdict."""
 
 import contextlib
+import pathlib
+import shutil
 import signal
 import subprocess
 import time
@@ -62,11 +64,14 @@
         Faults and callers follow from it.
     seconds : float
         How long faults strike.
+    logs : str or None
+        Folder for the instances' logs of a run with a broken promise.
     """
 
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, logs=None):
         self.seed = seed
         self.seconds = seconds
+        self.logs = logs
         self.seen = history.History()
         self.acknowledged = {}
         self.fleet = None
@@ -115,6 +120,8 @@
                 thread.join(callers.ANSWER_S * 2.0)
             time.sleep(2.0 * host.HEARTBEAT_S)
             found.extend(self._check_end())
+            if found and self.logs:
+                self._keep_logs()
             return found, sum(thread.served for thread in threads)
 
     def _start(self, place):
@@ -219,6 +226,12 @@
         log = self.fleet.show_member(name)["log"]
         return history.check(self.seen, log, self.fleet.show_promotions())
 
+    def _keep_logs(self):
+        folder = pathlib.Path(self.logs) / f"seed-{self.seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in self.fleet.running.directory.glob("*.log"):
+            shutil.copy(path, folder)
+
     def _wake_all(self):
         """Let no process stay suspended."""
         for place in self.places:
