Let a member that led and is a replica now lead no more

All instances went on to take it for the primary, since it was the one promoted last, whatever it registered; writes were refused for good, and reads could have missed commits. The member promoted last now leads from its promotion until it is registered as primary, for 2.5 s at most, and after that as long as it is registered as one. Otherwise nobody leads, and a takeover begins. The new tests failed before. A test of takeovers shared its member with others and failed by their order; it makes its own.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -8,6 +8,7 @@
 from pomelograde.core.sessions import _floors
 
 FAR_PRIMARY_COST = 2.0  # outstanding reads that a read on the primary counts as
+SUCCESSOR_S = 2.5  # a promoted member registers at once; news take 1.5 s at most
 BEHIND_PAUSE_S = 0.02  # first pause before a lagging replica is asked again
 MAX_BEHIND_PAUSE_S = 0.32  # reached after five answers in a row
 STALENESS_MARGIN_S = 0.1  # for the way of a read to the replica, 25 ms at most
@@ -87,6 +88,10 @@
         Whether nothing that was sent to it may end with success either.
     successor : str
         Member that was promoted last; empty where none is known.
+    has_led : bool
+        Whether it has been registered as primary since.
+    successor_until : float
+        Time until which it counts as primary before that.
     term : int
         Highest term that a primary has reported.
     term_base : Position or None
@@ -105,17 +110,21 @@
         self.is_held = False
         self.is_cut = False
         self.successor = ""
+        self.has_led = False
+        self.successor_until = float("-inf")
         self.term = 0
         self.term_base = None
         self.floors = _floors.FloorHistory()
 
-    def update(self, members):
+    def update(self, members, now):
         """Take in the members that are registered now.
 
         Parameters
         ----------
         members : iterable of Member
             As registered; what is known here of a running one is kept.
+        now : float
+            Monotonic seconds.
 
         Returns
         -------
@@ -132,7 +141,7 @@
                 member = known
             found[member.name] = member
         self.members = found
-        return self._set_primary()
+        return self.refresh(now)
 
     def usable_primary(self, now):
         """Return the primary if this instance may use it, else None."""
@@ -145,7 +154,7 @@
         """Return whether what was sent to a primary may still end with success."""
         return name == self.primary and not self.is_cut and now < self.right_until
 
-    def set_takeover(self, is_held, successor):
+    def set_takeover(self, is_held, successor, now):
         """Take in whether the primary is being replaced, and by whom last.
 
         Returns
@@ -156,8 +165,11 @@
         self.is_held = is_held
         if not is_held:
             self.is_cut = False
-        self.successor = successor
-        return self._set_primary()
+        if successor != self.successor:
+            self.successor = successor
+            self.has_led = False
+            self.successor_until = now + SUCCESSOR_S
+        return self.refresh(now)
 
     def on_position(self, name, position, asked_at):
         """Take the position that a member reported.
@@ -259,14 +271,26 @@
         scored.sort()
         return [entry[3] for entry in scored]
 
-    def _set_primary(self):
+    def refresh(self, now):
+        """Set the primary by what is registered; returns whether it has changed.
+
+        Notes
+        -----
+        The member that was promoted last leads, also where another one has not
+        learnt of it yet. But one that led and is a replica now has started
+        anew, and nobody leads until a member is promoted.
+        """
         leaders = [
             member for member in self.members.values() if member.role is Role.PRIMARY
         ]
         leaders.sort(key=_term_of)
         name = leaders[-1].name if leaders else None
-        if self.successor in self.members:
-            name = self.successor
+        successor = self.members.get(self.successor)
+        if successor is not None:
+            leads = successor.role is Role.PRIMARY
+            self.has_led = self.has_led or leads
+            expected = not self.has_led and now < self.successor_until
+            name = successor.name if leads or expected else None
         changed = name != self.primary
         self.primary = name
         return changed
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -100,20 +100,15 @@
     def set_members(self, members):
         """Take in the registered members, by service."""
         for service in [name for name in self.groups if name not in members]:
-            self.groups[service].update([])
+            self.groups[service].update([], self.context.now())
         for service, found in members.items():
             group = self.groups.get(service)
             if group is None:
                 group = self.groups[service] = placement.Group(service)
                 if service in self.takeovers:
                     self.set_takeover(self.takeovers[service])
-            if group.update(found):
-                self.context.log.write(
-                    events.Event.PRIMARY_CHANGED,
-                    service=service,
-                    primary=group.primary,
-                    age_s=round(self.context.now() - self.freshness.members_at, 3),
-                )
+            if group.update(found, self.context.now()):
+                self._note_primary(group)
         self.on_fresh()
         self._update_pools()
         self.context.log.write(
@@ -130,7 +125,8 @@
         if group is None:
             return
         was_held = group.is_held
-        changed = group.set_takeover(takeover.is_held, takeover.successor)
+        now = self.context.now()
+        changed = group.set_takeover(takeover.is_held, takeover.successor, now)
         if changed or was_held != group.is_held:
             self.context.log.write(
                 events.Event.PRIMARY_HELD,
@@ -392,10 +388,20 @@
         """Keep the positions of primaries recent."""
         now = self.context.now()
         for group in self.groups.values():
+            if group.refresh(now):
+                self._note_primary(group)
             primary = group.usable_primary(now)
             if primary is not None and now - primary.position_at > POSITION_INTERVAL_S:
                 self._ask_position(group, primary)
 
+    def _note_primary(self, group):
+        self.context.log.write(
+            events.Event.PRIMARY_CHANGED,
+            service=group.name,
+            primary=group.primary,
+            age_s=round(self.context.now() - self.freshness.members_at, 3),
+        )
+
     def _ask_position(self, group, primary):
         """Ask the primary for its position over a connection that is idle.
 
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -16,7 +16,7 @@
         super().setUp()
         self.group = placement.Group("g")
         leader = member("p", "there", placement.Role.PRIMARY)
-        self.group.update([leader, member("a"), member("b", "there")])
+        self.group.update([leader, member("a"), member("b", "there")], 5.0)
         self.group.right_until = 50.0
 
     def choose(self, now=10.0, position=None, tried=()):
@@ -71,6 +71,33 @@
 
     def test_member_that_started_anew_is_unknown(self):
         self.group.on_position("a", POSITION(1, 5), 9.0)
-        self.group.update([member("a", started_ms=2)])
+        self.group.update([member("a", started_ms=2)], 10.0)
         self.assertIsNone(self.group.members["a"].position)
         self.assertIsNone(self.group.primary)
+
+    def register(self, now, **roles):
+        """Register members; returns who leads then."""
+        found = [member(name, role=role) for name, role in sorted(roles.items())]
+        self.group.update(found, now)
+        return self.group.primary
+
+    def test_promoted_member_leads_before_it_is_registered_as_primary(self):
+        leads, follows = placement.Role.PRIMARY, placement.Role.REPLICA
+        self.group.set_takeover(True, "", 10.0)
+        self.group.set_takeover(False, "a", 11.0)
+        self.assertEqual("a", self.group.primary)
+        self.assertEqual("a", self.register(12.0, a=follows, p=leads))
+        self.assertEqual("a", self.register(12.5, a=leads, p=leads))
+
+    def test_promoted_member_that_is_never_registered_as_primary_does_not_lead(self):
+        self.group.set_takeover(False, "a", 11.0)
+        self.assertTrue(self.group.refresh(13.6))
+        self.assertIsNone(self.group.primary)
+
+    def test_member_that_led_and_is_a_replica_now_does_not_lead(self):
+        leads, follows = placement.Role.PRIMARY, placement.Role.REPLICA
+        self.group.set_takeover(False, "a", 11.0)
+        self.register(11.5, a=leads, p=follows)
+        self.assertIsNone(self.register(12.0, a=follows, p=follows))
+        self.assertIsNone(self.register(12.5, a=follows, p=leads))
+        self.assertEqual("a", self.register(13.0, a=leads, p=follows))
--- a/tests/core/statements/test_session.py
+++ b/tests/core/statements/test_session.py
@@ -23,7 +23,8 @@
                 placement.Member("p", "there", role=placement.Role.PRIMARY),
                 placement.Member("a", "here"),
                 placement.Member("b", "there"),
-            ]
+            ],
+            0.0,
         )
         self.found.right_until = 100.0
         self.found.on_position("p", POSITION(1, 7), NOW - 0.5)
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -16,16 +16,18 @@
 from pomelograde.net import peer_messages, pools
 from pomelograde.net.hosted import takeovers as hosted_takeovers
 
-PRIMARY = placement.Member(
-    name="p",
-    data_centre="x",
-    host="127.0.0.1",
-    port=1,
-    role=placement.Role.PRIMARY,
-    leaving=True,
-    slots=1,
-    started_ms=1,
-)
+
+def make_primary():
+    return placement.Member(
+        name="p",
+        data_centre="x",
+        host="127.0.0.1",
+        port=1,
+        role=placement.Role.PRIMARY,
+        leaving=True,
+        slots=1,
+        started_ms=1,
+    )
 
 
 def make_instance(name):
@@ -60,7 +62,7 @@
             members=types.SimpleNamespace(own=own),
         )
         group = placement.Group("g")
-        group.update([PRIMARY])
+        group.update([make_primary()], 100.0)
         self.source = Source()
         self.known = types.SimpleNamespace(
             takeovers={}, registered=[own, make_instance("other")]
