Suspect only the holder that did not answer, not the one asked next

Cause (read in the code): a request for a token that goes on to the next holder is one object. When the connection to the silent holder was dropped, its failure was taken for one of the holder asked since, so that the second and third were suspected as well, and the request was refused. Who was asked goes with each request. The new test failed before.

--- a/pomelograde/net/hosted/relays.py
+++ b/pomelograde/net/hosted/relays.py
@@ -303,11 +303,15 @@
         request : object
             One of the message classes.
         """
-        self.outstanding.setdefault(call.keeper.name, set()).add(call)
+        keeper = call.keeper
+        self.outstanding.setdefault(keeper.name, set()).add(call)
         sent = defer.ensureDeferred(
-            self.context.peers.request(call.keeper, request, REQUEST_TIMEOUT_S)
+            self.context.peers.request(keeper, request, REQUEST_TIMEOUT_S)
+        )
+        arguments = [call, keeper]
+        sent.addCallbacks(
+            self._on_answer, self._on_unreachable, arguments, None, arguments
         )
-        sent.addCallbacks(self._on_answer, self._on_unreachable, [call], None, [call])
 
     def forget(self, call):
         """Expect nothing more for a call."""
@@ -419,16 +423,19 @@
         self.pauses[name] = (now + pause_s, pause_s)
         self.context.peers.renew(name)
 
-    def _on_answer(self, message, call):
+    def _on_answer(self, message, call, keeper):
+        if call.keeper is not keeper:
+            return  # It has asked somebody else since.
         call.on_answer(message)
         if not call.is_waiting:
             self.forget(call)
 
-    def _on_unreachable(self, reason, call):
+    def _on_unreachable(self, reason, call, keeper):
         reason.trap(peers.PeerUnreachableError)
-        self.forget(call)
-        self._suspect(call.keeper.name, "connection lost")
-        call.lose()
+        self._suspect(keeper.name, "connection lost")
+        if call.keeper is keeper:
+            self.forget(call)
+            call.lose()
 
     def _on_peer_lost(self, name, accepted):
         """Roll back what was open for a peer whose connection is gone."""
--- a/tests/net/hosted/test_relays.py
+++ b/tests/net/hosted/test_relays.py
@@ -3,10 +3,11 @@
 import types
 
 import testtools
+from twisted.internet import defer
 
 from pomelograde.core import membership, placement
-from pomelograde.net import peer_messages
-from pomelograde.net.hosted import relays
+from pomelograde.net import peer_messages, peers
+from pomelograde.net.hosted import admissions, relays
 
 INSTANCES = [
     membership.Instance(name, place, 5, "127.0.0.1", 2, region=place[0])
@@ -38,10 +39,36 @@
             peers=types.SimpleNamespace(handlers={}),
             log=types.SimpleNamespace(write=lambda event, **_: None),
         )
+        self.requests = []
+
+        def request(instance, message, timeout_s):
+            self.requests.append((instance.name, defer.Deferred()))
+            return self.requests[-1][1]
+
+        context.peers.request = request
+        context.peers.renew = self.renew
         found = relays.Relays(context, None)
         found.set_instances(INSTANCES)
         return found
 
+    def renew(self, name):
+        """Fail what was sent over a connection that is dropped."""
+        for other, answer in self.requests:
+            if other == name and not answer.called:
+                answer.errback(peers.PeerUnreachableError(name))
+
+    def test_silent_holder_costs_no_other_holder_its_trust(self):
+        found = self.make(INSTANCES[4])
+        done = defer.Deferred()
+        request = peer_messages.AdmitRequest("account", 1000, 100, 1)
+        admissions.AdmissionCall(found, INSTANCES[:3], request, done).start()
+        found._suspect("a1", "no answer")
+        self.assertEqual(["a1", "a2"], [name for name, _ in self.requests])
+        self.assertEqual({"a1"}, set(found.suspects))
+        self.requests[1][1].callback(peer_messages.AdmitAnswer())
+        self.assertTrue(done.called)
+        self.assertEqual(set(), found.outstanding["a2"])
+
     def find_tellers(self, silent=()):
         group = placement.Group("g")
         found = {}
