Let the holders of a small rate borrow from each other, not from 24 others

Cause (read in the code): lenders were the holders among the first 24 peers, of 72, so that three holders found each other in a few rounds of many only.

--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -120,8 +120,18 @@
 
     def find_lenders(self, name):
         """Return the other holders, those of the own data centre first."""
-        holders = self.find_holders(name)
-        return [found for found in self._peer_order() if found in holders]
+        holders = set(self.find_holders(name))
+        if len(holders) >= self.registered:
+            return self._peer_order()
+        turn = next(self.turn)
+        others = [found for found in self.peers if found in holders]
+        near = [
+            found
+            for found in others
+            if self.by_name[found].data_centre == self.context.members.own.data_centre
+        ]
+        far = [found for found in others if found not in near]
+        return [*rates.rotate(near, turn), *rates.rotate(far, turn)]
 
     def try_admit(self, account, now):
         """Take one request of a client account's rate if it may run now."""
--- a/pomelograde/net/rates.py
+++ b/pomelograde/net/rates.py
@@ -242,7 +242,7 @@
         """Return peers to ask: those of the own data centre first, in turns."""
         turn = next(self.turn)
         near, far = self.peers[: self.near], self.peers[self.near :]
-        return [*_rotate(near, turn), *_rotate(far, turn)][:PEERS_CONSIDERED]
+        return [*rotate(near, turn), *rotate(far, turn)][:PEERS_CONSIDERED]
 
     async def _ask(self, account, share, action):
         amount = 0.0
@@ -272,7 +272,8 @@
     return retries.Failure(kind, account, retry_after_s=retry_after_s)
 
 
-def _rotate(names, turn):
+def rotate(names, turn):
+    """Return names from another one on with each turn."""
     if not names:
         return []
     start = turn % len(names)
--- a/tests/net/hosted/test_rates.py
+++ b/tests/net/hosted/test_rates.py
@@ -197,6 +197,15 @@
         served = fleet.run(0.4 * RATE_PER_S)
         self.assertTrue(served > 0.9, served)
 
+    def test_holders_borrow_from_each_other_only(self):
+        fleet = Fleet()
+        holders = fleet.rates[0].find_holders("a")
+        names = [found.name for found in fleet.instances]
+        for holder in holders:
+            known = fleet.rates[names.index(holder)]
+            others = sorted(set(holders) - {holder})
+            self.assertEqual(others, sorted(known.find_lenders("a")))
+
     def test_token_given_back_elsewhere_serves_the_next_request(self):
         fleet = Fleet()
         holders = fleet.rates[0].find_holders("a")
