Leave room on members for instances that start after a power loss

Cause: after all instances lost power, a member counts their connections for 3 s more. A member without room for a single connection is asked every 100 ms, and statements come back when it is.

--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -7,6 +7,7 @@
 
 MAX_QUEUE_LENGTH = 2000  # for one member
 ROLE_RETENTION_S = 0.03  # time for which a role keeps a connection others wait for
+REOPEN_DELAY_S = 0.1  # before a member that had no room for a single one is asked again
 
 
 @attrs.frozen
@@ -59,7 +60,9 @@
     after it was opened, so that the cost of opening is spread over several
     statements.
 
-    A waiter whose expected wait exceeds its deadline is refused immediately.
+    A waiter whose expected wait exceeds its deadline is refused immediately. So
+    is every waiter while the member has no room for a single connection; it is
+    told when the member is asked again.
     """
 
     def __init__(self, limit, max_queue=MAX_QUEUE_LENGTH):
@@ -73,6 +76,7 @@
         self.opening_count = 0
         self.busy_count = 0
         self.opened_at = {}
+        self.reopen_at = float("-inf")
 
     @property
     def size(self):
@@ -90,7 +94,7 @@
         connection = self.try_acquire(waiter.role)
         if connection is not None:
             return [Assign(waiter, connection)]
-        failure = self._check_admission(waiter, now)
+        failure = self._check_room(now) or self._check_admission(waiter, now)
         if failure is not None:
             return [Refuse(waiter, failure)]
         self.queue.push(waiter)
@@ -127,15 +131,15 @@
         Notes
         -----
         The limit is lowered to the current number of connections, which go on
-        to serve the waiters. Without any, the role's next waiter is refused.
+        to serve the waiters. Without any, all waiters are refused, and the member
+        is not asked again before `REOPEN_DELAY_S` has passed.
         """
         self._decrement_opening(role)
         self.limit = max(1, self.size)
         if self.size:
             return self.dispatch(now)
-        waiter = self.queue.pop_role(role)
-        refusals = [] if waiter is None else [Refuse(waiter, failure)]
-        return [*refusals, *self.dispatch(now)]
+        self.reopen_at = now + REOPEN_DELAY_S
+        return self.refuse_all(attrs.evolve(failure, retry_after_s=REOPEN_DELAY_S))
 
     def lost(self, connection, role, was_idle, now):
         """Remove a connection that was closed; returns the actions to carry out."""
@@ -184,6 +188,15 @@
             self._open_next(actions)
             return actions
 
+    def _check_room(self, now):
+        """Return a Failure while the member has no room, otherwise None."""
+        if self.size or now >= self.reopen_at:
+            return None
+        return _errors.Failure(
+            _errors.ErrorKind.UPSTREAM_UNREACHABLE,
+            retry_after_s=self.reopen_at - now,
+        )
+
     def _check_admission(self, waiter, now):
         """Return why a waiter can't be queued, or None if it can."""
         kind = _errors.ErrorKind.QUEUE_FULL
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -130,6 +130,7 @@
         if failure.kind is not _KIND.UPSTREAM_UNREACHABLE:
             return self._fail(failure)
         in_flight.tried.add(in_flight.member)
+        in_flight.retry_at = now + failure.retry_after_s
         return [self._record_retry("unreachable"), *self._select_member(now)]
 
     def on_not_sent(self, failure, now):
@@ -424,7 +425,8 @@
         )
         if now >= min(limit, in_flight.deadline):
             return self._fail(_errors.Failure(kind))
-        return [_actions.StartTimer(MEMBER_POLL_INTERVAL_S)]
+        delay_s = max(MEMBER_POLL_INTERVAL_S, in_flight.retry_at - now)
+        return [_actions.StartTimer(delay_s)]
 
     def _may_use_primary(self, name, now):
         group = self.router.group(self.in_flight.route.service)
--- a/pomelograde/core/statements/_state.py
+++ b/pomelograde/core/statements/_state.py
@@ -77,6 +77,9 @@
         candidates have been tried.
     attempts : int
         Number of requests sent for it, BEGIN included.
+    retry_at : float
+        Monotonic time at which the member of the last attempt may have a
+        connection.
     failed_reads : int
         Number of times that it ran as a read and failed.
     awaiting_grant : bool
@@ -101,6 +104,7 @@
     tried: set = attrs.field(factory=set)
     attempts: int = 0
     failed_reads: int = 0
+    retry_at: float = float("-inf")
     awaiting_grant: bool = False
     admitted: bool = False
 
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -63,6 +63,7 @@
         self.takeovers = {}
         self.sessions = set()
         self.is_stopping = False
+        self.created_at = context.now()
         self.started_at = float("inf")
         self.loops = []
         self.relay = relay.Relay(context, self)
@@ -71,6 +72,7 @@
     def start(self):
         """Start the periodic work."""
         self.started_at = self.context.now()
+        self.context.reactor.callLater(pooling.STARTUP_S, self._resize_pools)
         self.loops = [
             timers.start_loop(self.context, SWEEP_INTERVAL_S, self._sweep, now=False),
             timers.start_loop(
@@ -373,7 +375,13 @@
         spec = self.configuration.services.get(service)
         if spec is None:
             return 1
-        return max(1, spec.max_connections // self.relay.count_owners(member))
+        owner_count, rank = self.relay.rank_owner(member)
+        return pooling.divide_connections(
+            spec.max_connections, owner_count, rank, self._is_starting()
+        )
+
+    def _is_starting(self):
+        return self.context.now() - self.created_at < pooling.STARTUP_S
 
     def _resize_pools(self):
         for pool in self.pools.values():
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -314,8 +314,15 @@
             and (instance.name == own.name or self.is_usable(instance, now))
         }
 
-    def count_owners(self, member):
-        """Return how many instances may own connections to a member.
+    def rank_owner(self, member):
+        """Return this instance's rank among the possible owners of a member.
+
+        Returns
+        -------
+        count : int
+            Number of instances that may own connections to the member.
+        rank : int
+            Position of this instance among them by name, from 0.
 
         Notes
         -----
@@ -323,15 +330,16 @@
         no usable instance in the member's data centre. All instances may do so
         then.
         """
-        local = sum(
-            1
-            for instance in self.instances
-            if instance.data_centre == member.data_centre
-        )
         own = self.context.members.own
-        if local and own.data_centre == member.data_centre:
-            return local
-        return max(1, len(self.instances))
+        names = [found.name for found in self.instances]
+        if own.data_centre == member.data_centre:
+            names = [
+                found.name
+                for found in self.instances
+                if found.data_centre == member.data_centre
+            ] or names
+        names = sorted({*names, own.name})
+        return len(names), names.index(own.name)
 
     def connect(self, member, service, account):
         """Return a RemoteConnection, or None if this instance is the owner."""
