Keep room for a share's own tokens while it borrows

Cause: a borrower reserves room for the tokens that it has asked for. Under contention it asked for all the room that it had, so its own tokens overflowed until the answers came, for 0.3 s each time the peer was lost. Change: a share asks for less than it has room for, by what accrues until a request to a peer times out, but always for the missing part of a token.

--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -14,6 +14,7 @@
 LENDER_RESERVE_S = 0.1  # a lender keeps the tokens for its own demand of this time
 BORROW_BELOW_DEMAND_S = 0.1  # borrow if tokens cover demand for less than this
 BORROW_INTERVAL_S = 0.005
+ACCRUAL_ROOM_S = 0.3  # a request to a peer times out after this time
 MAX_PEERS_ASKED = 3
 EMPTY_PEER_BACKOFF_S = 0.1  # before a peer that had too few tokens is asked again
 MAX_EMPTY_PEER_BACKOFF_S = 0.8
@@ -125,7 +126,9 @@
 
     Tokens are moved between instances and never copied. A borrower reserves
     room for the tokens that it has asked for, so the tokens held and in transit
-    never exceed the sum of the bursts. Tokens lost in transit aren't replaced.
+    never exceed the sum of the bursts. It asks for less than it has room for, so
+    that its own tokens have room while a peer does not answer. Tokens lost in
+    transit aren't replaced.
     New buckets and added bursts start empty, except for what `add_accrued`
     adds.
     """
@@ -289,7 +292,9 @@
         candidates = [name for name in names if self._can_ask(name, now)]
         asked = candidates[: MAX_PEERS_ASKED if self.waiters else 1]
         room = self.burst - self.reserved - self.bucket.tokens
-        total = min(room, self._target_amount(now))
+        accrual = self.bucket.rate_per_s * ACCRUAL_ROOM_S
+        most = max(room - accrual, self._min_borrow_amount())
+        total = min(room, most, self._target_amount(now))
         amount = total / max(1, len(asked))
         if total < min(1.0, self._min_borrow_amount()) or amount <= 0.0:
             return []
--- a/tests/core/limits/test_scarce_rates.py
+++ b/tests/core/limits/test_scarce_rates.py
@@ -14,6 +14,7 @@
 INSTANCES = 7
 RUN_S = 60.0
 ROUND_TRIP_S = 0.026  # between regions
+BORROW_TIMEOUT_S = 0.3
 MAX_WAIT_S = 0.15
 MIN_WAKE_DELAY_S = 0.001
 WINDOW_S = 5.0
@@ -22,11 +23,21 @@
 
 
 class Simulation:
-    """Callers spread unevenly over instances that lend each other tokens."""
+    """Callers spread unevenly over instances that lend each other tokens.
+
+    Instances numbered below `lost_count` neither get requests nor answer.
+    """
 
     def __init__(
-        self, seed, demand_per_s, burst, priorities=(0,), rate_per_s=RATE_PER_S
+        self,
+        seed,
+        demand_per_s,
+        burst,
+        priorities=(0,),
+        rate_per_s=RATE_PER_S,
+        lost_count=0,
     ):
+        self.lost_count = lost_count
         self.random = random.Random(seed)
         self.priorities = priorities
         weights = [self.random.random() ** 2 + 0.05 for _ in range(INSTANCES)]
@@ -43,7 +54,7 @@
         self.admission_times = []
 
     def run(self):
-        for number in range(INSTANCES):
+        for number in range(self.lost_count, INSTANCES):
             self.schedule(0.0, self.on_request, number)
         while self.events and self.events[0][0] <= RUN_S:
             now, _, callback, arguments = heapq.heappop(self.events)
@@ -89,6 +100,10 @@
             self.schedule(now + delay_s, self.serve, number)
 
     def lend(self, now, number, action):
+        if int(action.peer) < self.lost_count:
+            timed_out_at = now - ROUND_TRIP_S / 2.0 + BORROW_TIMEOUT_S
+            self.schedule(timed_out_at, self.on_tokens, number, action, 0.0)
+            return
         given = self.shares[int(action.peer)].lend(action.amount, now)
         self.schedule(now + ROUND_TRIP_S / 2.0, self.on_tokens, number, action, given)
 
@@ -108,6 +123,17 @@
             most = windows.max_count_in_window(simulation.admission_times, WINDOW_S)
             self.assertTrue(most < 0.8 * bound, most)
 
+    def test_lost_instances_cost_no_more_than_their_own_share(self):
+        for rate, lost, factor in itertools.product((12.0, 90.0), (1, 2), (1.5, 4.0)):
+            rate_per_s, burst = limits.compensated_limits(rate, rate, EXCESS, SLACK)
+            demand_per_s = factor * rate
+            simulation = Simulation(
+                1, demand_per_s, burst, rate_per_s=rate_per_s, lost_count=lost
+            ).run()
+            share = (INSTANCES - lost) / INSTANCES
+            served = sum(simulation.admitted.values()) / (rate * RUN_S)
+            self.assertTrue(served >= 0.97 * share, (rate, lost, factor, served))
+
     def test_saturated_account_gets_nearly_its_rate_and_no_more(self):
         allowed = RATE_PER_S * RUN_S
         for seed in range(3):
