Close idle connections that another instance owns

Cause: while an owner does not answer, other instances open connections in its place, and they kept them for ever. Change: once a second, idle connections of roles that this instance does not own are closed.

--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -162,6 +162,34 @@
             refusals.append(Refuse(waiter, failure))
         return refusals
 
+    def close_roles(self, is_owned):
+        """Close idle connections of roles that belong to other instances now.
+
+        Parameters
+        ----------
+        is_owned : callable
+            Called with a role; returns whether this instance owns its connections.
+
+        Returns
+        -------
+        list of Close
+            The connections to close.
+
+        Notes
+        -----
+        While an owner does not answer, other instances open connections in its
+        place. If they kept them, a member would soon have no room left.
+        """
+        closed = []
+        for role, connections in self.idle.items():
+            if connections and not is_owned(role):
+                closed.extend(connections)
+                connections.clear()
+        self.idle_count -= len(closed)
+        for connection in closed:
+            self.opened_at.pop(connection, None)
+        return [Close(connection) for connection in closed]
+
     def resize(self, limit, now):
         """Change the limit; returns the actions to carry out."""
         self.limit = limit
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -8,6 +8,7 @@
 
 SWEEP_INTERVAL_S = 0.05  # 1/16 of the shortest time limit in use
 FULL_RETRY_DELAY_S = 1.0  # until connections are requested again from a full member
+OWNER_CHECK_INTERVAL_S = 1.0
 POSITION_INTERVAL_S = 0.4  # 3 updates within the shortest staleness limit in use
 # Time in which starting instances learn of each other. Until it has passed, no
 # connection is requested only to query a position.
@@ -78,6 +79,12 @@
             timers.start_loop(
                 self.context, POSITION_INTERVAL_S, self._refresh_positions, now=False
             ),
+            timers.start_loop(
+                self.context,
+                OWNER_CHECK_INTERVAL_S,
+                self._close_connections_of_others,
+                now=False,
+            ),
         ]
 
     def stop(self):
@@ -424,6 +431,17 @@
             if primary is not None and now - primary.position_at > POSITION_INTERVAL_S:
                 self._query_position(group, primary)
 
+    def _close_connections_of_others(self):
+        """Close idle connections that another usable instance owns."""
+        own = self.context.members.own.name
+        for pool in self.pools.values():
+            if pool.idle:
+                pool.close_roles(
+                    lambda role, member=pool.spec: (
+                        self.relay.find_owner(member, role).name == own
+                    )
+                )
+
     def _log_primary(self, group):
         self.context.log.write(
             events.Event.PRIMARY_CHANGED,
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -100,6 +100,10 @@
         if self.core.queue.length:
             self._execute_all(self.core.expire(now))
 
+    def close_roles(self, is_owned):
+        """Close idle connections of the roles for which `is_owned(role)` is false."""
+        self._execute_all(self.core.close_roles(is_owned))
+
     def resize(self, limit):
         """Change the maximum number of connections."""
         self._execute_all(self.core.resize(limit, self.context.now()))
--- a/tests/core/pooling/test_pool.py
+++ b/tests/core/pooling/test_pool.py
@@ -49,6 +49,20 @@
         opened = [a for part in actions for a in part if isinstance(a, pooling.Open)]
         self.assertEqual(2, len(opened))
 
+    def test_closes_idle_connections_of_roles_that_others_own(self):
+        pool = pooling.Pool(4)
+        for number, role in enumerate(["one", "two", "two"]):
+            pool.request(waiter(role), 0.0)
+            pool.opened(f"c{number}", role, 0.0)
+        pool.release("c0", "one", 0.0)
+        pool.release("c1", "two", 0.0)
+        actions = pool.close_roles(lambda role: role == "one")
+        self.assertEqual([pooling.Close("c1")], actions)
+        self.assertEqual(2, pool.size)
+        self.assertEqual([], pool.close_roles(lambda role: role == "one"))
+        self.assertEqual("c0", pool.try_acquire("one"))
+        self.assertIsNone(pool.try_acquire("two"))
+
     def test_closes_idle_connection_of_another_role_to_make_room(self):
         pool = pooling.Pool(1)
         pool.request(waiter("one"), 0.0)
