Let primary leases last 3 s, and read members every 0.5 s

Change: leases last 3 s, and the reader asks for members and takeovers every 0.5 s, so that a primary stays usable for 2 s of an outage at least. A takeover waits 3.2 s for silent instances (2.7 s before), and its other limits move by 0.5 s with it. During an upgrade from a build with the shorter lease, a takeover by an old instance waits 0.5 s too little for a silent new one.

--- a/pomelograde/core/configuration/_freshness.py
+++ b/pomelograde/core/configuration/_freshness.py
@@ -3,7 +3,7 @@
 import attrs
 
 KEY_MARGIN_S = 0.2  # between the check of a key and the arrival at the member
-PRIMARY_LEASE_S = 2.5  # a takeover waits this long for silent instances
+PRIMARY_LEASE_S = 3.0  # a takeover waits this long for silent instances
 
 
 @attrs.define
--- a/pomelograde/core/membership/_registrations.py
+++ b/pomelograde/core/membership/_registrations.py
@@ -3,7 +3,7 @@
 import attrs
 
 SILENCE_TIMEOUT_S = 5.0  # ten refresh intervals; longer than most freezes and restarts
-REMOVAL_DELAY_S = 3.0  # a primary lease ends 2.5 s after the last refresh
+REMOVAL_DELAY_S = 3.5  # a primary lease ends 3 s after the last refresh
 MAX_CHECK_GAP_S = 1.5  # three refresh intervals; a longer gap shows a paused process
 
 
--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -3,12 +3,12 @@
 import attrs
 
 # Latest time for a promotion after the start of a takeover. The leases on the old
-# primary expire within 2.7 s (`PRIMARY_LEASE_S` and a margin of 0.2 s), and members
+# primary expire within 3.2 s (`PRIMARY_LEASE_S` and a margin of 0.2 s), and members
 # answer within 1 s.
-PROMOTE_DEADLINE_S = 4.4
+PROMOTE_DEADLINE_S = 4.9
 # Time after which another instance may start a takeover: the latest promotion
 # plus the time limit of the call that requests it.
-HOLDER_TIMEOUT_S = 5.5
+HOLDER_TIMEOUT_S = 6.0
 
 
 @attrs.frozen
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -13,9 +13,9 @@
 from pomelograde.core import configuration, membership, placement, takeovers
 from pomelograde.net import events, peer_messages, peers, timers
 
-SYNC_INTERVAL_S = 0.5  # keys and primary leases need a refresh within 2.5 s
+SYNC_INTERVAL_S = 0.5  # keys and primary leases need a refresh within 3 s
 LONG_POLL_S = 1.0  # an answer without a change still proves that state is current
-MEMBERS_INTERVAL_S = 1.0  # members write their rows about this often
+MEMBERS_INTERVAL_S = 0.5  # a primary lease that an outage cuts short is at most 1 s old
 STARTUP_RETRY_INTERVAL_S = 0.3  # until the store has answered once
 PEER_TIMEOUT_S = 0.3  # a peer answers within 50 ms
 READER_SUSPICION_S = 3.0  # until a reader that failed or had old state is tried again
--- a/tests/core/configuration/test_freshness.py
+++ b/tests/core/configuration/test_freshness.py
@@ -3,6 +3,7 @@
 import testtools
 
 from pomelograde.core import configuration
+from pomelograde.net.hosted import state_sync
 
 
 class FreshnessTests(testtools.TestCase):
@@ -23,3 +24,11 @@
         until = freshness.primary_lease_until()
         freshness.record_members_read(90.0)
         self.assertEqual(until, freshness.primary_lease_until())
+
+    def test_primary_stays_usable_for_two_seconds_of_an_outage(self):
+        # The reader's last answer and the last pull from it may be just as old as
+        # their intervals.
+        oldest_s = state_sync.MEMBERS_INTERVAL_S + state_sync.SYNC_INTERVAL_S
+        freshness = configuration.Freshness(5.0)
+        freshness.record_members_read(100.0 - oldest_s)
+        self.assertTrue(freshness.primary_lease_until() >= 102.0)
