Table refused and failed statements by cause from a fleet's logs

Cause: which statements could have been served, and why they were not, had to be read from the logs of all instances by hand. Change: `python -m measure refusals LOG` follows ids over instances, tells an account above its rate from one that got too little, and names what was missing otherwise. STATEMENT_DONE says whether the statement ran in a transaction, and with an exceeded rate what the rate, the tokens and the queue were.

--- a/measure/cli.py
+++ b/measure/cli.py
@@ -1,10 +1,20 @@
 """Command line of the measuring tool."""
 
+import json
 import sys
 
 import click
 
-from measure import chaos, experiments, explore, figures, matrix, programs, report
+from measure import (
+    chaos,
+    experiments,
+    explore,
+    figures,
+    matrix,
+    programs,
+    refusals,
+    report,
+)
 from measure import slopes as slopes_module
 
 FIGURES_PATH = "build/measures.json"
@@ -150,6 +160,40 @@
     sys.exit(1 if failed else 0)
 
 
+@main.command("refusals")
+@click.argument("log", type=click.File("r"))
+@click.option("--since", default=float("-inf"), help="Seconds from which to count.")
+@click.option("--until", default=float("inf"), help="Seconds until which to count.")
+@click.option("--id", "request_id", default="", help="Show one request's lines only.")
+def show_refusals(log, since, until, request_id):
+    """Table the refused and failed statements of a fleet's logs by their cause.
+
+    LOG holds the lines of all instances, in any order; "-" is standard input.
+
+    \b
+    Examples:
+      python -m measure refusals fleet.log --since 30 --until 36
+      python -m measure refusals fleet.log --id 9513903a26480b80
+    """
+    lines = refusals.read_lines(log)
+    if request_id:
+        for line in refusals.follow(lines, request_id):
+            click.echo(f"{line.at:.3f} {line.instance} {json.dumps(line.fields)}")
+        return
+    counted = [line for line in lines if since <= line.at < until]
+    found = [
+        refusal
+        for refusal in refusals.find_refusals(lines)
+        if since <= refusal.line.at < until
+    ]
+    served = refusals.count_served(counted)
+    click.echo(f"{served} statements served, {len(found)} not")
+    for cause, count, share, middle_ms, most_ms in refusals.tabulate(found, served):
+        click.echo(
+            f"{count:7d} {share:7.2%} {middle_ms:8.1f} ms {most_ms:8.1f} ms  {cause}"
+        )
+
+
 def _parse_keys(keys):
     selected = set(filter(None, keys.split(","))) or set(figures.TARGETS)
     unknown = sorted(selected - set(figures.TARGETS))
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -308,7 +308,7 @@
             actions = self._end_transaction()
             return [*actions, *self._refuse(failure)]
         self._set_in_flight(statement, prepared, writes, transaction.route, now)
-        self.in_flight.admitted = True
+        self.in_flight.admitted = self.in_flight.in_transaction = True
         if transaction.connection is None:
             return self._select_member(now)
         in_flight = self.in_flight
--- a/pomelograde/core/statements/_state.py
+++ b/pomelograde/core/statements/_state.py
@@ -86,6 +86,8 @@
         Whether a connection or admission is pending.
     admitted : bool
         Whether the client account's rate limiter has admitted it.
+    in_transaction : bool
+        Whether it runs in a transaction, whose BEGIN was admitted for it.
     """
 
     statement: _statements.Statement
@@ -107,6 +109,7 @@
     retry_at: float = float("-inf")
     awaiting_grant: bool = False
     admitted: bool = False
+    in_transaction: bool = False
 
     @property
     def commits(self):
@@ -127,4 +130,5 @@
             if required is None
             else f"{required.term}.{required.index}",
             "attempts": self.attempts,
+            "in_transaction": self.in_transaction,
         }
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -292,6 +292,9 @@
             return
         metrics.record("statement", elapsed_s)
         last = task.core.last_statement
+        rate = {}
+        if outcome == _KIND.RATE_EXCEEDED.value:
+            rate = self.rates.describe_share(task.account)
         context.log.write(
             events.Event.STATEMENT_DONE,
             id=statement.request_id.decode("latin-1"),
@@ -302,6 +305,7 @@
             outcome=outcome,
             ms=round(elapsed_s * 1000.0, 1),
             **({} if last is None else last.describe()),
+            **rate,
         )
 
     def record_refusal(self, task, failure):
--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -129,6 +129,20 @@
         count = len(self.find_holders(name))
         return part if count >= self.registered_count or not part else 1.0 / count
 
+    def describe_share(self, account):
+        """Return an account's rate and this instance's tokens for the log.
+
+        The result is empty if other instances hold the rate.
+        """
+        share = self.shares.get(account)
+        if share is None:
+            return {}
+        return {
+            "rate_per_s": round(share.total_rate_per_s, 1),
+            "tokens": round(share.bucket.tokens, 2),
+            "waiting": len(share.waiters),
+        }
+
     def find_holders(self, account):
         """Return the names of the instances that hold a client account's rate."""
         if account not in self.rates:
