Offer the state after an outage of the store, and ask it less meanwhile

Cause: while the store refuses all instances, each of a large fleet read it itself every 0.5 s. After the store was back, each went on to read it for up to 3 s, since all had suspected each other for old state. The first that reaches the store again offers its state to the others, spread over 0.2 s so that few send offers; the sender of an offer is pulled from again at once.

--- a/pomelograde/core/membership/__init__.py
+++ b/pomelograde/core/membership/__init__.py
@@ -1,6 +1,11 @@
 """Membership of the fleet: live, lost and leaving instances."""
 
-from pomelograde.core.membership import _detector, _instances, _registrations
+from pomelograde.core.membership import (
+    _detector,
+    _instances,
+    _registrations,
+    _store_reads,
+)
 
 PROBE_TIMEOUT_S = _detector.PROBE_TIMEOUT_S
 
@@ -12,6 +17,7 @@
 Record = _instances.Record
 RegistrationMonitor = _registrations.RegistrationMonitor
 SendRecords = _detector.SendRecords
+StaleReads = _store_reads.StaleReads
 State = _instances.State
 rendezvous = _instances.rendezvous
 
@@ -25,6 +31,7 @@
     "Record",
     "RegistrationMonitor",
     "SendRecords",
+    "StaleReads",
     "State",
     "rendezvous",
 ]
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -21,6 +21,7 @@
 READER_SUSPICION_S = 3.0  # until a reader that failed or had old state is tried again
 STALE_AFTER_S = 1.5  # age of the configuration from which other sources are tried
 UNKNOWN_AGE_MS = 2**40
+OFFER_SPREAD_S = 0.2  # over which the offers of instances are spread at random
 LEAVE_TIMEOUT_S = 0.3  # the platform ends the process 0.5 s after the drain deadline
 
 
@@ -95,6 +96,11 @@
         answer of the store, pulled the state from.
     registrations : RegistrationMonitor
         Detects registrations whose process is gone.
+    stale_reads : StaleReads
+        Limits this instance's own reads of the store while its state is old.
+    is_offer_due : bool
+        Whether the others are told once a read of the store succeeds, because
+        this instance had no recent state.
     suspected_until : dict of str to float
         Time until which each suspected reader is passed over.
     unresponsive_readers : set of str
@@ -117,6 +123,8 @@
         self.is_fetching = False
         self.poll_version = 0
         self.members_asked_at = float("-inf")
+        self.stale_reads = membership.StaleReads()
+        self.is_offer_due = False
         self.suspected_until = {}
         self.peer_index = 0
         self.unresponsive_readers = set()
@@ -188,7 +196,12 @@
         reader = self._find_reader(now)
         if reader.name != self.context.members.own.name:
             return defer.ensureDeferred(self._pull_from_reader(reader))
-        self._read_store(now)
+        if self._is_stale():
+            self.is_offer_due = True
+        if self._is_stale() and not self._is_first(reader.name):
+            self._read_store_if_due(now)
+        else:
+            self._read_store(now)
         self._end_registrations(now)
         if self.store_available and not self._is_stale():
             return None
@@ -286,6 +299,15 @@
                 return candidates[name]
         return own
 
+    def _is_first(self, name):
+        """Return whether no registered instance precedes a name."""
+        return all(name <= found.name for found in self.fleet.registered)
+
+    def _read_store_if_due(self, now):
+        """Read the store although another instance should, as the state is old."""
+        if self.stale_reads.is_due(len(self.fleet.registered), now):
+            self._read_store(now)
+
     def _read_store(self, now):
         if not self.is_polling:
             self.is_polling = True
@@ -335,6 +357,25 @@
         self._set_store_available(True)
         self._apply_instances(*instances)
         self._apply_members(members, as_of)
+        if self.is_offer_due and not self._is_stale():
+            delay_s = OFFER_SPREAD_S * self.context.random.random()
+            self.context.reactor.callLater(delay_s, self._offer_state)
+
+    def _offer_state(self):
+        """Tell the other instances that this one has recent state again.
+
+        Notes
+        -----
+        Not if one of them was first, so that few instances send offers.
+        """
+        if not self.is_offer_due or self._is_stale() or self.is_stopped:
+            return
+        self.is_offer_due = False
+        own = self.context.members.own
+        offer = peer_messages.NewsOffer([peer_messages.write_instance(own)])
+        for instance in self.fleet.registered:
+            if instance.name != own.name:
+                self.context.peers.send(instance, offer)
 
     async def _pull_from_any_peer(self):
         """Pull the state from the next instance in turn.
@@ -398,10 +439,13 @@
         return answer, asked_at
 
     def _on_news_offer(self, message, envelope):
-        """Pull the state from the sender if the state here is stale."""
+        """Use the sender as a reader again; pull its state if that here is stale."""
+        sender = peer_messages.read_instance(message.instances[0])
+        self.suspected_until.pop(sender.name, None)
         if self._is_stale():
-            sender = peer_messages.read_instance(message.instances[0])
             defer.ensureDeferred(self._pull_from(sender))
+        else:
+            self.is_offer_due = False
 
     async def _pull_from(self, instance):
         answer, asked_at = await self._request_state(instance)
@@ -412,7 +456,8 @@
         now = self.context.now()
         self.suspected_until[name] = now + READER_SUSPICION_S
         if self._is_stale():
-            self._read_store(now)
+            self.is_offer_due = True
+            self._read_store_if_due(now)
         self.context.log.write(
             events.Event.NEWS_SOURCE_SUSPECTED, source=name, reason=reason
         )
@@ -440,6 +485,8 @@
             self.freshness.record_configuration_read(
                 asked_at - answer.configuration_age_ms / 1000.0
             )
+        if not self._is_stale():
+            self.is_offer_due = False
         self._notify_refreshed()
 
     def _on_news_request(self, message, envelope):
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -1,5 +1,6 @@
 """Tests of the copy of the store's state."""
 
+import random
 import types
 
 import testtools
@@ -79,6 +80,7 @@
         context = types.SimpleNamespace(
             reactor=self.clock,
             now=self.clock.seconds,
+            random=random.Random(1),
             peers=self.peers,
             members=membership.Membership(self.own),
             log=types.SimpleNamespace(
@@ -138,3 +140,68 @@
         offer = peer_messages.NewsOffer([peer_messages.write_instance(self.own)])
         self.peers.receive(offer, "new")
         self.assertEqual([], self.peers.requests)
+
+    def suspect_all(self, count):
+        """Suspect `count` other instances, which precede this one by name."""
+        others = [make_instance(f"a{number:02d}") for number in range(count)]
+        self.sync._apply_instances([*others, self.own], [])
+        for other in others:
+            self.sync.suspected_until[other.name] = self.clock.seconds() + 60.0
+        return others
+
+    def count_calls(self, seconds):
+        """Return the calls to a store that refuses each, while the state is old."""
+        made = len(self.source.calls)
+        for _ in range(round(seconds / state_sync.SYNC_INTERVAL_S)):
+            self.sync._sync_once()
+            for call in self.source.calls:
+                if not call.called:
+                    call.errback(self.source.StoreUnavailableError("busy"))
+            self.clock.pump([0.0, state_sync.SYNC_INTERVAL_S])
+        return len(self.source.calls) - made
+
+    def test_large_fleet_asks_a_store_that_refuses_all_less_often(self):
+        self.fail_calls()
+        self.sync.stop()
+        self.clock.advance(1.0)
+        self.sync.is_stopped = False
+        self.suspect_all(5)
+        small = self.count_calls(10.0)
+        self.suspect_all(80)
+        large = self.count_calls(10.0)
+        self.assertTrue(large <= 0.6 * small, (large, small))
+        self.assertTrue(large >= 10, large)
+
+    def give_state(self):
+        """Let the store answer the members and instances that were asked for."""
+        self.sync.freshness.record_configuration_read(self.clock.seconds())
+        fetching = self.sync._fetch_members_and_instances()
+        defer.ensureDeferred(fetching)
+        self.source.calls[-1].callback(({}, self.clock.seconds()))
+        self.source.calls[-1].callback((self.sync.fleet.instances, []))
+
+    def test_instance_that_reaches_the_store_again_offers_its_state(self):
+        others = self.suspect_all(3)
+        self.sync._sync_once()
+        self.give_state()
+        self.assertEqual([], self.peers.sent)
+        self.clock.advance(state_sync.OFFER_SPREAD_S)
+        self.assertEqual(
+            [found.name for found in others], [name for name, _ in self.peers.sent]
+        )
+
+    def test_offer_of_another_instance_makes_an_own_one_needless(self):
+        others = self.suspect_all(3)
+        self.sync._sync_once()
+        self.give_state()
+        offer = peer_messages.NewsOffer([peer_messages.write_instance(others[1])])
+        self.peers.receive(offer, others[1].name)
+        self.clock.advance(state_sync.OFFER_SPREAD_S)
+        self.assertEqual([], self.peers.sent)
+
+    def test_sender_of_an_offer_is_asked_again(self):
+        others = self.suspect_all(3)
+        offer = peer_messages.NewsOffer([peer_messages.write_instance(others[1])])
+        self.peers.receive(offer, others[1].name)
+        reader = self.sync._find_reader(self.clock.seconds())
+        self.assertEqual(others[1].name, reader.name)
