Let statements wait for a takeover as long as they may take

Cause: a statement for a primary that is being replaced was refused after a quarter of its objective. Change: in the first 2 s of a takeover such a statement waits until 0.1 s before its deadline; later the takeover waits for a lease, and the earlier limit holds.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -99,6 +99,8 @@
         of instances that do not respond to expire.
     is_primary_blocked : bool
         Whether the primary is being replaced; no new statements are sent to it.
+    blocked_since : float
+        Monotonic time since which it is being replaced.
     is_fenced : bool
         Whether the results of statements already sent to the primary that is
         being replaced may no longer be reported as successful.
@@ -126,6 +128,7 @@
         self.max_connections = 0
         self.primary_lease_until = float("-inf")
         self.is_primary_blocked = False
+        self.blocked_since = float("-inf")
         self.is_fenced = False
         self.successor = ""
         self.successor_has_led = False
@@ -204,6 +207,8 @@
         bool
             Whether the primary has changed.
         """
+        if is_primary_blocked and not self.is_primary_blocked:
+            self.blocked_since = now
         self.is_primary_blocked = is_primary_blocked
         if not is_primary_blocked:
             self.is_fenced = False
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -14,6 +14,10 @@
 # member; the rest is left for the statement itself.
 MAX_WAIT_FRACTION = 0.25
 MEMBER_POLL_INTERVAL_S = 0.01  # half of the usual replication lag
+TAKEOVER_POLL_INTERVAL_S = 0.03
+# A takeover that takes longer waits for the lease of a silent instance.
+USUAL_TAKEOVER_S = 2.0
+RUN_TIME_S = 0.1  # of a statement that waits for the end of a takeover
 BUSY_RETRY_DELAY_S = 0.02  # about the duration of one statement
 MAX_READ_RETRIES = 1  # after a read that failed on a member
 
@@ -387,8 +391,28 @@
         if member is not None and member.name not in in_flight.tried:
             return self._acquire(member, True)
         in_flight.tried.clear()
+        if group.is_primary_blocked:
+            return self._wait_for_takeover(group, now)
         return self._wait_for_member(now, _KIND.NO_PRIMARY)
 
+    def _wait_for_takeover(self, group, now):
+        """Check again after a delay, or fail if it will not end in time.
+
+        Notes
+        -----
+        This answers the load while a primary is replaced. A caller that is
+        refused comes back before the takeover has ended, here or at another
+        instance, and has used up its retries after a few rounds, so waiting as
+        long as the statement may take serves more callers, and sooner. Once the
+        takeover takes longer than usual, the end of it is not near.
+        """
+        in_flight = self.in_flight
+        if now >= group.blocked_since + USUAL_TAKEOVER_S:
+            return self._wait_for_member(now, _KIND.NO_PRIMARY)
+        if now >= in_flight.deadline - RUN_TIME_S:
+            return self._fail(_errors.Failure(_KIND.NO_PRIMARY))
+        return [_actions.StartTimer(TAKEOVER_POLL_INTERVAL_S)]
+
     def _acquire(self, member, on_primary):
         in_flight = self.in_flight
         in_flight.member = member.name
