Query a primary's position with an account that this instance owns

Cause: an idle primary's position was queried on a connection of the first client account, which another instance may own; since idle connections of other owners are closed, it would be opened and closed again every second. Change: the query takes an account that belongs here. The instances that may own a member's connections are found once for all of a pool's roles.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -1,5 +1,7 @@
 """State that sessions share: configuration, groups, pools and rates."""
 
+import functools
+
 from twisted.internet import defer
 
 from pomelograde.core import configuration, placement, pooling, retries
@@ -437,14 +439,28 @@
 
     def _close_connections_of_others(self):
         """Close idle connections that another usable instance owns."""
-        own = self.context.members.own.name
         for pool in self.pools.values():
             if pool.idle:
-                pool.close_roles(
-                    lambda role, member=pool.spec: (
-                        self.relay.find_owner(member, role).name == own
-                    )
-                )
+                candidates = self.relay.find_candidates(pool.spec)
+                pool.close_roles(functools.partial(self._owns, pool.spec, candidates))
+
+    def _owns(self, member, candidates, account):
+        """Return whether an account's connections to a member belong here."""
+        owner = self.relay.choose_owner(member, account, candidates)
+        return owner.name == self.context.members.own.name
+
+    def _choose_query_role(self, primary):
+        """Return the client account to query a primary's position with.
+
+        Notes
+        -----
+        The query needs no particular one, but a connection that another instance
+        owns would be closed again.
+        """
+        accounts = list(self.configuration.accounts) or [""]
+        candidates = self.relay.find_candidates(primary)
+        owned = (name for name in accounts if self._owns(primary, candidates, name))
+        return next(owned, accounts[0])
 
     def _log_primary(self, group):
         self.context.log.write(
@@ -477,8 +493,7 @@
         elif pool is not None and not pool.open:
             now = self.context.now()
             if now - self.started_at >= STARTUP_SETTLE_S:
-                # The query needs no particular client account.
-                role = next(iter(self.configuration.accounts), "")
+                role = self._choose_query_role(primary)
                 deadline = now + POSITION_INTERVAL_S
                 pool.request(pooling.Waiter(role, role, deadline, query))
 
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -285,7 +285,14 @@
             this instance. Instances that disagree for a moment on which ones
             are usable open an additional connection.
         """
-        candidates = self._find_usable("data_centre", member.data_centre)
+        return self.choose_owner(member, account, self.find_candidates(member))
+
+    def find_candidates(self, member):
+        """Return the instances that may own connections to a member now, by name."""
+        return self._find_usable("data_centre", member.data_centre)
+
+    def choose_owner(self, member, account, candidates):
+        """Return the owner among the result of `find_candidates`."""
         if not candidates:
             return self.context.members.own
         key = f"{member.name}/{account}"
--- /dev/null
+++ b/tests/net/hosted/test_proxy.py
@@ -0,0 +1,79 @@
+"""Tests of which connections an instance keeps and opens."""
+
+import types
+
+import testtools
+
+from pomelograde.core import configuration, membership, placement
+from pomelograde.net import metrics
+from pomelograde.net.hosted import proxy
+
+PRIMARY = placement.Member("p", "a-x", role=placement.Role.PRIMARY)
+INSTANCES = [
+    membership.Instance(name, "a-x", 5, "127.0.0.1", 2, region="a")
+    for name in ("a1", "a2")
+]
+
+
+class Connection:
+    """Idle connection of a client account."""
+
+    is_lost = False
+    response_handlers = ()
+
+    def __init__(self, role):
+        self.role = role
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+class OwnershipTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        context = types.SimpleNamespace(
+            now=lambda: 100.0,
+            members=types.SimpleNamespace(own=INSTANCES[0]),
+            peers=types.SimpleNamespace(handlers={}),
+            metrics=metrics.Metrics(),
+            log=types.SimpleNamespace(write=lambda event, **_: None),
+            settings=types.SimpleNamespace(
+                rate_excess=0.1, rate_slack=20.0, host="127.0.0.1"
+            ),
+        )
+        self.proxy = proxy.Proxy(context, configuration.Freshness(5.0), None)
+        self.proxy.relay.set_instances(INSTANCES)
+        accounts = {
+            f"account-{number}": configuration.ClientAccount(
+                f"account-{number}", (), 10.0, 10.0
+            )
+            for number in range(8)
+        }
+        self.proxy.configuration = configuration.FleetConfiguration(accounts=accounts)
+        self.accounts = list(accounts)
+
+    def owns(self, account):
+        return self.proxy.relay.find_owner(PRIMARY, account).name == "a1"
+
+    def test_idle_connections_of_the_other_owner_are_closed(self):
+        pool = self.proxy.pools["p"] = self.proxy._make_pool("s", PRIMARY)
+        pool.core.limit = len(self.accounts)
+        connections = [Connection(account) for account in self.accounts]
+        for connection in connections:
+            pool.core.opening[connection.role] = 1
+            pool.core.opening_count += 1
+            pool._on_opened(connection)
+        self.proxy._close_connections_of_others()
+        self.assertEqual(
+            [not self.owns(account) for account in self.accounts],
+            [connection.is_closed for connection in connections],
+        )
+        self.assertEqual(sum(map(self.owns, self.accounts)), pool.core.size)
+
+    def test_position_is_queried_with_an_account_that_belongs_here(self):
+        self.assertTrue(self.owns(self.proxy._choose_query_role(PRIMARY)))
+
+    def test_position_can_be_queried_without_client_accounts(self):
+        self.proxy.configuration = configuration.FleetConfiguration()
+        self.assertEqual("", self.proxy._choose_query_role(PRIMARY))
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -104,3 +104,20 @@
             ]
         )
         self.assertEqual(owner.name, found.find_owner(PRIMARY, "account").name)
+
+    def test_owner_moves_while_it_is_suspected_and_comes_back(self):
+        found = self.make(INSTANCES[0])
+        accounts = [f"account-{number}" for number in range(40)]
+        before = [found.find_owner(PRIMARY, account).name for account in accounts]
+        self.assertEqual({"a1", "a2"}, set(before))
+        found._suspect("a2", "no answer")
+        during = {found.find_owner(PRIMARY, account).name for account in accounts}
+        self.assertEqual({"a1"}, during)
+        found.suspected_until.clear()
+        after = [found.find_owner(PRIMARY, account).name for account in accounts]
+        self.assertEqual(before, after)
+
+    def test_ranks_of_a_members_owners_are_distinct(self):
+        ranks = [self.make(own).rank_owner(PRIMARY) for own in INSTANCES[:2]]
+        self.assertEqual([(2, 0), (2, 1)], ranks)
+        self.assertEqual((5, 4), self.make(INSTANCES[4]).rank_owner(PRIMARY))
