--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -438,11 +438,20 @@
                 self._query_position(group, primary)
 
     def _close_connections_of_others(self):
-        """Close idle connections that another usable instance owns."""
+        """Close idle connections that another usable instance owns.
+
+        Notes
+        -----
+        A single connection stays where the primary's position is queried, since
+        the query may have to take an account of another instance.
+        """
         for pool in self.pools.values():
-            if pool.idle:
-                candidates = self.relay.find_candidates(pool.spec)
-                pool.close_roles(functools.partial(self._owns, pool.spec, candidates))
+            if not pool.idle:
+                continue
+            candidates = self.relay.find_candidates(pool.spec)
+            owns = functools.partial(self._owns, pool.spec, candidates)
+            if len(pool.open) > 1 or not owns(""):
+                pool.close_roles(owns)
 
     def _owns(self, member, candidates, account):
         """Return whether an account's connections to a member belong here."""
--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -56,14 +56,29 @@
     def owns(self, account):
         return self.proxy.relay.find_owner(PRIMARY, account).name == "a1"
 
-    def test_idle_connections_of_the_other_owner_are_closed(self):
-        pool = self.proxy.pools["p"] = self.proxy._make_pool("s", PRIMARY)
-        pool.core.limit = len(self.accounts)
-        connections = [Connection(account) for account in self.accounts]
+    def open_connections(self, member, accounts):
+        """Return a pool to a member with an idle connection for each account."""
+        pool = self.proxy.pools[member.name] = self.proxy._make_pool("s", member)
+        pool.core.limit = len(accounts)
+        connections = [Connection(account) for account in accounts]
         for connection in connections:
             pool.core.opening[connection.role] = 1
             pool.core.opening_count += 1
             pool._on_opened(connection)
+        return pool, connections
+
+    def test_last_connection_stays_where_the_position_is_queried(self):
+        foreign = next(name for name in self.accounts if not self.owns(name))
+        for name in ("p", "q", "r", "s"):
+            member = placement.Member(name, "a-x")
+            pool, (connection,) = self.open_connections(member, [foreign])
+            self.proxy._close_connections_of_others()
+            queries = self.proxy.relay.find_owner(member, "").name == "a1"
+            owned = self.proxy.relay.find_owner(member, foreign).name == "a1"
+            self.assertEqual(not (queries or owned), connection.is_closed)
+
+    def test_idle_connections_of_the_other_owner_are_closed(self):
+        pool, connections = self.open_connections(PRIMARY, self.accounts)
         self.proxy._close_connections_of_others()
         self.assertEqual(
             [not self.owns(account) for account in self.accounts],
