--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -54,6 +54,11 @@
         Open sessions.
     is_stopping : bool
         Whether the instance is shutting down; idle sessions are closed.
+    created_at, started_at : float
+        Start of the process, and of the periodic work, in monotonic seconds.
+    startup_timer : IDelayedCall or None
+        Raises the connection limits once members have dropped the connections
+        of earlier processes.
     """
 
     def __init__(self, context, freshness, open_connection):
@@ -68,6 +73,7 @@
         self.is_stopping = False
         self.created_at = context.now()
         self.started_at = float("inf")
+        self.startup_timer = None
         self.loops = []
         self.relay = relay.Relay(context, self)
         self.rates = rates.RegisteredRates(context, self.relay)
@@ -75,7 +81,9 @@
     def start(self):
         """Start the periodic work."""
         self.started_at = self.context.now()
-        self.context.reactor.callLater(pooling.STARTUP_S, self._resize_pools)
+        self.startup_timer = self.context.reactor.callLater(
+            pooling.STARTUP_S, self._resize_pools
+        )
         self.loops = [
             timers.start_loop(self.context, SWEEP_INTERVAL_S, self._sweep, now=False),
             timers.start_loop(
@@ -94,6 +102,8 @@
         for loop in self.loops:
             if loop.running:
                 loop.stop()
+        if self.startup_timer is not None and self.startup_timer.active():
+            self.startup_timer.cancel()
         self.rates.stop()
         for task in list(self.sessions):
             task.close()
