Use one time limit for borrowing tokens, and count an owner's rank

The room that a share keeps while it borrows repeated the time limit of the request, which net/rates had as its own constant. An owner's rank was the position in a sorted list, made for each pool; it is a count of names. Behaviour stays as it is.

--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -2,6 +2,7 @@
 
 from pomelograde.core.limits import _bucket, _compensation, _holders, _lease, _share
 
+BORROW_TIMEOUT_S = _share.BORROW_TIMEOUT_S
 LOAN_DURATION_S = _lease.LOAN_DURATION_S
 MAX_WAIT_S = _share.MAX_WAIT_S
 TOTAL_PARTS = _lease.TOTAL_PARTS
@@ -22,6 +23,7 @@
 compensated_limits = _compensation.compensated_limits
 
 __all__ = [
+    "BORROW_TIMEOUT_S",
     "LOAN_DURATION_S",
     "TOTAL_PARTS",
     "TABLE_PREFIX",
--- a/pomelograde/core/limits/_share.py
+++ b/pomelograde/core/limits/_share.py
@@ -14,7 +14,7 @@
 LENDER_RESERVE_S = 0.1  # a lender keeps the tokens for its own demand of this time
 BORROW_BELOW_DEMAND_S = 0.1  # borrow if tokens cover demand for less than this
 BORROW_INTERVAL_S = 0.005
-ACCRUAL_ROOM_S = 0.3  # a request to a peer times out after this time
+BORROW_TIMEOUT_S = 0.3  # of a request to a peer
 MAX_PEERS_ASKED = 3
 EMPTY_PEER_BACKOFF_S = 0.1  # before a peer that had too few tokens is asked again
 MAX_EMPTY_PEER_BACKOFF_S = 0.8
@@ -292,7 +292,7 @@
         candidates = [name for name in names if self._can_ask(name, now)]
         asked = candidates[: MAX_PEERS_ASKED if self.waiters else 1]
         room = self.burst - self.reserved - self.bucket.tokens
-        accrual = self.bucket.rate_per_s * ACCRUAL_ROOM_S
+        accrual = self.bucket.rate_per_s * BORROW_TIMEOUT_S
         most = max(room - accrual, self._min_borrow_amount())
         total = min(room, most, self._target_amount(now))
         amount = total / max(1, len(asked))
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -345,8 +345,8 @@
                 for found in self.instances
                 if found.data_centre == member.data_centre
             ] or names
-        names = sorted({*names, own.name})
-        return len(names), names.index(own.name)
+        others = [name for name in names if name != own.name]
+        return len(others) + 1, sum(name < own.name for name in others)
 
     def connect(self, member, service, account):
         """Return a RemoteConnection, or None if this instance is the owner."""
--- a/pomelograde/net/rates.py
+++ b/pomelograde/net/rates.py
@@ -9,7 +9,6 @@
 from pomelograde.core import limits, retries
 from pomelograde.net import peer_messages, peers
 
-BORROW_TIMEOUT_S = 0.3
 MAX_BORROW_PEERS = 24
 
 
@@ -264,12 +263,12 @@
         instance = self.context.members.instances.get(action.peer)
         # The request's `burst` is not used.
         request = peer_messages.BorrowRequest(
-            account, action.amount, 0.0, int(BORROW_TIMEOUT_S * 1000)
+            account, action.amount, 0.0, int(limits.BORROW_TIMEOUT_S * 1000)
         )
         if instance is not None:
             try:
                 answer = await self.context.peers.request(
-                    instance, request, BORROW_TIMEOUT_S
+                    instance, request, limits.BORROW_TIMEOUT_S
                 )
                 amount = getattr(answer, "amount", 0.0)
             except peers.PeerUnreachableError:
