--- a/pomelograde/core/placement/__init__.py
+++ b/pomelograde/core/placement/__init__.py
@@ -5,12 +5,13 @@
 daemon that `daemon.composition` builds, together with `core.failover`.
 """
 
-from pomelograde.core.placement import _group, _ranking
+from pomelograde.core.placement import _group, _ranking, _restored
 
 Group = _group.Group
 Member = _group.Member
 MemberView = _ranking.MemberView
 Requirement = _group.Requirement
+RestoredMembers = _restored.RestoredMembers
 Role = _group.Role
 rank_replicas = _ranking.rank_replicas
 covers = _ranking.covers
@@ -20,6 +21,7 @@
     "Member",
     "MemberView",
     "Requirement",
+    "RestoredMembers",
     "Role",
     "rank_replicas",
     "covers",
--- /dev/null
+++ b/pomelograde/core/placement/_restored.py
@@ -0,0 +1,82 @@
+"""Members to use after the store has returned from an older copy."""
+
+import attrs
+
+# Running members write their rows again within 2 s of the store's return.
+REWRITE_TIMEOUT_S = 2.5
+REWRITE_HEARTBEATS = 2.5  # the same for members with a long heartbeat interval
+
+
+@attrs.define
+class RestoredMembers:
+    """Selects the members to use from rows that may be of an older copy.
+
+    A copy can hold the row of a member that has left since, and can show a
+    leaving member as ready. A row counts as it is once its member has written it
+    again. Until then, a member that was in use stays in use for a limited time,
+    and one that was not in use is left out.
+
+    Attributes
+    ----------
+    heartbeat_s : float
+        Interval at which members write their rows.
+    era : int or None
+        Era of the last read; None before the first one.
+    since : float
+        Time of the first read of the era.
+    restored_versions : dict of str to int
+        Version of each row, by name of the member, at that read; empty if the
+        store has not been restored since this instance started.
+    known : dict of tuple to Member
+        Members in use before that read by name and start of the process.
+    """
+
+    heartbeat_s: float
+    era: int | None = None
+    since: float = float("-inf")
+    restored_versions: dict = attrs.field(factory=dict)
+    known: dict = attrs.field(factory=dict)
+
+    def select(self, rows, current, now):
+        """Return the members to use.
+
+        Parameters
+        ----------
+        rows : MemberRows
+            What the store returned.
+        current : dict of str to list of Member
+            Members in use by service.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict of str to list of Member
+            Members by service.
+        """
+        if self.era is not None and rows.era > self.era:
+            self.since = now
+            self.restored_versions = dict(rows.versions)
+            self.known = {
+                (member.name, member.started_ms): member
+                for members in current.values()
+                for member in members
+            }
+        self.era = rows.era
+        if not self.restored_versions:
+            return rows.members
+        selected = {}
+        for service, members in rows.members.items():
+            chosen = [self._select_member(member, rows, now) for member in members]
+            selected[service] = [member for member in chosen if member is not None]
+        return selected
+
+    def _select_member(self, member, rows, now):
+        """Return a member as it is to be used, or None."""
+        if rows.versions[member.name] != self.restored_versions.get(member.name):
+            return member
+        known = self.known.get((member.name, member.started_ms))
+        timeout_s = max(REWRITE_TIMEOUT_S, REWRITE_HEARTBEATS * self.heartbeat_s)
+        if known is None or now - self.since > timeout_s:
+            return None
+        return attrs.evolve(member, leaving=member.leaving or known.leaving)
--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -9,6 +9,10 @@
 # Time after which another instance may start a takeover: the latest promotion
 # plus the time limit of the call that requests it.
 HOLDER_TIMEOUT_S = 6.0
+# Time for which no takeover starts after the store has returned from an older
+# copy. An instance whose registration was lost may hold a primary lease until
+# then, and one whose takeover was lost may have promoted a member.
+RESTORE_SETTLE_TIME_S = 3.2
 
 
 @attrs.frozen
@@ -25,10 +29,11 @@
     successor : str
         Member that is the primary after the takeover; empty while in progress.
     fence : int
-        Fencing token: version of the row that started the takeover. It
+        Fencing token: revision of the row that started the takeover. It
         increases with each takeover.
     row_version : int
-        Current version of the row.
+        Current revision of the row. It increases with each write, also if the
+        store has returned from an older copy meanwhile.
     """
 
     service: str
@@ -48,7 +53,7 @@
         return bool(self.holder)
 
 
-def may_start(takeover, holder, incarnations, unchanged_for_s):
+def may_start(takeover, holder, incarnations, unchanged_for_s, era_age_s=float("inf")):
     """Return whether an instance may start a takeover.
 
     Parameters
@@ -61,6 +66,9 @@
         Incarnation of each registered instance, by name.
     unchanged_for_s : float
         Time since this instance first saw the current version of the row.
+    era_age_s : float
+        Time since this instance first saw the store's era, which rises when the
+        store returns from an older copy; infinite for a store without eras.
 
     Notes
     -----
@@ -69,6 +77,8 @@
     is not registered may still be running and about to promote a member, so
     its timeout applies.
     """
+    if era_age_s < RESTORE_SETTLE_TIME_S:
+        return False
     if takeover is None or takeover.is_done or takeover.holder == holder:
         return True
     name, _, incarnation = takeover.holder.rpartition("/")
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -4,6 +4,10 @@
 state from it. The age of pulled state counts from the reader's own request to
 the store. An instance that gets no recent state from the reader pulls it from
 other instances, and reads the store itself.
+
+The store may return from an older copy. Configurations are therefore ordered by
+the operator's version, takeovers and registrations by revisions, which rise over
+such returns, and lists by the time at which they were read.
 """
 
 import attrs
@@ -34,7 +38,7 @@
     configuration_text : str
         Configuration as the operator wrote it.
     configuration_row_version : int
-        Version of its row in the store.
+        Version of its row in the store; only earlier builds compare it.
     members : dict of str to list of Member
         Members by service.
     members_digest : int
@@ -87,8 +91,18 @@
         Since when the store has answered this instance; infinite if it does not.
     on_refreshed : callable or None
         Called after each answer of the store or of a peer.
-    poll_version : int
-        Newest version that the store has returned to a poll.
+    poll_revision : int
+        Revision of the store up to which the configuration is known.
+    stored_version : int
+        Version of the configuration that the store held when it was last read.
+    lists_as_of : float
+        When the members and instances in `fleet` were read from the store.
+    era : int or None
+        Era of the store in which the instances were last read from it.
+    restored_members : RestoredMembers
+        Selects the members to use after the store has returned from a copy.
+    lost_takeovers : set of int
+        Revisions of known takeovers for which the store returned older ones.
     members_asked_at : float
         When members, instances and takeovers were last requested from the store.
     peer_index : int
@@ -121,7 +135,14 @@
         self.on_refreshed = None
         self.is_polling = False
         self.is_fetching = False
-        self.poll_version = 0
+        self.poll_revision = 0
+        self.stored_version = 0
+        self.lists_as_of = float("-inf")
+        self.era = None
+        self.restored_members = placement.RestoredMembers(
+            context.settings.member_heartbeat_s
+        )
+        self.lost_takeovers = set()
         self.members_asked_at = float("-inf")
         self.stale_reads = membership.StaleReads()
         self.is_offer_due = False
@@ -166,12 +187,12 @@
             consumeErrors=True,
         )
         try:
-            document, members = await reading
+            document, rows = await reading
         except defer.FirstError as error:
             error.subFailure.raiseException()
         self._set_store_available(True)
         self._apply_document(document)
-        self._apply_members(*members)
+        self._apply_member_rows(rows)
 
     async def leave(self):
         """Remove the registration of this instance, which must be idle."""
@@ -323,7 +344,7 @@
             age_s = self.context.now() - self.freshness.configuration_at
             wait_s = LONG_POLL_S if age_s < STALE_AFTER_S else 0.0
             document = await self.source.wait_for_configuration(
-                self.poll_version, wait_s
+                self.poll_revision, wait_s
             )
             answered = True
         except self.source.HistoryLostError:
@@ -347,16 +368,18 @@
 
     async def _fetch_members_and_instances(self):
         try:
-            members, as_of = await self.source.fetch_members()
-            instances = await self.source.fetch_instances()
+            rows = await self.source.fetch_members()
+            instances, listed = await self.source.fetch_instances()
         except self.source.StoreUnavailableError as error:
             self._set_store_available(False, str(error))
             return
         finally:
             self.is_fetching = False
         self._set_store_available(True)
-        self._apply_instances(*instances)
-        self._apply_members(members, as_of)
+        if rows.as_of >= self.lists_as_of:
+            self._apply_instances(instances, listed)
+            self._apply_member_rows(rows)
+        self._check_era(listed)
         if self.is_offer_due and not self._is_stale():
             delay_s = OFFER_SPREAD_S * self.context.random.random()
             self.context.reactor.callLater(delay_s, self._offer_state)
@@ -371,11 +394,14 @@
         if not self.is_offer_due or self._is_stale() or self.is_stopped:
             return
         self.is_offer_due = False
-        own = self.context.members.own
-        offer = peer_messages.NewsOffer([peer_messages.write_instance(own)])
+        own = self.context.members.own.name
         for instance in self.fleet.registered:
-            if instance.name != own.name:
-                self.context.peers.send(instance, offer)
+            if instance.name != own:
+                self.context.peers.send(instance, self._make_offer())
+
+    def _make_offer(self):
+        own = peer_messages.write_instance(self.context.members.own)
+        return peer_messages.NewsOffer([own], self.configuration.version)
 
     async def _pull_from_any_peer(self):
         """Pull the state from the next instance in turn.
@@ -402,12 +428,11 @@
             return
         self.unresponsive_readers.discard(reader.name)
         self.registrations.record_message(reader.name, self.context.now())
-        self._apply_answer(answer, asked_at)
+        self._apply_answer(reader, answer, asked_at)
         if answer.configuration_age_ms > STALE_AFTER_S * 1000.0:
             if not self._is_stale():
                 # The reader may not know this instance, and so not pull from it.
-                own = peer_messages.write_instance(self.context.members.own)
-                self.context.peers.send(reader, peer_messages.NewsOffer([own]))
+                self.context.peers.send(reader, self._make_offer())
             self._suspect(reader.name, "old news")
 
     def _is_stale(self):
@@ -429,6 +454,7 @@
             fleet.configuration_row_version,
             fleet.members_digest,
             fleet.instances_digest,
+            self.configuration.version,
         )
         try:
             answer = await self.context.peers.request(instance, request, PEER_TIMEOUT_S)
@@ -439,10 +465,11 @@
         return answer, asked_at
 
     def _on_news_offer(self, message, envelope):
-        """Use the sender as a reader again; pull its state if that here is stale."""
+        """Use the sender as a reader again, and pull its state if that may be newer."""
         sender = peer_messages.read_instance(message.instances[0])
         self.suspected_until.pop(sender.name, None)
-        if self._is_stale():
+        is_newer = message.configuration_version > self.configuration.version
+        if self._is_stale() or is_newer:
             defer.ensureDeferred(self._pull_from(sender))
         else:
             self.is_offer_due = False
@@ -450,7 +477,7 @@
     async def _pull_from(self, instance):
         answer, asked_at = await self._request_state(instance)
         if answer is not None:
-            self._apply_answer(answer, asked_at)
+            self._apply_answer(instance, answer, asked_at)
 
     def _suspect(self, name, reason):
         now = self.context.now()
@@ -463,32 +490,106 @@
         )
         self._sync_once()
 
-    def _apply_answer(self, answer, asked_at):
+    def _check_era(self, listed):
+        """Write again what the store has lost, if it returned from an older copy.
+
+        Parameters
+        ----------
+        listed : list of Takeover
+            Takeovers as the store returned them.
+
+        Notes
+        -----
+        A takeover that ended between two reads is known before the store returns
+        it. One for which two reads in a row return an older row is lost.
+        """
+        revisions = {takeover.service: takeover.row_version for takeover in listed}
+        lost = [
+            known
+            for known in self.fleet.takeovers.values()
+            if known.is_done and revisions.get(known.service, 0) < known.row_version
+        ]
+        previous, self.era = self.era, self.source.rows_era
+        if previous is not None and self.era > previous:
+            self.context.log.write(
+                events.Event.STORE_RESTORED,
+                era=self.era,
+                registered=len(self.fleet.registered),
+                is_registered=self.is_registered,
+                lost_takeovers=[known.service for known in lost],
+            )
+        for known in lost:
+            if known.row_version in self.lost_takeovers:
+                defer.ensureDeferred(self._record_takeover_again(known))
+        self.lost_takeovers = {known.row_version for known in lost}
+
+    async def _record_takeover_again(self, takeover):
+        try:
+            ended = await self.source.end_takeover(takeover, takeover.successor)
+        except self.source.StoreUnavailableError as error:
+            self._set_store_available(False, str(error))
+            return
+        if ended is not None:
+            self.apply_takeover(ended)
+        self.context.log.write(
+            events.Event.TAKEOVER_RECORDED_AGAIN,
+            service=takeover.service,
+            successor=takeover.successor,
+            fence=takeover.fence,
+            written=ended is not None,
+        )
+
+    def _apply_answer(self, instance, answer, asked_at):
+        """Apply the answer of an instance to a request for its state."""
         if (
             answer.document
-            and answer.configuration > self.fleet.configuration_row_version
+            and answer.configuration_version > self.configuration.version
         ):
             self._apply_configuration_text(answer.document, answer.configuration)
-        if answer.instances:
-            self._apply_instances(
-                [peer_messages.read_instance(encoded) for encoded in answer.instances],
-                [decode_takeover(encoded) for encoded in answer.takeovers],
-            )
-        if answer.upstreams:
-            self._apply_members(
-                _decode_members(answer.upstreams),
-                asked_at - answer.upstreams_age_ms / 1000.0,
-            )
-        else:
-            self._record_members_read(asked_at - answer.upstreams_age_ms / 1000.0)
-        if answer.configuration >= self.fleet.configuration_row_version:
+        for encoded in answer.takeovers:
+            self.apply_takeover(decode_takeover(encoded))
+        as_of = asked_at - answer.upstreams_age_ms / 1000.0
+        if as_of >= self.lists_as_of:
+            if answer.instances:
+                self._apply_instances(
+                    [
+                        peer_messages.read_instance(encoded)
+                        for encoded in answer.instances
+                    ],
+                    [],
+                )
+            if answer.upstreams:
+                self._apply_members(_decode_members(answer.upstreams), as_of)
+            else:
+                self._record_members_read(as_of)
+        if answer.configuration_version >= self.configuration.version:
             self.freshness.record_configuration_read(
                 asked_at - answer.configuration_age_ms / 1000.0
             )
+        self._send_missing(instance, answer)
         if not self._is_stale():
             self.is_offer_due = False
         self._notify_refreshed()
 
+    def _send_missing(self, instance, answer):
+        """Tell an instance what is newer here than in its answer.
+
+        Notes
+        -----
+        After the store has returned from an older copy, an instance that has
+        started since knows only what the copy held.
+        """
+        send = self.context.peers.send
+        if 0 < answer.configuration_version < self.configuration.version:
+            send(instance, self._make_offer())
+        if not answer.instances:
+            return
+        revisions = {known.service: known.row_version for known in answer.takeovers}
+        for known in self.fleet.takeovers.values():
+            if known.is_done and revisions.get(known.service, 0) < known.row_version:
+                ended = peer_messages.HoldRequest([encode_takeover(known)], 0)
+                send(instance, ended)
+
     def _on_news_request(self, message, envelope):
         now = self.context.now()
         self.registrations.record_message(envelope.sender, now)
@@ -497,7 +598,7 @@
         return peer_messages.NewsAnswer(
             configuration=fleet.configuration_row_version,
             document=fleet.configuration_text
-            if message.configuration != fleet.configuration_row_version
+            if message.configuration_version != self.configuration.version
             else "",
             configuration_age_ms=_age_ms(self.freshness.configuration_at, now),
             upstreams_digest=fleet.members_digest,
@@ -512,30 +613,53 @@
             takeovers=[]
             if same_instances
             else [encode_takeover(found) for found in fleet.takeovers.values()],
+            configuration_version=self.configuration.version,
         )
 
     def _apply_document(self, document):
-        self.poll_version = max(self.poll_version, document.version)
-        if (
-            document.text
-            and document.row_version > self.fleet.configuration_row_version
-        ):
-            self._apply_configuration_text(document.text, document.row_version)
-        self.freshness.record_configuration_read(document.as_of)
+        """Apply what the store returned about the configuration.
+
+        Notes
+        -----
+        A store that holds an older configuration than the one in force has lost
+        writes: it proves nothing about the keys that are valid now.
+        """
+        self.poll_revision = document.revision
+        if document.text:
+            version = self._apply_configuration_text(
+                document.text, document.row_version
+            )
+            if version is not None:
+                self.stored_version = version
+        if self.stored_version >= self.configuration.version:
+            self.freshness.record_configuration_read(document.as_of)
+        elif document.text:
+            self.context.log.write(
+                events.Event.CONFIGURATION_OUTDATED,
+                version=self.configuration.version,
+                stored_version=self.stored_version,
+            )
         self._notify_refreshed()
 
     def _apply_configuration_text(self, text, row_version):
+        """Apply a configuration unless it is older than the one in force.
+
+        Returns
+        -------
+        int or None
+            Version of the configuration; None if it is invalid.
+        """
         try:
             new = self.source.parse_configuration(text)
         except self.source.InvalidConfigurationError as error:
             self.context.log.write(
                 events.Event.CONFIGURATION_REJECTED, reason=str(error)
             )
-            return
+            return None
+        if new.version < self.configuration.version:
+            return new.version
         self.fleet.configuration_text = text
         self.fleet.configuration_row_version = row_version
-        if new.version < self.configuration.version:
-            return
         self.configuration = new
         self.context.log.write(
             events.Event.CONFIGURATION_APPLIED,
@@ -544,8 +668,16 @@
         )
         if self.on_configuration is not None:
             self.on_configuration(new)
+        return new.version
+
+    def _apply_member_rows(self, rows):
+        """Apply the members' rows as the store returned them."""
+        now = self.context.now()
+        members = self.restored_members.select(rows, self.fleet.members, now)
+        self._apply_members(members, rows.as_of)
 
     def _apply_members(self, members, as_of):
+        self.lists_as_of = max(self.lists_as_of, as_of)
         self._record_members_read(as_of)
         digest = _digest(_encode_members(members))
         if digest != self.fleet.members_digest:
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -24,6 +24,7 @@
 POLL_INTERVAL_S = 0.03
 PROMOTION_TIMEOUT_S = 2.5  # a promotion takes 1 s at most
 RETRY_DELAY_S = 1.0  # after a failed takeover
+RECORD_INTERVAL_S = 0.3  # between attempts to record the end of a takeover
 MAX_WITNESSES = 2
 
 
@@ -156,7 +157,10 @@
             found.name: found.incarnation for found in self.sync.fleet.registered
         }
         own = _format_holder(self.context.members.own)
-        return takeovers.may_start(takeover, own, incarnations, unchanged_for_s)
+        era_age_s = now - self.sync.source.era_since
+        return takeovers.may_start(
+            takeover, own, incarnations, unchanged_for_s, era_age_s
+        )
 
     async def _run(self, group, reason):
         """Run a takeover and log its outcome."""
@@ -219,12 +223,68 @@
         await self._release_old_primary(takeover, planned, begun_at)
         successor = await self._promote(group, takeover, old_primary, planned, begun_at)
         # Without a promotion, the member that was promoted last stays the successor.
-        ended = await source.end_takeover(takeover, successor or group.successor)
-        if ended is not None:
-            self.sync.apply_takeover(ended)
-            self._announce_end(ended)
+        await self._record_end(takeover, successor or group.successor)
         return "promoted" if successor else "no candidate"
 
+    async def _record_end(self, takeover, successor):
+        """Record the end of a takeover, unless another one has replaced it.
+
+        Notes
+        -----
+        The store may be unavailable, or have lost the record of the takeover.
+        Without the record of its end, the takeover would be run again, and
+        replace the member that has just been promoted.
+        """
+        source = self.sync.source
+        while not self.sync.is_stopped:
+            try:
+                ended = await source.end_takeover(takeover, successor)
+                if ended is not None:
+                    self.sync.apply_takeover(ended)
+                    self._announce_end(ended)
+                    return
+                await self._fetch_takeovers()
+            except source.StoreUnavailableError as error:
+                self.context.log.write(
+                    events.Event.TAKEOVER_STEP,
+                    service=takeover.service,
+                    step="end not recorded",
+                    fence=takeover.fence,
+                    reason=str(error),
+                )
+            latest = self.sync.fleet.takeovers[takeover.service]
+            if latest.row_version > takeover.row_version:
+                return
+            await self._sleep(RECORD_INTERVAL_S)
+
+    async def _fetch_takeovers(self):
+        """Read the takeovers from the store.
+
+        Returns
+        -------
+        instances : list of Instance
+            All registrations.
+        listed : dict of str to Takeover
+            Latest takeover of each service.
+        """
+        instances, listed = await self.sync.source.fetch_instances()
+        for takeover in listed:
+            self.sync.apply_takeover(takeover)
+        return instances, {takeover.service: takeover for takeover in listed}
+
+    async def _is_in_force(self, takeover):
+        """Return whether the store still holds the record of a takeover.
+
+        Notes
+        -----
+        If it does not, another instance may be running a takeover of the
+        service, or may start one: the record was lost with the store's return
+        from an older copy, or was replaced.
+        """
+        _, listed = await self._fetch_takeovers()
+        found = listed.get(takeover.service)
+        return found is not None and found.row_version == takeover.row_version
+
     async def _release_old_primary(self, takeover, planned, begun_at):
         """Return once no instance uses the old primary any more.
 
@@ -233,9 +293,7 @@
         If an instance does not confirm that it has stopped, this waits until
         the lease that it may hold on the primary has expired.
         """
-        instances, latest_takeovers = await self.sync.source.fetch_instances()
-        for latest in latest_takeovers:
-            self.sync.apply_takeover(latest)
+        instances, _ = await self._fetch_takeovers()
         grace_s = PLANNED_GRACE_S if planned else FAILED_GRACE_S
         own = self.context.members.own.name
         others = [instance for instance in instances if instance.name != own]
@@ -281,6 +339,7 @@
         """Choose a member and promote it; returns its name, or None."""
         opened = await self._open_connections(group)
         connections = {name: found for name, found in opened.items() if found}
+        is_promoted = False
         try:
             candidates = await self._find_candidates(
                 group, connections, old_primary, planned
@@ -297,21 +356,24 @@
                 position=f"{chosen.position.term}.{chosen.position.index}",
                 candidates=len(candidates),
             )
+            if not await self._is_in_force(takeover):
+                return None
             if self.context.now() - begun_at > takeovers.PROMOTE_DEADLINE_S:
                 return None
-            promoted = await self.promoter.promote(
+            is_promoted = await self.promoter.promote(
                 group.name, chosen.name, takeover.fence
             )
-            if not promoted:
-                for name, connection in connections.items():
-                    if name != old_primary:
-                        connection.resume(_ignore)
+            if not is_promoted:
                 return None
             if old_primary in connections:
                 connections[old_primary].step_down(self.highest_term + 1, _ignore)
             await self._wait_until_primary(connections[chosen.name])
             return chosen.name
         finally:
+            if not is_promoted:
+                for name, connection in connections.items():
+                    if name != old_primary and not connection.is_lost:
+                        connection.resume(_ignore)
             # The last calls must reach the members before the connections are aborted.
             for connection in connections.values():
                 self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -270,15 +270,18 @@
 
 @attrs.frozen
 class NewsOffer:
-    """Tells an instance with outdated state that the sender has recent state.
+    """Tells an instance with outdated state that the sender has newer state.
 
     Attributes
     ----------
     instances : list of InstanceNews
         Record of the sender, which the receiver may not know.
+    configuration_version : int
+        Version of the configuration that the sender has.
     """
 
     instances: list[InstanceNews]
+    configuration_version: int = 0
 
 
 @attrs.frozen
@@ -304,14 +307,18 @@
     Attributes
     ----------
     configuration : int
-        Version of the configuration row that the sender has.
+        Version of the configuration row that the sender has; only earlier builds
+        read it.
     upstreams_digest, instances_digest : int
         Hashes of the members and of the instances that the sender knows.
+    configuration_version : int
+        Version of the configuration that the sender has.
     """
 
     configuration: int
     upstreams_digest: int
     instances_digest: int
+    configuration_version: int = 0
 
 
 @attrs.frozen
@@ -321,7 +328,7 @@
     Attributes
     ----------
     configuration : int
-        Version of the configuration row.
+        Version of the configuration row; only earlier builds read it.
     document : str
         The configuration as the operator wrote it; empty if unchanged.
     configuration_age_ms, upstreams_age_ms : int
@@ -333,6 +340,8 @@
         All registered instances; empty if unchanged.
     takeovers : list of TakeoverNews
         Last takeover of each service; sent with the instances.
+    configuration_version : int
+        Version of the configuration.
     """
 
     configuration: int
@@ -344,6 +353,7 @@
     instances_digest: int
     instances: list[InstanceNews]
     takeovers: list[TakeoverNews] = attrs.field(factory=list)
+    configuration_version: int = 0
 
 
 @attrs.frozen
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -139,6 +139,7 @@
   configuration @0 :UInt64;
   upstreamsDigest @1 :UInt64;
   instancesDigest @2 :UInt64;
+  configurationVersion @3 :UInt64;
 }
 
 struct TakeoverNews {
@@ -168,6 +169,7 @@
 
 struct NewsOffer {
   instances @0 :List(InstanceNews);
+  configurationVersion @1 :UInt64;
 }
 
 struct NewsAnswer {
@@ -180,6 +182,7 @@
   instancesDigest @6 :UInt64;
   instances @7 :List(InstanceNews);
   takeovers @8 :List(TakeoverNews);
+  configurationVersion @9 :UInt64;
 }
 
 struct Ping {
--- a/pomelograde/platform/http.py
+++ b/pomelograde/platform/http.py
@@ -3,6 +3,7 @@
 import json
 import urllib.parse
 
+import attrs
 from twisted.internet import defer, error, protocol
 from twisted.web import client, http_headers
 from twisted.web import http as web_http
@@ -17,6 +18,25 @@
     """There was no valid answer; a requested change may still take effect."""
 
 
+@attrs.frozen
+class Answer:
+    """Answer to a request.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    body : object
+        JSON value; an empty dict if the answer has no body.
+    headers : twisted.web.http_headers.Headers
+        HTTP headers.
+    """
+
+    status: int
+    body: object
+    headers: http_headers.Headers
+
+
 class HttpClient:
     """Sends requests to one address.
 
@@ -70,9 +90,8 @@
 
         Returns
         -------
-        tuple of (int, object)
-            HTTP status, and JSON value of the answer; an empty dict if the answer
-            has no body.
+        Answer
+            The answer, whatever its status.
 
         Raises
         ------
@@ -101,9 +120,10 @@
             raise UnavailableError(type(failure).__name__) from failure
         self.on_call(name, str(response.code))
         try:
-            return response.code, json.loads(content) if content else {}
+            parsed = json.loads(content) if content else {}
         except ValueError as failure:
             raise UnavailableError("unreadable answer") from failure
+        return Answer(response.code, parsed, response.headers)
 
 
 class _BodyProducer:
--- a/pomelograde/platform/manifest.py
+++ b/pomelograde/platform/manifest.py
@@ -36,7 +36,7 @@
     try:
         fields = json.loads(document)
         return configuration.FleetConfiguration(
-            version=fields["version"],
+            version=_parse_version(fields["version"]),
             routes={route["host"]: _parse_route(route) for route in fields["routes"]},
             accounts={
                 tenant["name"]: _parse_account(tenant)
@@ -56,6 +56,12 @@
         raise InvalidManifestError(repr(error)) from error
 
 
+def _parse_version(version):
+    if type(version) is not int or version < 0:
+        raise ValueError(f"version must be a whole number, got {version!r}")
+    return version
+
+
 def _parse_route(route):
     staleness_ms = route.get("maxStalenessMs")
     return statements.Route(
--- a/pomelograde/platform/promotions.py
+++ b/pomelograde/platform/promotions.py
@@ -43,7 +43,7 @@
         UnavailableError
             If there is no valid answer, so that the outcome is unknown.
         """
-        status, _ = await self.http_client.call(
+        answer = await self.http_client.call(
             "promote",
             "POST",
             "/promote",
@@ -51,4 +51,4 @@
             Lease_Holder=self.holder,
             Fencing_Token=str(fence),
         )
-        return status == STATUS_OK
+        return answer.status == STATUS_OK
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -1,4 +1,8 @@
-"""Typed access to the rows of the fleet in the platform's store."""
+"""Typed access to the rows of the fleet in the platform's store.
+
+The rows that instances write hold the era of the write, so that a row has the
+same revision before and after the store returns from a copy that contains it.
+"""
 
 import json
 
@@ -23,15 +27,37 @@
         JSON; empty if there is no document, or none newer than requested.
     row_version : int
         Version of the document's row; 0 if `text` is empty.
-    version : int
-        Latest version in the store at the time of the read.
+    revision : int
+        Latest revision of the store at the time of the read.
     as_of : float
         Time on this instance's clock that is not later than the read.
     """
 
     text: str
     row_version: int
-    version: int
+    revision: int
+    as_of: float
+
+
+@attrs.frozen
+class MemberRows:
+    """The registered members, as one read returned them.
+
+    Attributes
+    ----------
+    members : dict of str to list of Member
+        Members by service.
+    versions : dict of str to int
+        Version of each member's row by its name.
+    era : int
+        Era of the store.
+    as_of : float
+        Time on this instance's clock that is not later than the read.
+    """
+
+    members: dict
+    versions: dict
+    era: int
     as_of: float
 
 
@@ -45,9 +71,11 @@
 
     Attributes
     ----------
-    row_versions : dict of str to int
-        Version of each row of the instances' table when it was last read, or
-        written by `register`.
+    rows : dict of str to Row
+        Rows of the instances' table when it was last read, with those that this
+        instance has written since.
+    rows_era : int
+        Era of `rows`.
     """
 
     HistoryLostError = store.HistoryLostError
@@ -56,19 +84,30 @@
 
     def __init__(self, store_client):
         self.store_client = store_client
-        self.row_versions = {}
+        self.rows = {}
+        self.rows_era = 0
+
+    @property
+    def era(self):
+        """Latest era of the store that this instance has seen; 0 without eras."""
+        return self.store_client.era
+
+    @property
+    def era_since(self):
+        """When this instance first saw the era; negative infinity without eras."""
+        return self.store_client.era_since
 
     async def fetch_configuration(self):
         """Return the current ConfigurationDocument."""
         result = await self.store_client.read_table(OPERATOR_TABLE)
         return _latest_document(result)
 
-    async def wait_for_configuration(self, version, wait_s):
-        """Wait for a change after a version; returns a ConfigurationDocument.
+    async def wait_for_configuration(self, revision, wait_s):
+        """Wait for a change after a revision; returns a ConfigurationDocument.
 
         Its text is empty if the configuration did not change within `wait_s`.
         """
-        result = await self.store_client.follow_table(OPERATOR_TABLE, version, wait_s)
+        result = await self.store_client.follow_table(OPERATOR_TABLE, revision, wait_s)
         return _latest_document(result)
 
     def parse_configuration(self, text):
@@ -76,17 +115,20 @@
         return manifest.parse_manifest(text)
 
     async def fetch_members(self):
-        """Return the registered members by service, and the time of the read.
-
-        The time is that of `ReadResult.as_of`.
-        """
+        """Return the registered members as MemberRows."""
         result = await self.store_client.read_table(registry.MEMBERS_TABLE)
-        return registry.parse_members(result.rows), result.as_of
+        return MemberRows(
+            registry.parse_members(result.rows),
+            {row.key: row.version for row in result.rows},
+            store.era_of(result.revision),
+            result.as_of,
+        )
 
     async def fetch_instances(self):
         """Return the registered instances, and the latest takeover of each service."""
         result = await self.store_client.read_table(INSTANCES_TABLE)
-        self.row_versions = {row.key: row.version for row in result.rows}
+        self.rows = {row.key: row for row in result.rows}
+        self.rows_era = store.era_of(result.revision)
         instances = [
             _decode_instance(row)
             for row in result.rows
@@ -102,78 +144,125 @@
             [entry for entry in decoded_takeovers if entry is not None],
         )
 
-    async def begin_takeover(self, service, holder, row_version):
+    async def begin_takeover(self, service, holder, row_revision):
         """Record the start of a takeover, which replaces a primary.
 
         Parameters
         ----------
         service, holder : str
             Database service of the primary, and instance that replaces it.
-        row_version : int
-            Version that the row of the service's takeover must have; 0 if it must
-            not exist.
+        row_revision : int
+            Revision of the service's last known takeover; 0 if there is none.
 
         Returns
         -------
         Takeover or None
             None if the row has changed meanwhile.
         """
-        key = TAKEOVER_PREFIX + service
-        value = json.dumps({"holder": holder}).encode()
-        version = await self.store_client.commit(
-            INSTANCES_TABLE, {key: row_version}, {key: value}
-        )
-        if version is None:
+        fields = {"holder": holder}
+        revision = await self._write_takeover(service, row_revision, fields)
+        if revision is None:
             return None
-        return takeovers.Takeover(service, holder, "", version, version)
+        return takeovers.Takeover(service, holder, "", revision, revision)
 
     async def end_takeover(self, takeover, successor):
         """Record the end of a takeover.
 
+        This also replaces an older row, so that an end can be written again after
+        the store has lost it.
+
         Returns
         -------
         Takeover or None
             None if the row has changed meanwhile.
         """
-        key = TAKEOVER_PREFIX + takeover.service
-        body = {"holder": "", "successor": successor, "fence": takeover.fence}
-        version = await self.store_client.commit(
-            INSTANCES_TABLE,
-            {key: takeover.row_version},
-            {key: json.dumps(body).encode()},
+        fields = {"holder": "", "successor": successor, "fence": takeover.fence}
+        revision = await self._write_takeover(
+            takeover.service, takeover.row_version, fields
         )
-        if version is None:
+        if revision is None:
             return None
         return attrs.evolve(
-            takeover, holder="", successor=successor, row_version=version
+            takeover, holder="", successor=successor, row_version=revision
+        )
+
+    async def _write_takeover(self, service, known_revision, fields):
+        """Replace the row of a service's takeover, unless a newer one is known.
+
+        Returns
+        -------
+        int or None
+            Revision of the new row; None if the row has changed, or has not been
+            read since the store was restored.
+        """
+        key = TAKEOVER_PREFIX + service
+        expected = self._expected_version(key, known_revision)
+        if expected is None:
+            return None
+        value = json.dumps({**fields, "era": self.era}).encode()
+        revision = await self.store_client.commit(
+            INSTANCES_TABLE, {key: expected}, {key: value}
         )
+        if revision is not None:
+            self.rows[key] = store.Row(key, value, store.version_of(revision))
+        return revision
+
+    def _expected_version(self, key, known_revision):
+        """Return the version that a takeover's row must have to be replaced.
+
+        Notes
+        -----
+        Versions of an earlier era mean nothing in the current one, where they
+        may have been given out again: then the row as read in this era counts,
+        if it is not newer than the known one.
+        """
+        if self.rows_era != self.era:
+            return None
+        if store.era_of(known_revision) == self.era:
+            return store.version_of(known_revision)
+        row = self.rows.get(key)
+        if row is None:
+            return 0
+        return row.version if _takeover_revision(row) <= known_revision else None
 
     async def register(self, instance):
         """Write an instance's row; returns the Instance with its new incarnation.
 
-        The version of the row is the incarnation, so each registration is newer
+        The revision of the row is the incarnation, so each registration is newer
         than all earlier ones.
         """
-        version = await self.store_client.commit(
-            INSTANCES_TABLE, {}, {instance.name: _encode_instance(instance)}
+        value = self._encode_instance(instance)
+        revision = await self.store_client.commit(
+            INSTANCES_TABLE, {}, {instance.name: value}
         )
-        self.row_versions[instance.name] = version
-        return attrs.evolve(instance, incarnation=version)
+        version = store.version_of(revision)
+        self.rows[instance.name] = store.Row(instance.name, value, version)
+        return attrs.evolve(instance, incarnation=revision)
 
     async def end_registration(self, instance):
         """Mark an instance's registration as ended, unless its row has changed."""
         ended = attrs.evolve(instance, leaving=True)
-        await self._replace_row(instance.name, _encode_instance(ended))
+        await self._replace_row(instance.name, self._encode_instance(ended))
 
     async def remove_registration(self, instance):
         """Delete an instance's row, unless it has changed."""
         await self._replace_row(instance.name, None)
 
+    def _encode_instance(self, instance):
+        """Return the content of an instance's row, whose incarnation has the era."""
+        incarnation = store.make_revision(self.era, 0)
+        fields = attrs.asdict(attrs.evolve(instance, incarnation=incarnation))
+        return json.dumps(fields).encode()
+
     async def _replace_row(self, name, value):
-        version = self.row_versions.get(name)
-        if version is not None:
+        if self.rows_era != self.era:
+            raise store.StoreUnavailableError(
+                f"rows of era {self.rows_era} are known, the store has era {self.era}"
+            )
+        row = self.rows.get(name)
+        if row is not None:
             await self.store_client.commit(
-                INSTANCES_TABLE, {name: version}, {name: value}
+                INSTANCES_TABLE, {name: row.version}, {name: value}
             )
 
 
@@ -182,7 +271,7 @@
 
     The feed of changes may contain several versions of the same row.
     """
-    document = ConfigurationDocument("", 0, result.version, result.as_of)
+    document = ConfigurationDocument("", 0, result.revision, result.as_of)
     for row in result.rows:
         newer = row.version > document.row_version
         if row.key == CONFIGURATION_KEY and row.value is not None and newer:
@@ -191,14 +280,12 @@
     return document
 
 
-def _encode_instance(instance):
-    return json.dumps(attrs.asdict(instance)).encode()
-
-
 def _decode_instance(row):
     try:
         instance = membership.Instance(**json.loads(row.value))
-        return attrs.evolve(instance, incarnation=row.version)
+        era = store.era_of(instance.incarnation)
+        revision = store.make_revision(era, row.version)
+        return attrs.evolve(instance, incarnation=revision)
     except (ValueError, TypeError):
         return None
 
@@ -206,12 +293,22 @@
 def _decode_takeover(row):
     try:
         fields = json.loads(row.value)
+        revision = _takeover_revision(row)
         return takeovers.Takeover(
             service=row.key.removeprefix(TAKEOVER_PREFIX),
             holder=fields["holder"],
             successor=fields.get("successor", ""),
-            fence=fields.get("fence", row.version),
-            row_version=row.version,
+            fence=fields.get("fence", revision),
+            row_version=revision,
         )
     except (ValueError, TypeError, KeyError, AttributeError):
         return None
+
+
+def _takeover_revision(row):
+    """Return the revision of a takeover's row, which holds the era of the write."""
+    try:
+        era = int(json.loads(row.value).get("era", 0))
+    except (ValueError, TypeError, AttributeError):
+        era = 0
+    return store.make_revision(era, row.version)
--- a/pomelograde/platform/store.py
+++ b/pomelograde/platform/store.py
@@ -1,4 +1,10 @@
-"""Client of the platform's metadata store."""
+"""Client of the platform's metadata store.
+
+The store may return from an older copy. It then gives versions out again, and
+raises its era, which all its answers carry. This client therefore orders the
+store's contents by revisions: integers with the era above the version. A
+revision of a later era is greater than all of earlier eras.
+"""
 
 import base64
 
@@ -10,6 +16,10 @@
 STATUS_OK = 200
 STATUS_CONDITION_FAILED = 412
 STATUS_HISTORY_LOST = 410
+ERA_HEADER = "Store-Era"
+VERSION_BITS = 40  # eras and versions of 13 and 40 bits fit into a JSON number
+VERSION_MASK = (1 << VERSION_BITS) - 1
+MAX_ERA = (1 << 13) - 1
 
 StoreUnavailableError = http.UnavailableError
 
@@ -18,6 +28,21 @@
     """The store no longer has all changes after the given version."""
 
 
+def make_revision(era, version):
+    """Return the revision of a version in an era."""
+    return era << VERSION_BITS | version
+
+
+def era_of(revision):
+    """Return the era of a revision."""
+    return revision >> VERSION_BITS
+
+
+def version_of(revision):
+    """Return the store's version of a revision."""
+    return revision & VERSION_MASK
+
+
 @attrs.frozen
 class Row:
     """A row of a table.
@@ -29,7 +54,7 @@
     value : bytes or None
         Content; None for a deleted row.
     version : int
-        Number of the transaction that wrote it.
+        Number of the transaction that wrote it, in the era of the write.
     """
 
     key: str
@@ -45,15 +70,15 @@
     ----------
     rows : list of Row
         The rows.
-    version : int
-        Latest version in the store at the time of the read.
+    revision : int
+        Latest revision of the store at the time of the read.
     as_of : float
         Time of this instance's clock that is not later than the read; the rows
         include all changes before it.
     """
 
     rows: list
-    version: int
+    revision: int
     as_of: float
 
 
@@ -71,10 +96,17 @@
         The last `ReadResult.as_of`; None before the first answer.
     reference_store_ms : int
         Time of the store's clock in the answer that it was derived from.
+    era : int
+        Latest era that an answer carried; 0 for a store without eras.
+    era_since : float
+        When the first answer of that era arrived; negative infinity for a store
+        without eras.
     """
 
     def __init__(self, http_client):
         self.http_client = http_client
+        self.era = 0
+        self.era_since = float("-inf")
         self.reference_at = None
         self.reference_store_ms = 0
 
@@ -94,32 +126,36 @@
         requested_at = self.http_client.reactor.seconds()
         rows = []
         first_as_of = None
+        first_era = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": 500}
             if start:
                 query["from"] = start
-            status, body = await self.http_client.call(
-                "read", "GET", "/rows-get", query
-            )
+            status, body = await self._call("read", "GET", "/rows-get", query)
             if status != STATUS_OK:
                 raise StoreUnavailableError(f"status {status}")
-            as_of = self._estimate_as_of(body["nowMs"], requested_at)
+            first_era = self.era if first_era is None else first_era
+            if self.era != first_era:
+                raise StoreUnavailableError("the store was restored during the read")
+            page = _decode_page(body)
+            as_of = self._estimate_as_of(page.now_ms, requested_at)
             first_as_of = as_of if first_as_of is None else first_as_of
-            rows.extend(_decode_row(row) for row in body["rows"])
-            if not body.get("hasMore"):
-                return ReadResult(rows, body["ver"], first_as_of)
+            rows.extend(page.rows)
+            if not page.has_more:
+                revision = make_revision(self.era, page.version)
+                return ReadResult(rows, revision, first_as_of)
             start = rows[-1].key + "\0"
 
-    async def follow_table(self, table, version, wait_s):
+    async def follow_table(self, table, revision, wait_s):
         """Wait until a table changes, and return the changed rows.
 
         Parameters
         ----------
         table : str
             Name of the table.
-        version : int
-            Version up to which changes are already known.
+        revision : int
+            Revision up to which changes are already known.
         wait_s : float
             Longest time to wait for a change.
 
@@ -135,23 +171,31 @@
         StoreUnavailableError
             If the store does not answer with the rows.
         """
+        era = era_of(revision)
+        if era != self.era:
+            raise HistoryLostError
         requested_at = self.http_client.reactor.seconds()
-        query = {"table": table, "after": version, "waitMs": int(wait_s * 1000)}
-        status, body = await self.http_client.call(
+        query = {
+            "table": table,
+            "after": version_of(revision),
+            "waitMs": int(wait_s * 1000),
+        }
+        status, body = await self._call(
             "follow", "GET", "/rows-feed", query, wait_s=wait_s
         )
-        if status == STATUS_HISTORY_LOST:
+        if status == STATUS_HISTORY_LOST or era != self.era:
             raise HistoryLostError
         if status != STATUS_OK:
             raise StoreUnavailableError(f"status {status}")
-        as_of = self._estimate_as_of(body["nowMs"], requested_at)
-        return ReadResult(
-            [_decode_row(row) for row in body["rows"]], body["ver"], as_of
-        )
+        page = _decode_page(body)
+        as_of = self._estimate_as_of(page.now_ms, requested_at)
+        return ReadResult(page.rows, make_revision(era, page.version), as_of)
 
     async def commit(self, table, conditions, writes):
         """Change rows of a table atomically.
 
+        The caller must have read the expected versions in the current era.
+
         Parameters
         ----------
         table : str
@@ -164,13 +208,15 @@
         Returns
         -------
         int or None
-            Version of the transaction; None if a condition did not hold.
+            Revision of the transaction; None if a condition did not hold.
 
         Raises
         ------
         StoreUnavailableError
-            If the store does not confirm the change, which may still take effect.
+            If the store does not confirm the change, which may still take effect,
+            or if it was restored meanwhile: the conditions are of an earlier era.
         """
+        era = self.era
         body = {
             "expectedRev": [
                 {"table": table, "part": "", "key": key, "ver": version}
@@ -192,14 +238,51 @@
                 if value is None
             ],
         }
-        status, answer = await self.http_client.call(
-            "commit", "POST", "/rows-tx", body=body
-        )
+        status, answer = await self._call("commit", "POST", "/rows-tx", body=body)
+        if era != self.era:
+            raise StoreUnavailableError("the store was restored before the commit")
         if status == STATUS_CONDITION_FAILED:
             return None
         if status != STATUS_OK:
             raise StoreUnavailableError(f"status {status}")
-        return answer["ver"]
+        try:
+            return make_revision(era, _require_version(answer["ver"]))
+        except (KeyError, TypeError) as error:
+            raise StoreUnavailableError(f"malformed answer: {error!r}") from error
+
+    async def _call(self, name, method, path, query=None, body=None, wait_s=0.0):
+        """Send a request and record the era of its answer.
+
+        Returns
+        -------
+        tuple of (int, object)
+            HTTP status and JSON value of the answer.
+        """
+        answer = await self.http_client.call(
+            name, method, path, query, body, wait_s=wait_s
+        )
+        self._record_era(answer.headers.getRawHeaders(ERA_HEADER, [""])[0])
+        return answer.status, answer.body
+
+    def _record_era(self, text):
+        """Record the era that an answer carries.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the era is invalid, or earlier than that of a previous answer.
+        """
+        if not text:
+            return
+        era = int(text) if text.isdecimal() else -1
+        if not 0 <= era <= MAX_ERA:
+            raise StoreUnavailableError(f"answer of the invalid era {text[:40]!r}")
+        if era < self.era:
+            raise StoreUnavailableError(f"answer of era {era}, after era {self.era}")
+        if era > self.era:
+            self.era = era
+            self.era_since = self.http_client.reactor.seconds()
+            self.reference_at = None  # the store's clock may have changed, too
 
     def _estimate_as_of(self, now_ms, requested_at):
         """Return a time on this instance's clock not later than the store's read.
@@ -230,8 +313,57 @@
         return as_of
 
 
+@attrs.frozen
+class _Page:
+    """Content of an answer about rows.
+
+    Attributes
+    ----------
+    rows : list of Row
+        The rows.
+    version : int
+        Latest version in the store.
+    now_ms : int
+        Time of the store's monotonic clock.
+    has_more : bool
+        Whether the table has rows after these.
+    """
+
+    rows: list
+    version: int
+    now_ms: int
+    has_more: bool
+
+
+def _decode_page(body):
+    """Decode an answer about rows.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If a field is missing or has another type.
+    """
+    try:
+        return _Page(
+            [_decode_row(row) for row in body["rows"]],
+            _require_version(body["ver"]),
+            _require_version(body["nowMs"]),
+            bool(body.get("hasMore")),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise StoreUnavailableError(f"malformed answer: {error!r}") from error
+
+
 def _decode_row(row):
     value = None
     if not row.get("tombstone"):
         value = base64.b64decode(row["value"])
-    return Row(row["key"], value, row["ver"])
+    if type(row["key"]) is not str:
+        raise TypeError(f"expected a text as key, got {row['key']!r}")
+    return Row(row["key"], value, _require_version(row["ver"]))
+
+
+def _require_version(value):
+    if type(value) is not int or not 0 <= value <= VERSION_MASK:
+        raise TypeError(f"expected a version or time, got {value!r}")
+    return value
--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 import attrs
 
@@ -193,6 +194,26 @@
         """Set the faults of the store; faults that are not given are cleared."""
         http.post(f"http://{self.store}/faults", faults)
 
+    def keep_store_copy(self):
+        """Keep a copy of the store's tables."""
+        http.post(f"http://{self.store}/copy", {})
+
+    def restore_store(self, outage_s=0.5):
+        """Refuse all calls to the store for a time, then return to the kept copy."""
+        self.set_store_faults(refuse=True)
+        time.sleep(outage_s)
+        http.post(f"http://{self.store}/restore", {})
+        self.set_store_faults()
+
+    def count_calls(self):
+        """Return the number of calls that the store has received."""
+        return sum(http.post(f"http://{self.store}/calls", {}).values())
+
+    def read_table(self, table):
+        """Return the existing keys of a table of the store."""
+        url = f"http://{self.store}/rows-get?table={table}"
+        return [row["key"] for row in http.send("GET", url)["rows"]]
+
     def show_member(self, name):
         """Return the state of a member."""
         return http.send("GET", f"http://{self.members}/{name}")
--- a/pomelograde/standins/hosting/store.py
+++ b/pomelograde/standins/hosting/store.py
@@ -25,12 +25,16 @@
         Whether commits are applied but not answered.
     slow_s : float
         Delay before each answer.
+    late_s : float
+        Delay after which commits are applied, without an answer, if their
+        conditions still hold; 0 to apply and answer them at once.
     """
 
     refuse: bool = False
     silent: bool = False
     lose_answers: bool = False
     slow_s: float = 0.0
+    late_s: float = 0.0
 
 
 class Tables:
@@ -42,14 +46,30 @@
         Version of the last transaction.
     rows : dict of tuple to tuple
         Value and version by (table, key). The value of a removed row is None.
-    oldest : int
+    oldest_version : int
         A feed that continues after an earlier version is answered with status 410.
+    era : int
+        How often the tables have been restored from a copy, plus one.
+    copy : tuple of (int, dict)
+        Version and rows of the copy.
     """
 
     def __init__(self):
         self.version = 0
         self.rows = {}
         self.oldest_version = 0
+        self.era = 1
+        self.copy = (0, {})
+
+    def keep_copy(self):
+        """Keep a copy of the current rows."""
+        self.copy = (self.version, dict(self.rows))
+
+    def restore(self):
+        """Return to the copy: later writes are lost, and versions used again."""
+        self.version, rows = self.copy
+        self.rows = dict(rows)
+        self.era += 1
 
     def put(self, table, key, value):
         """Write a row and return its version."""
@@ -104,7 +124,8 @@
     """HTTP interface of the store, with control paths for tests.
 
     The control paths are ``/faults``, ``/put``, ``/calls`` (number of calls by
-    path) and ``/forget`` (discards the history that feeds read).
+    path), ``/forget`` (discards the history that feeds read), ``/copy`` (keeps a
+    copy of all tables) and ``/restore`` (returns to that copy).
 
     Parameters
     ----------
@@ -112,6 +133,11 @@
         Contents.
     reactor : IReactorTime
         Schedules delayed answers and the time-outs of polls.
+
+    Attributes
+    ----------
+    sends_era : bool
+        Whether answers carry the era of the tables.
     """
 
     isLeaf = True  # noqa: N815
@@ -119,6 +145,7 @@
     def __init__(self, tables, reactor=default_reactor):
         super().__init__()
         self.tables = tables
+        self.sends_era = True
         self.reactor = reactor
         self.faults = StoreFaults()
         self.pending_polls = []
@@ -131,6 +158,13 @@
         if path == "/faults":
             self.faults = StoreFaults(**http.read_body(request))
             return http.answer(request, 200, {})
+        if path == "/copy":
+            self.tables.keep_copy()
+            return http.answer(request, 200, {})
+        if path == "/restore":
+            self.tables.restore()
+            self._answer_pending_polls()
+            return http.answer(request, 200, {})
         if path == "/put":
             body = http.read_body(request)
             value = None if body["value"] is None else body["value"].encode()
@@ -153,6 +187,7 @@
         if self.faults.silent:
             return server.NOT_DONE_YET
         if self.faults.refuse:
+            self._set_era(request)
             return http.answer(request, 503, {})
         # Read the body now: if the connection closes during the delay, the body
         # is closed with it.
@@ -160,6 +195,10 @@
         self.reactor.callLater(self.faults.slow_s, self._answer, request, path, body)
         return server.NOT_DONE_YET
 
+    def _set_era(self, request):
+        if self.sends_era:
+            request.setHeader("Store-Era", str(self.tables.era))
+
     def put(self, table, key, value):
         """Write a row, answer polls that wait for it, and return its version."""
         version = self.tables.put(table, key, value)
@@ -167,6 +206,11 @@
         return version
 
     def _answer(self, request, path, body):
+        if path == "/rows-tx" and self.faults.late_s:
+            self.reactor.callLater(
+                self.faults.late_s, self.tables.commit, json.loads(body)
+            )
+            return
         if path == "/rows-tx":
             status, answer = self.tables.commit(json.loads(body))
             self._answer_pending_polls()
@@ -191,7 +235,7 @@
 
     def _answer_poll(self, request, table, after):
         """Answer a poll that has changes or lost its history; return whether."""
-        if after < self.tables.oldest_version:
+        if not self.tables.oldest_version <= after <= self.tables.version:
             self._send_answer(request, 410, {})
             return True
         rows = self.tables.changes(table, after)
@@ -210,6 +254,7 @@
             self._send_answer(poll[0], 200, {"rows": []})
 
     def _send_answer(self, request, status, answer):
+        self._set_era(request)
         now_ms = int(time.monotonic() * 1000.0)
         answer = {"ver": self.tables.version, "nowMs": now_ms, **answer}
         http.finish(request, status, answer)
--- a/tests/core/takeovers/test_decide.py
+++ b/tests/core/takeovers/test_decide.py
@@ -91,6 +91,12 @@
         limit_s = takeovers.PROMOTE_DEADLINE_S + 1.0
         self.assertFalse(takeovers.may_start(current, "y/1", {"x": 1}, limit_s))
 
+    def test_no_takeover_starts_while_lost_registrations_may_have_leases(self):
+        ended = takeovers.Takeover("g", "", "m", 7, 8)
+        for latest in (None, ended):
+            self.assertFalse(takeovers.may_start(latest, "y/1", {}, 60.0, 3.1))
+            self.assertTrue(takeovers.may_start(latest, "y/1", {}, 60.0, 3.3))
+
     def test_takeover_may_start_after_the_previous_one_has_ended(self):
         ended = takeovers.Takeover("g", "", "a", 5, 6)
         self.assertTrue(takeovers.may_start(ended, "y/1", {}, 0.0))
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -9,6 +9,7 @@
 from pomelograde.core import configuration, membership
 from pomelograde.net import events, peer_messages
 from pomelograde.net.hosted import state_sync
+from pomelograde.platform import source
 
 
 class Source:
@@ -20,6 +21,8 @@
     class StoreUnavailableError(Exception):
         pass
 
+    rows_era = 0
+
     def __init__(self):
         self.calls = []
 
@@ -81,6 +84,7 @@
             reactor=self.clock,
             now=self.clock.seconds,
             random=random.Random(1),
+            settings=types.SimpleNamespace(member_heartbeat_s=1.2),
             peers=self.peers,
             members=membership.Membership(self.own),
             log=types.SimpleNamespace(
@@ -177,7 +181,9 @@
         self.sync.freshness.record_configuration_read(self.clock.seconds())
         fetching = self.sync._fetch_members_and_instances()
         defer.ensureDeferred(fetching)
-        self.source.calls[-1].callback(({}, self.clock.seconds()))
+        self.source.calls[-1].callback(
+            source.MemberRows({}, {}, 0, self.clock.seconds())
+        )
         self.source.calls[-1].callback((self.sync.fleet.instances, []))
 
     def test_instance_that_reaches_the_store_again_offers_its_state(self):
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -29,6 +29,8 @@
     class StoreUnavailableError(Exception):
         pass
 
+    era_since = float("-inf")
+
     def __init__(self):
         self.begun = []
 
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -11,6 +11,8 @@
 class FakeStoreClient:
     """Store client that returns the same rows from each read."""
 
+    era = 0
+
     def __init__(self, *rows):
         self.rows = store.ReadResult(list(rows), 30, 5.0)
 
@@ -35,7 +37,7 @@
         client = source.PlatformSource(FakeStoreClient(*rows))
         found = run(client.wait_for_configuration(3, 1.0))
         self.assertEqual(
-            ("v24", 24, 30), (found.text, found.row_version, found.version)
+            ("v24", 24, 30), (found.text, found.row_version, found.revision)
         )
 
     def test_text_is_empty_if_the_configuration_did_not_change(self):
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,145 @@
+"""Tests of the store's client: eras, revisions and malformed answers."""
+
+import base64
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet import defer, task
+from twisted.web import http_headers
+
+from pomelograde.platform import http, store
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+class HttpClient:
+    """Returns prepared answers, and records the requests."""
+
+    def __init__(self):
+        self.reactor = task.Clock()
+        self.answers = []
+        self.requests = []
+
+    def add(self, era=None, status=200, body=None, **fields):
+        headers = {} if era is None else {"Store-Era": [str(era)]}
+        page = {"rows": [], "ver": 5, "nowMs": 1000, **fields}
+        answer = http.Answer(
+            status, page if body is None else body, http_headers.Headers(headers)
+        )
+        self.answers.append(answer)
+
+    async def call(self, name, method, path, query=None, body=None, wait_s=0.0):
+        self.requests.append(query or body)
+        return self.answers.pop(0)
+
+
+class StoreTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.http = HttpClient()
+        self.client = store.StoreClient(self.http)
+
+    def run_call(self, coroutine):
+        """Return the result of a coroutine, or raise its exception."""
+        found = []
+        defer.ensureDeferred(coroutine).addBoth(found.append)
+        if hasattr(found[0], "raiseException"):
+            found[0].raiseException()
+        return found[0]
+
+    def read(self, **answer):
+        self.http.add(**answer)
+        return self.run_call(self.client.read_table("t"))
+
+    def follow(self, revision, **answer):
+        if answer:
+            self.http.add(**answer)
+        return self.run_call(self.client.follow_table("t", revision, 1.0))
+
+    def test_revisions_rise_though_versions_fall(self):
+        before = self.read(era=1, ver=900).revision
+        after = self.read(era=2, ver=700).revision
+        self.assertTrue(after > before)
+
+    def test_store_without_eras_has_its_versions_as_revisions(self):
+        self.assertEqual(900, self.read(ver=900).revision)
+        self.assertEqual((0, float("-inf")), (self.client.era, self.client.era_since))
+
+    def test_era_is_dated_by_its_first_answer(self):
+        for era, wait_s in ((1, 2.0), (1, 3.0), (2, 1.0), (2, 1.0)):
+            self.read(era=era)
+            self.http.reactor.advance(wait_s)
+        self.assertEqual(5.0, self.client.era_since)
+
+    def test_feed_is_not_continued_over_a_return(self):
+        revision = self.read(era=1, ver=900).revision
+        # The new versions have already passed the one to continue from.
+        self.assertRaises(store.HistoryLostError, self.follow, revision, era=2, ver=950)
+        self.assertRaises(store.HistoryLostError, self.follow, revision)
+        self.assertEqual(2, len(self.http.requests))
+
+    def test_feed_continues_after_the_version_within_an_era(self):
+        revision = self.read(era=2, ver=700).revision
+        self.follow(revision, era=2, ver=705)
+        self.assertEqual(700, self.http.requests[-1]["after"])
+
+    def test_answer_of_an_earlier_era_is_not_used(self):
+        self.read(era=2)
+        self.assertRaises(store.StoreUnavailableError, self.read, era=1)
+        self.assertEqual(2, self.client.era)
+
+    def test_answer_without_an_era_keeps_the_known_one(self):
+        self.read(era=2)
+        self.assertEqual(store.make_revision(2, 5), self.read().revision)
+
+    def test_pages_of_different_eras_are_not_combined(self):
+        row = {"key": "k", "value": base64.b64encode(b"1").decode(), "ver": 1}
+        self.http.add(era=1, rows=[row], hasMore=True)
+        self.assertRaises(store.StoreUnavailableError, self.read, era=2)
+
+    def test_commit_with_conditions_of_an_earlier_era_is_not_confirmed(self):
+        self.read(era=1)
+        self.http.add(era=2)
+        commit = self.client.commit("t", {"k": 5}, {"k": b"1"})
+        self.assertRaises(store.StoreUnavailableError, self.run_call, commit)
+
+    def test_age_of_a_read_does_not_follow_a_clock_of_another_era(self):
+        self.read(era=1, nowMs=1000)
+        self.http.reactor.advance(10.0)
+        self.assertEqual(10.0, self.read(era=2, nowMs=500).as_of)
+        self.http.reactor.advance(1.0)
+        self.assertEqual(11.0, self.read(era=2, nowMs=600).as_of)
+
+    def test_invalid_eras_make_an_answer_unusable(self):
+        for era in ("x", "-1", "1.5", "9" * 30, "8192"):
+            self.assertRaises(store.StoreUnavailableError, self.read, era=era)
+        self.assertEqual(0, self.client.era)
+
+    @given(body=JSON)
+    def test_malformed_answers_count_as_unavailable(self, body):
+        for call in (
+            lambda client: client.read_table("t"),
+            lambda client: client.follow_table("t", 0, 1.0),
+            lambda client: client.commit("t", {}, {}),
+        ):
+            self.http = HttpClient()
+            client = store.StoreClient(self.http)
+            self.http.add(body=body)
+            try:
+                self.run_call(call(client))
+            except store.StoreUnavailableError:
+                continue
+
+    @given(row=JSON)
+    def test_malformed_rows_count_as_unavailable(self, row):
+        self.http = HttpClient()
+        self.client = store.StoreClient(self.http)
+        try:
+            self.read(rows=[row])
+        except store.StoreUnavailableError:
+            return
