Let the soak's store return from copies, and check that withdrawn keys are refused

An operator replaces a key every 4 s and writes the last configuration again after a return; a caller tries keys that were withdrawn 5 s ago or more.

--- a/soak/history.py
+++ b/soak/history.py
@@ -9,6 +9,7 @@
 # replication is asynchronous. Replicas lag by 0.02 s unless a fault delays them,
 # and all processes share one clock.
 CRASH_LOSS_WINDOW_S = 0.5
+REVOCATION_S = 5.0  # `revokeMs` of the instances' settings
 
 
 class Outcome(enum.Enum):
@@ -71,6 +72,25 @@
     route: str
 
 
+@attrs.frozen
+class KeyUse:
+    """A statement that was served to a key.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    sent_at : float
+        Monotonic time at which the session was opened.
+    withdrawn_at : float
+        Monotonic time at which the withdrawal of the key was acknowledged.
+    """
+
+    key: str
+    sent_at: float
+    withdrawn_at: float
+
+
 @attrs.define
 class History:
     """Operations of all callers in one run.
@@ -83,11 +103,14 @@
         Reads that were answered.
     crashes : list of float
         Monotonic times at which a primary crashed.
+    key_uses : list of KeyUse
+        Statements that were served to withdrawn keys.
     """
 
     writes: list = attrs.field(factory=list)
     reads: list = attrs.field(factory=list)
     crashes: list = attrs.field(factory=list)
+    key_uses: list = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -123,6 +146,7 @@
         *_check_atomicity(history, applied),
         *_check_staleness(history, applied),
         *_check_fences(promotions),
+        *_check_keys(history),
     ]
 
 
@@ -182,3 +206,12 @@
     fences = [fence for _, _, fence in promotions]
     if fences != sorted(set(fences)):
         yield Violation("fencing tokens increase", str(fences))
+
+
+def _check_keys(history):
+    for use in history.key_uses:
+        late_s = use.sent_at - use.withdrawn_at
+        if late_s > REVOCATION_S:
+            yield Violation(
+                "withdrawn keys are refused", f"{use.key} served after {late_s:.1f} s"
+            )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,7 +45,7 @@
     instance: int
 
 
-def make_plan(seed, seconds, instances):
+def make_plan(seed, seconds, instances, with_restores=False):
     """Return the faults of a run, ordered by their start.
 
     Parameters
@@ -56,6 +56,10 @@
         Time within which faults start.
     instances : int
         Number of running instances.
+    with_restores : bool
+        Whether the store also returns from copies: each fault of the kind
+        ``store_restored`` starts with a copy and ends with the return to it. The
+        other faults are the same with and without.
 
     Notes
     -----
@@ -78,4 +82,16 @@
                 next_primary_loss_s = next_start_s + duration_s + 8.0
         faults.append(Fault(next_start_s, duration_s, kind, rng.randrange(instances)))
         next_start_s += rng.expovariate(1.0)
-    return faults
+    if with_restores:
+        faults.extend(_plan_restores(seed, seconds))
+    return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _plan_restores(seed, seconds):
+    """Yield the returns of the store, one after the other."""
+    rng = random.Random(f"{seed}/restores")
+    start_s = INITIAL_DELAY_S + rng.uniform(0.0, 3.0)
+    while start_s < seconds:
+        duration_s = rng.uniform(0.5, 5.0)
+        yield Fault(start_s, duration_s, "store_restored", 0)
+        start_s += duration_s + rng.uniform(0.2, 6.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,13 +11,14 @@
 
 from pomelograde.standins import processes
 from pomelograde.standins.hosting import fleets, host
-from soak import callers, history, plan, proxy
+from soak import callers, history, operators, plan, proxy
 
 INSTANCE_COUNT = 5
 CALLER_COUNT = 8
 START_TIMEOUT_S = 15.0
 SETTLE_S = 9.0  # primary leases, registrations and table rows settle within 8 s
 RECOVERY_TIMEOUT_S = 6.0  # for each instance, after all faults and `SETTLE_S`
+RESTORE_OUTAGE_S = 0.3
 STOP_TIMEOUT_S = 8.0  # the grace period, and the duration of a call
 STORE_FAULTS = {
     "store_silent": {"silent": True},
@@ -66,6 +67,8 @@
         Time within which faults start.
     logs : str or None
         Directory that receives the instances' logs if a guarantee is violated.
+    with_restores : bool
+        Whether the store also returns from older copies.
 
     Attributes
     ----------
@@ -73,10 +76,12 @@
         Members that current faults were injected into.
     """
 
-    def __init__(self, seed, seconds, logs=None):
+    def __init__(self, seed, seconds, logs=None, with_restores=False):
         self.seed = seed
         self.seconds = seconds
         self.logs = logs
+        self.with_restores = with_restores
+        self.operator = None
         self.observed = history.History()
         self.acknowledged = {}
         self.fleet = None
@@ -98,17 +103,24 @@
             violations = []
             for slot in self.slots:
                 violations.extend(self._check_recovery(slot, START_TIMEOUT_S))
+            self.operator = operators.Operator(self.fleet)
+            background = [
+                self.operator,
+                operators.KeyProbe(
+                    self.operator, self.seed, self._caller_ports, self.observed
+                ),
+            ]
             threads = [
                 callers.Caller(
                     f"s{self.seed}c{number}",
                     self.seed,
-                    lambda: [slot.ports[0] for slot in self.slots],
+                    self._caller_ports,
                     self.observed,
                     self.acknowledged,
                 )
                 for number in range(CALLER_COUNT)
             ]
-            for thread in threads:
+            for thread in (*background, *threads):
                 thread.start()
             self._inject_faults()
             time.sleep(SETTLE_S)
@@ -119,9 +131,9 @@
                 for thread in threads
                 if not thread.is_alive()
             )
-            for thread in threads:
+            for thread in (*background, *threads):
                 thread.stop_requested.set()
-            for thread in threads:
+            for thread in (*background, *threads):
                 thread.join(callers.ANSWER_TIMEOUT_S * 2.0)
             time.sleep(2.0 * host.HEARTBEAT_S)
             violations.extend(self._check_final_state())
@@ -129,6 +141,9 @@
                 self._copy_logs()
             return violations, sum(thread.served for thread in threads)
 
+    def _caller_ports(self):
+        return [slot.ports[0] for slot in self.slots]
+
     def _start(self, slot):
         slot.instance = self.fleet.start_instance(
             slot.number, slot.ports, slot.link.address
@@ -137,7 +152,9 @@
     def _inject_faults(self):
         """Begin and end each fault of the plan at its time."""
         started_at = time.monotonic()
-        faults = plan.make_plan(self.seed, self.seconds, INSTANCE_COUNT)
+        faults = plan.make_plan(
+            self.seed, self.seconds, INSTANCE_COUNT, self.with_restores
+        )
         steps = [(fault.start_s, "begin", fault) for fault in faults]
         steps += [(fault.start_s + fault.duration_s, "end", fault) for fault in faults]
         for at_s, step, fault in sorted(steps, key=lambda entry: entry[0]):
@@ -150,6 +167,8 @@
             slot.link.mode = LINK_MODES[fault.kind]
         elif fault.kind in STORE_FAULTS:
             self.fleet.set_store_faults(**STORE_FAULTS[fault.kind])
+        elif fault.kind == "store_restored":
+            self.fleet.keep_store_copy()
         elif fault.kind == "kill":
             slot.instance.child.kill()
         elif fault.kind == "pause":
@@ -167,6 +186,9 @@
             self.fleet.set_store_faults()
         elif fault.kind == "pause":
             slot.instance.child.send_signal(signal.SIGCONT)
+        elif fault.kind == "store_restored":
+            self.fleet.restore_store(RESTORE_OUTAGE_S)
+            self.operator.write_again()
         elif fault.kind in ("kill", "restart"):
             self._restart_process(slot)
         else:
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -66,3 +66,11 @@
             self.assertEqual(
                 ["fencing tokens increase"], self.check(promotions=promotions)
             )
+
+    def test_withdrawn_key_that_is_served_after_its_time(self):
+        for sent_at, expected in ((104.9, []), (105.1, ["withdrawn keys are refused"])):
+            observed = history.History(
+                key_uses=[history.KeyUse("k", sent_at, withdrawn_at=100.0)]
+            )
+            found = [found.guarantee for found in history.check(observed, [], [])]
+            self.assertEqual(expected, found)
