Release the share of an ended registration in two steps

Cause: when a part of the fleet is cut off, its callers move to the other instances, which could not use the missing shares of the rates for 6 s after the registrations had ended (11 s after the cut).

Change: core/limits decides the division. An instance without recent state keeps half of its share after its primary lease has ended, for reads from replicas, and none once it accepts no keys; the others use what it no longer has, 3.2 and 5.0 s after the end of its registration. The share now needs recent lists, too.

--- a/pomelograde/core/configuration/__init__.py
+++ b/pomelograde/core/configuration/__init__.py
@@ -10,12 +10,14 @@
 DatabaseService = _fleet.DatabaseService
 FleetConfiguration = _fleet.FleetConfiguration
 Freshness = _freshness.Freshness
+KEY_MARGIN_S = _freshness.KEY_MARGIN_S
 PRIMARY_LEASE_S = _freshness.PRIMARY_LEASE_S
 
 __all__ = [
     "ClientAccount",
     "DatabaseService",
     "FleetConfiguration",
+    "KEY_MARGIN_S",
     "PRIMARY_LEASE_S",
     "Freshness",
 ]
--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -1,6 +1,13 @@
 """Rate limits of client accounts, divided between the instances."""
 
-from pomelograde.core.limits import _bucket, _compensation, _holders, _lease, _share
+from pomelograde.core.limits import (
+    _bucket,
+    _compensation,
+    _division,
+    _holders,
+    _lease,
+    _share,
+)
 
 BORROW_TIMEOUT_S = _share.BORROW_TIMEOUT_S
 LOAN_DURATION_S = _lease.LOAN_DURATION_S
@@ -15,6 +22,7 @@
 Holders = _holders.Holders
 Loan = _lease.Loan
 PeerState = _share.PeerState
+RateDivision = _division.RateDivision
 RateShare = _share.RateShare
 ShareLease = _lease.ShareLease
 TableRow = _lease.TableRow
@@ -35,6 +43,7 @@
     "MAX_WAIT_S",
     "Loan",
     "PeerState",
+    "RateDivision",
     "RateShare",
     "ShareLease",
     "TableRow",
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -76,7 +76,7 @@
         self.startup_timer = None
         self.loops = []
         self.relay = relay.Relay(context, self)
-        self.rates = rates.RegisteredRates(context, self.relay)
+        self.rates = rates.RegisteredRates(context, self.relay, freshness)
 
     def start(self):
         """Start the periodic work."""
@@ -434,8 +434,7 @@
             pool.expire(now)
         self.relay.probe()
         self.relay.sweep(now, idle_s)
-        if now >= self.rates.share_count_expires_at:
-            self.rates.resize()
+        self.rates.update_part()
 
     def _refresh_positions(self):
         """Update the log positions of primaries."""
--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -11,7 +11,6 @@
 REFUND_LIFETIME_S = 1.0  # within which a later request may use the refunded token
 MAX_REFUNDS = 3  # per account; bounds the refunds that all instances hold
 MIN_RESTART_S = 0.5  # a process that restarts admits nothing for at least this long
-SHARE_RELEASE_DELAY_S = 6.0  # a silent instance stops accepting keys after 4.8 s
 
 
 class RegisteredRates(rates.RateTask):
@@ -23,6 +22,8 @@
         Components that all tasks of the instance share.
     relay : Relay
         Sends admission requests to other instances.
+    freshness : Freshness
+        How recent this instance's state is.
 
     Attributes
     ----------
@@ -34,10 +35,10 @@
         Times of refunds for accounts whose rate is held elsewhere.
     registered_count : int
         Number of registered instances.
-    share_count : int
-        Number of equal shares that the rates are divided into.
-    share_count_expires_at : float
-        When `share_count` falls to the number of registered instances.
+    division : RateDivision
+        Divides the rates between the instances.
+    applied_part : float
+        Part of all rates that the shares were last resized to.
 
     Notes
     -----
@@ -45,14 +46,13 @@
     hold it, and the others ask a holder for each request.
 
     A registration outlives its process, so an instance that was killed has its
-    share again after the restart. The share of an instance that is cut off stays
-    unused, since nothing is admitted without recent configuration. After a
-    registration has ended, its share is redistributed only after
-    `SHARE_RELEASE_DELAY_S`.
+    share again after the restart. After a registration has ended, its share goes
+    to the others as `RateDivision` describes.
     """
 
-    def __init__(self, context, relay):
+    def __init__(self, context, relay, freshness):
         super().__init__(context)
+        self.freshness = freshness
         self.relay = relay
         self.rates = {}
         self.holders = limits.Holders([])
@@ -61,8 +61,8 @@
         self.refunded_at = {}
         context.peers.handlers[peer_messages.AdmitRequest] = self._on_admit_request
         self.idle_s = MIN_RESTART_S
-        self.share_count = 0
-        self.share_count_expires_at = float("inf")
+        self.division = limits.RateDivision(freshness.revocation_s)
+        self.applied_part = 0.0
         self.registered_count = 0
 
     def set_configuration(self, configuration):
@@ -87,11 +87,7 @@
         self.holders = limits.Holders(instances)
         self.holder_names.clear()
         self.registered_count = len(instances)
-        if self.registered_count >= self.share_count:
-            self.share_count = self.registered_count
-            self.share_count_expires_at = float("inf")
-        elif self.share_count_expires_at == float("inf"):
-            self.share_count_expires_at = self.clock() + SHARE_RELEASE_DELAY_S
+        self.division.set_registered(self.instances_by_name, self.context.now())
         self.resize()
         self.idle_s = 0.0
 
@@ -100,20 +96,26 @@
 
         Notes
         -----
-        Lowers `share_count` first if `share_count_expires_at` has passed, and sets
-        `usable_until` if there is any share.
+        Also sets `usable_until`.
         """
-        if now >= self.share_count_expires_at:
-            self.share_count = self.registered_count
-            self.share_count_expires_at = float("inf")
-        if not self.share_count:
-            return 0.0
-        self.usable_until = float("inf")
-        return 1.0 / self.share_count
+        age_s = self.context.now() - self.freshness.members_at
+        part = self.division.part(age_s, self.context.now())
+        self.usable_until = now + self.division.remaining_s(age_s)
+        return part
+
+    def update_part(self):
+        """Resize the shares if the usable part has changed."""
+        if self.usable_part(self.clock()) != self.applied_part:
+            self.resize()
+
+    def resize(self):
+        """Apply the rates in force and the usable part to all shares."""
+        self.applied_part = self.usable_part(self.clock())
+        super().resize()
 
     def may_hold_share(self, now):
         """Return whether the rates are divided into any shares."""
-        return self.share_count > 0
+        return self.registered_count > 0
 
     def rate_limits(self):
         """Return the rate and burst of each client account that is held here."""
--- a/tests/net/hosted/test_rates.py
+++ b/tests/net/hosted/test_rates.py
@@ -113,7 +113,9 @@
                 ),
             ),
         )
-        return Rates(context, Relay(self.network, context))
+        # Its state stays recent.
+        freshness = configuration.Freshness(5.0, float("inf"), float("inf"))
+        return Rates(context, Relay(self.network, context), freshness)
 
     def run(self, demand_per_s, seconds=RUN_S):
         """Send requests at random instances; returns the admitted fraction."""
