--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -101,6 +101,8 @@
         Era of the store in which the instances were last read from it.
     restored_members : RestoredMembers
         Selects the members to use after the store has returned from a copy.
+    registered_names : frozenset of str
+        Names of the registered instances.
     lost_takeovers : set of int
         Revisions of known takeovers for which the store returned older ones.
     members_asked_at : float
@@ -142,6 +144,7 @@
         self.restored_members = placement.RestoredMembers(
             context.settings.member_heartbeat_s
         )
+        self.registered_names = frozenset()
         self.lost_takeovers = set()
         self.members_asked_at = float("-inf")
         self.stale_reads = membership.StaleReads()
@@ -606,6 +609,10 @@
         now = self.context.now()
         self.registrations.record_message(envelope.sender, now)
         fleet = self.fleet
+        if envelope.sender not in self.registered_names and self.is_reader(now):
+            # The sender has registered since the last read, or is about to.
+            self.members_asked_at = float("-inf")
+            self._read_store(now)
         same_instances = message.instances_digest == fleet.instances_digest
         return peer_messages.NewsAnswer(
             configuration=fleet.configuration_row_version,
@@ -719,6 +726,7 @@
         self._update_instances_digest()
         registered = self.fleet.registered
         names = [found.name for found in registered]
+        self.registered_names = frozenset(names)
         for name in list(self.context.members.records):
             if name not in names:
                 self.context.members.forget(name)
