Compress the messages between regions in one stream for each connection

Messages of 60 to 450 bytes repeat the names of instances, accounts and members.

A peer is sent streams only once it has said that it accepts them, so that earlier builds are understood.

--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -18,6 +18,7 @@
 MAX_UNPACKED_BYTES = 64 * 1024 * 1024  # four times the longest frame
 FORMAT_PLAIN = b"\0"
 FORMAT_COMPRESSED = b"\1"
+FORMAT_STREAM = b"\2"  # `peer_streams`
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
 
@@ -476,6 +477,9 @@
         Whether the message is a reply.
     message : object
         One of the message classes.
+    accepts_streams : bool
+        Whether the sender can decode messages in `FORMAT_STREAM`; earlier builds
+        can't.
     """
 
     sender: str
@@ -483,6 +487,7 @@
     request_id: int
     is_reply: bool
     message: object
+    accepts_streams: bool = True
 
 
 MESSAGE_CLASSES = (
@@ -548,13 +553,14 @@
     return [(field.name, _camel_case(field.name)) for field in attrs.fields(cls)]
 
 
-def encode(envelope):
-    """Encode an envelope; long messages are compressed."""
+def pack(envelope):
+    """Encode an envelope without compression."""
     built = SCHEMA.Envelope.new_message(
         sender=envelope.sender,
         incarnation=envelope.incarnation,
         requestId=envelope.request_id,
         isReply=envelope.is_reply,
+        acceptsStreams=envelope.accepts_streams,
     )
     message = envelope.message
     if isinstance(message, Empty):
@@ -562,14 +568,19 @@
     else:
         target = built.body.init(_field_name(type(message)))
         _fill_struct(target, message)
-    packed = built.to_bytes_packed()
+    return built.to_bytes_packed()
+
+
+def encode(envelope):
+    """Encode an envelope by itself; long messages are compressed."""
+    packed = pack(envelope)
     if len(packed) < MIN_COMPRESS_BYTES:
         return FORMAT_PLAIN + packed
     return FORMAT_COMPRESSED + zlib.compress(packed, COMPRESS_LEVEL)
 
 
 def decode(data):
-    """Decode an envelope.
+    """Decode an envelope that `encode` has encoded.
 
     Raises
     ------
@@ -581,13 +592,29 @@
         packed = _decompress(packed)
     elif data[:1] != FORMAT_PLAIN:
         raise ValueError("unknown message format")
+    return unpack(packed)
+
+
+def unpack(packed):
+    """Decode an envelope that `pack` has encoded.
+
+    Raises
+    ------
+    capnp.KjException, ValueError
+        If the data is malformed.
+    """
     built = SCHEMA.Envelope.from_bytes_packed(packed)
     which = built.body.which()
     message = Empty()
     if which != "empty":
         message = _read_struct(CLASSES_BY_FIELD[which], getattr(built.body, which))
     return Envelope(
-        built.sender, built.incarnation, built.requestId, built.isReply, message
+        built.sender,
+        built.incarnation,
+        built.requestId,
+        built.isReply,
+        message,
+        built.acceptsStreams,
     )
 
 
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -30,6 +30,7 @@
     admitRequest @25 :AdmitRequest;
     admitAnswer @26 :AdmitAnswer;
   }
+  acceptsStreams @27 :Bool;
 }
 
 struct InstanceNews {
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -7,7 +7,7 @@
 from twisted.internet import error as net_error
 from twisted.protocols import basic
 
-from pomelograde.net import events, peer_messages
+from pomelograde.net import events, peer_messages, peer_streams
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -56,6 +56,11 @@
         Whether the peer opened the connection.
     pending_requests : set of int
         Ids of the requests sent over the connection that are not answered.
+    encoder : StreamEncoder or None
+        Compresses the messages to a peer in another region, where bytes are
+        scarce; None until the peer is known to accept streams.
+    decoder : StreamDecoder
+        Decodes the messages of the peer.
     """
 
     MAX_LENGTH = MAX_MESSAGE_BYTES
@@ -65,11 +70,18 @@
         self.peer_name = peer_name
         self.is_inbound = not peer_name
         self.pending_requests = set()
+        self.encoder = None
+        self.decoder = peer_streams.StreamDecoder()
+
+    def send_envelope(self, envelope):
+        """Send a message."""
+        encode = peer_messages.encode if self.encoder is None else self.encoder.encode
+        self.sendString(encode(envelope))
 
     def stringReceived(self, data):  # noqa: N802
         """Process one message; close the connection if it is invalid."""
         try:
-            envelope = peer_messages.decode(data)
+            envelope = self.decoder.decode(data)
         except (capnp.KjException, KeyError, ValueError):
             self.transport.abortConnection()
             return
@@ -82,6 +94,12 @@
             self.task.on_name_mismatch(envelope.sender)
             self.transport.abortConnection()
             return
+        if (
+            self.encoder is None
+            and envelope.accepts_streams
+            and self.task.is_in_other_region(self.peer_name)
+        ):
+            self.encoder = peer_streams.StreamEncoder()
         self.task.receive(envelope, self)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
@@ -220,20 +238,25 @@
         if self.on_lost is not None and connection.peer_name:
             self.on_lost(connection.peer_name, connection.is_inbound)
 
+    def is_in_other_region(self, name):
+        """Return whether a known instance is in another region than this one."""
+        members = self.context.members
+        known = members.records.get(name)
+        return known is not None and known.instance.region != members.own.region
+
     def on_name_mismatch(self, name):
         """Log a peer whose messages name another sender than its certificate."""
         self.context.log.write(events.Event.PEER_REFUSED, sender=name)
 
     def _reply(self, message, request_id, connection):
         reply = self._make_envelope(message or peer_messages.Empty(), request_id, True)
-        connection.sendString(peer_messages.encode(reply))
+        connection.send_envelope(reply)
 
     async def _send(self, instance, message, request_id):
         connection = await self._connect(instance)
         if request_id:
             connection.pending_requests.add(request_id)
-        envelope = self._make_envelope(message, request_id, False)
-        connection.sendString(peer_messages.encode(envelope))
+        connection.send_envelope(self._make_envelope(message, request_id, False))
 
     def _make_envelope(self, message, request_id, is_reply):
         own = self.context.members.own
