--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -108,6 +108,8 @@
         Port for callers.
     ready_port : int
         Port of the readiness probe.
+    peer_port : int
+        Port for other instances.
     log_path : pathlib.Path
         File with the output of the process.
     """
@@ -116,6 +118,7 @@
     child: subprocess.Popen
     port: int
     ready_port: int
+    peer_port: int
     log_path: object
 
     def read_log(self):
@@ -177,7 +180,7 @@
                 stderr=subprocess.STDOUT,
             )
         self.running.children.append(child)
-        instance = Instance(name, child, ports[0], ports[1], log_path)
+        instance = Instance(name, child, *ports[:3], log_path)
         self.instances.append(instance)
         return instance
 
