--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -10,6 +10,9 @@
 
 REFUND_LIFETIME_S = 1.0  # within which a later request may use the refunded token
 MAX_REFUNDS = 3  # per account; bounds the refunds that all instances hold
+# A registration ends after 2.5 s of silence, and an instance accepts no keys 4.8 s
+# after its last news.
+HOLDER_RELEASE_S = 2.5
 MIN_RESTART_S = 0.5  # a process that restarts admits nothing for at least this long
 
 
@@ -29,6 +32,11 @@
     ----------
     rates : dict of str to tuple
         Rate and burst of each client account, for all instances together.
+    holders : Holders
+        Chooses among the registered instances, and those whose registration ended
+        less than `HOLDER_RELEASE_S` ago: their place is not given to others yet.
+    ended_instances : dict of str to tuple
+        The latter instances by name, with the time until which each has its place.
     holder_names : dict of str to list of str
         Cached holders of each client account's rate.
     refunded_at : dict of str to list of float
@@ -58,6 +66,7 @@
         self.holders = limits.Holders([])
         self.holder_names = {}
         self.instances_by_name = {}
+        self.ended_instances = {}
         self.refunded_at = {}
         context.peers.handlers[peer_messages.AdmitRequest] = self._on_admit_request
         self.idle_s = MIN_RESTART_S
@@ -83,9 +92,15 @@
     def set_instances(self, instances):
         """Update the registered instances."""
         self.set_peers(instances)
-        self.instances_by_name = {found.name: found for found in instances}
-        self.holders = limits.Holders(instances)
-        self.holder_names.clear()
+        registered = {found.name: found for found in instances}
+        release_at = self.context.now() + HOLDER_RELEASE_S
+        for name, found in self.instances_by_name.items():
+            if name not in registered:
+                self.ended_instances[name] = (found, release_at)
+        for name in registered:
+            self.ended_instances.pop(name, None)
+        self.instances_by_name = registered
+        self._update_holders()
         self.registered_count = len(instances)
         self.division.set_registered(self.instances_by_name, self.context.now())
         self.resize()
@@ -103,9 +118,20 @@
         self.usable_until = now + self.division.remaining_s(age_s)
         return part
 
+    def _update_holders(self):
+        ended = [found for found, _ in self.ended_instances.values()]
+        self.holders = limits.Holders([*self.instances_by_name.values(), *ended])
+        self.holder_names.clear()
+
     def update_part(self):
-        """Resize the shares if the usable part has changed."""
-        if self.usable_part(self.clock()) != self.applied_part:
+        """Resize the shares if the usable part or the holders have changed."""
+        now = self.context.now()
+        released = [name for name, (_, at) in self.ended_instances.items() if now >= at]
+        for name in released:
+            del self.ended_instances[name]
+        if released:
+            self._update_holders()
+        if released or self.usable_part(self.clock()) != self.applied_part:
             self.resize()
 
     def resize(self):
@@ -129,7 +155,7 @@
     def part_of(self, name, part):
         """Return this instance's part of a rate that it holds."""
         count = len(self.find_holders(name))
-        return part if count >= self.registered_count or not part else 1.0 / count
+        return part if count >= self.holders.instance_count or not part else 1.0 / count
 
     def describe_share(self, account):
         """Return an account's rate and this instance's tokens for the log.
@@ -158,7 +184,7 @@
     def find_lenders(self, name):
         """Return the other holders, those of this data centre first."""
         holders = set(self.find_holders(name))
-        if len(holders) >= self.registered_count:
+        if len(holders) >= self.holders.instance_count:
             return super().find_lenders(name)
         near = [found for found in self.peers[: self.near_count] if found in holders]
         far = [found for found in self.peers[self.near_count :] if found in holders]
@@ -197,7 +223,9 @@
         """Return the holders to ask: usable ones first, then by proximity."""
         now = self.context.now()
         own = self.context.members.own
-        holders = [self.instances_by_name[name] for name in self.find_holders(account)]
+        names = self.find_holders(account)
+        known = self.instances_by_name
+        holders = [known[name] for name in names if name in known]
         return sorted(
             rates.rotate(holders, next(self.turn)),
             key=lambda found: (
--- a/tests/net/hosted/test_rates.py
+++ b/tests/net/hosted/test_rates.py
@@ -229,3 +229,42 @@
             [retries.ErrorKind.NO_RATE_SHARE.value],
             [found.refusal for found in answered],
         )
+
+    def test_place_of_a_holder_that_may_still_admit_is_not_given_to_another(self):
+        fleet = Fleet()
+        holders = fleet.rates[0].find_holders("a")
+        left = [found for found in fleet.instances if found.name != holders[0]]
+        for instance_rates in fleet.rates:
+            instance_rates.set_instances(left)
+        for wait_s, is_released in ((0.0, False), (2.4, False), (0.2, True)):
+            fleet.clock.advance(wait_s)
+            for instance_rates in fleet.rates:
+                instance_rates.update_part()
+            found = fleet.rates[0].find_holders("a")
+            self.assertEqual(is_released, holders[0] not in found)
+            self.assertEqual(len(holders), len(found))
+
+    def test_cut_off_holders_and_their_replacements_stay_within_the_bound(self):
+        fleet = Fleet()
+        holders = fleet.rates[0].find_holders("a")
+        fleet.clock.advance(10.0)
+        left = [found for found in fleet.instances if found.name not in holders]
+        cut = [found for found in fleet.rates if found.context.members.own not in left]
+        fleet.run(4.0 * RATE_PER_S, 4.0)
+        # Their registrations end 2.5 s after the cut; they admit until 4.8 s.
+        for instance_rates in fleet.rates:
+            if instance_rates not in cut:
+                instance_rates.set_instances(left)
+        started_at = fleet.clock.seconds()
+        fleet.network.silent.update(holders)
+        for _ in range(40):
+            fleet.run(8.0 * RATE_PER_S, 0.1)
+            for instance_rates in fleet.rates:
+                instance_rates.update_part()
+            if fleet.clock.seconds() - started_at > 2.3:
+                for instance_rates in cut:
+                    instance_rates.freshness.members_at = float("-inf")
+        bound = (RATE_PER_S * WINDOW_S + BURST) * (1.0 + EXCESS) + SLACK
+        self.assertTrue(
+            windows.max_count_in_window(fleet.admitted_at, WINDOW_S) < 0.9 * bound
+        )
