--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -610,9 +610,7 @@
         self.registrations.record_message(envelope.sender, now)
         fleet = self.fleet
         if envelope.sender not in self.registered_names and self.is_reader(now):
-            # The sender has registered since the last read, or is about to.
-            self.members_asked_at = float("-inf")
-            self._read_store(now)
+            self._read_lists_soon(now)
         same_instances = message.instances_digest == fleet.instances_digest
         return peer_messages.NewsAnswer(
             configuration=fleet.configuration_row_version,
@@ -635,6 +633,17 @@
             configuration_version=self.configuration.version,
         )
 
+    def _read_lists_soon(self, now):
+        """Read the lists before they are due, for a sender that is not in them.
+
+        Notes
+        -----
+        It has registered since the last read, or is about to.
+        """
+        if now - self.members_asked_at >= MEMBERS_INTERVAL_S / 2.0:
+            self.members_asked_at = float("-inf")
+            self._read_store(now)
+
     def _apply_document(self, document):
         """Apply what the store returned about the configuration.
 
