--- a/tests/net/hosted/test_store_restore.py
+++ b/tests/net/hosted/test_store_restore.py
@@ -27,15 +27,15 @@
 class RestoreTests(test_fleet.FleetTests):
     """Each test has instances of its own, since it changes the store's past."""
 
+    @classmethod
+    def setUpClass(cls):
+        cls.exits = contextlib.ExitStack()
+
     def setUp(self):
         super().setUp()
-        type(self).setUpClass()
+        super().setUpClass()
         self.addCleanup(self.exits.close)
 
-    @classmethod
-    def tearDownClass(cls):
-        pass
-
     def make_manifest(self, withdraw=False, added=None):
         manifest = copy.deepcopy(host.MANIFEST)
         if withdraw:
