--- a/tests/net/hosted/test_store_restore.py
+++ b/tests/net/hosted/test_store_restore.py
@@ -10,6 +10,7 @@
 import time
 
 from pomelograde.net.hosted import state_sync
+from pomelograde.standins import processes
 from pomelograde.standins.hosting import fleets, host
 from tests.net.hosted import test_fleet
 
@@ -144,7 +145,8 @@
         self.fleet.instances[READER].child.kill()
         self.fleet.restore_store()
         number = len(self.fleet.instances)
-        self.fleet.start_instance(5)  # agrigento-a-5 is the next reader
+        started = self.fleet.start_instance(5)  # agrigento-a-5 is the next reader
+        processes.wait_for_port("127.0.0.1", started.port)
         refuses = test_fleet.wait_until(
             lambda: (
                 self.find_records("CONFIGURATION_APPLIED", number)
