Accept any time of the store's clock

The check of versions, at most 2^40, was also applied to the store's clock, so a store whose clock counts milliseconds since 1970 would have counted as unavailable. The new test failed before. Found while reading the change; only tests/platform was run after it.

--- a/pomelograde/platform/store.py
+++ b/pomelograde/platform/store.py
@@ -352,7 +352,7 @@
         return _Page(
             [_decode_row(row) for row in body["rows"]],
             _require_version(body["ver"]),
-            _require_version(body["nowMs"]),
+            _require_time(body["nowMs"]),
             bool(body.get("hasMore")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -370,5 +370,11 @@
 
 def _require_version(value):
     if type(value) is not int or not 0 <= value <= VERSION_MASK:
-        raise TypeError(f"expected a version or time, got {value!r}")
+        raise TypeError(f"expected a version, got {value!r}")
+    return value
+
+
+def _require_time(value):
+    if type(value) not in (int, float):
+        raise TypeError(f"expected a time, got {value!r}")
     return value
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -115,6 +115,10 @@
         self.http.reactor.advance(1.0)
         self.assertEqual(11.0, self.read(era=2, nowMs=600).as_of)
 
+    def test_clock_of_the_store_may_count_from_any_time(self):
+        for now_ms in (1_796_000_000_000, 2**50, 12.5):
+            self.assertEqual(5, self.read(nowMs=now_ms).revision)
+
     def test_invalid_eras_make_an_answer_unusable(self):
         for era in ("x", "-1", "1.5", "9" * 30, "8192"):
             self.assertRaises(store.StoreUnavailableError, self.read, era=era)
