Keep the port of a killed stand-in member reserved

Cause: a killed member of the PostgreSQL stand-in closes its port, and an outgoing connection of another process may be given it as its local port; the member then cannot listen again ("Address already in use", seen once in a whole run, test_killed_primary_with_the_platform_down). Change: members without a port of their own take one from processes.free_ports, whose sockets stay bound. Measured: test_host fails without the change (the port can be bound by others), passes with it; test_failover 5 passed.

--- a/pomelograde/standins/host.py
+++ b/pomelograde/standins/host.py
@@ -3,10 +3,11 @@
 import tempfile
 
 import attrs
+from twisted.internet import address
 from twisted.web import resource, server
 
 from pomelograde.core import checks
-from pomelograde.standins import _sql, _store, group, http, member
+from pomelograde.standins import _sql, _store, group, http, member, processes
 
 ADJUSTABLE_ATTRIBUTES = ("leaving", "lag_s", "service_s", "slots", "connection_limit")
 
@@ -168,14 +169,14 @@
                     self.reactor, member_group, group_member, self.settings.password
                 )
             )
-            self.ports[group_settings.name, group_member.name] = self.reactor.listenTCP(
-                member_settings.port,
-                self.factories[group_settings.name, group_member.name],
-                interface=member_settings.host,
-                backlog=512,
+            # A reserved port stays this member's while it is killed.
+            port = member_settings.port or processes.free_ports(
+                1, member_settings.host
+            )[0]
+            self.addresses[group_settings.name, group_member.name] = (
+                address.IPv4Address("TCP", member_settings.host, port)
             )
-            port = self.ports[group_settings.name, group_member.name]
-            self.addresses[group_settings.name, group_member.name] = port.getHost()
+            self._listen(group_settings.name, group_member)
 
     def _run_setup(self, member_group, primary, statements):
         translated = [(_sql.to_sqlite(sql), (), "owner") for sql in statements]
