Skip rows and refuse manifests that no message between instances can hold

Cause, by reading: a member's row with 65,536 slots, a registration of an era above the limit or a string with a single surrogate passed the parser, and then made each message of news fail, since it cannot be encoded; a manifest with a number out of range raised OverflowError, one nested deeply RecursionError; apiKeys given as one string became one key a character. Change: one strict reader of JSON in platform/; ranges of the messages' fields are checked when a row is decoded; fields of later versions are ignored.

--- a/pomelograde/platform/http.py
+++ b/pomelograde/platform/http.py
@@ -121,7 +121,7 @@
         self.on_call(name, str(response.code))
         try:
             parsed = json.loads(content) if content else {}
-        except ValueError as failure:
+        except (ValueError, RecursionError) as failure:
             raise UnavailableError("unreadable answer") from failure
         return Answer(response.code, parsed, response.headers)
 
--- a/pomelograde/platform/manifest.py
+++ b/pomelograde/platform/manifest.py
@@ -1,14 +1,14 @@
 """Parser of the platform's manifest, which describes the configuration."""
 
-import json
-
 from pomelograde.core import configuration, statements
+from pomelograde.platform import _json
 
 ROUTE_TYPES = {
     "primary": statements.RouteType.PRIMARY,
     "bounded_staleness": statements.RouteType.BOUNDED_STALENESS,
     "read_your_writes": statements.RouteType.READ_YOUR_WRITES,
 }
+MAX_VERSION = (1 << 63) - 1  # as the messages between instances hold it
 
 
 class InvalidManifestError(Exception):
@@ -34,7 +34,7 @@
         If it is not JSON, or a required field is missing or invalid.
     """
     try:
-        fields = json.loads(document)
+        fields = _json.parse_object(document)
         return configuration.FleetConfiguration(
             version=_parse_version(fields["version"]),
             routes={route["host"]: _parse_route(route) for route in fields["routes"]},
@@ -44,7 +44,7 @@
             },
             services={
                 service["name"]: configuration.DatabaseService(
-                    service["name"],
+                    _json.require_text(service["name"]),
                     int(service["maxConns"]),
                     int(service.get("syncReplicas", 0)),
                 )
@@ -52,12 +52,12 @@
             },
             transaction_idle_s=fields.get("limits", {}).get("txIdleMs", 3000) / 1000.0,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         raise InvalidManifestError(repr(error)) from error
 
 
 def _parse_version(version):
-    if type(version) is not int or version < 0:
+    if type(version) is not int or not 0 <= version <= MAX_VERSION:
         raise ValueError(f"version must be a whole number, got {version!r}")
     return version
 
@@ -65,8 +65,9 @@
 def _parse_route(route):
     staleness_ms = route.get("maxStalenessMs")
     return statements.Route(
-        database=route["host"],  # the platform calls the database name "host"
-        service=route["service"],
+        # The platform calls the database name "host".
+        database=_json.require_text(route["host"]),
+        service=_json.require_text(route["service"]),
         route_type=ROUTE_TYPES[route["routeType"]],
         timeout_s=route["timeoutMs"] / 1000.0,
         latency_objective_s=route["latencySloMs"] / 1000.0,
@@ -78,8 +79,21 @@
 
 def _parse_account(tenant):
     return configuration.ClientAccount(
-        name=tenant["name"],
-        keys=frozenset(tenant["apiKeys"]),
-        rate_per_s=float(tenant["ratePerS"]),
-        burst=float(tenant["burst"]),
+        name=_json.require_text(tenant["name"]),
+        keys=_parse_keys(tenant["apiKeys"]),
+        rate_per_s=_parse_amount(tenant["ratePerS"]),
+        burst=_parse_amount(tenant["burst"]),
     )
+
+
+def _parse_keys(keys):
+    if type(keys) is not list:
+        raise ValueError(f"expected a list of keys, got {type(keys).__name__}")
+    return frozenset(_json.require_text(key) for key in keys)
+
+
+def _parse_amount(value):
+    amount = float(value)
+    if amount < 0:
+        raise ValueError(f"must not be below 0, got {value!r}")
+    return amount
--- a/pomelograde/platform/registry.py
+++ b/pomelograde/platform/registry.py
@@ -1,13 +1,13 @@
 """Parser of the rows in which members register in the platform's store."""
 
-import json
-
 from pomelograde.core import placement
-from pomelograde.platform import settings
+from pomelograde.platform import _json, settings
 
 MEMBERS_TABLE = "servers"
 ROLE_BY_NAME = {"primary": placement.Role.PRIMARY, "replica": placement.Role.REPLICA}
 LEAVING_BY_STATE = {"ready": False, "draining": True}
+MAX_SLOTS = (1 << 16) - 1  # as the messages between instances hold them
+MAX_START_TIME_MS = (1 << 63) - 1
 
 
 def parse_members(rows):
@@ -36,25 +36,25 @@
 def _parse_member(row):
     """Return the service and the Member of a row, or None if it is invalid."""
     try:
-        fields = json.loads(row.value)
+        fields = _json.parse_object(row.value)
         host, port = settings.parse_address(fields["address"])
         member = placement.Member(
             name=row.key,
-            data_centre=fields["zone"],
+            data_centre=_json.require_text(fields["zone"]),
             host=host,
             port=port,
             role=ROLE_BY_NAME[fields["dbRole"]],
             leaving=LEAVING_BY_STATE[fields["state"]],
-            slots=fields["slots"],
-            started_ms=fields.get("born", 0),
+            slots=_require_integer(fields["slots"], MAX_SLOTS),
+            started_ms=_require_integer(fields.get("born", 0), MAX_START_TIME_MS),
         )
-        service = fields["service"]
+        service = _json.require_text(fields["service"])
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
-    strings = (service, member.data_centre)
-    numbers = (member.slots, member.started_ms)
-    if not all(type(string) is str and string for string in strings):
-        return None
-    if not all(type(number) is int for number in numbers) or not row.key.isascii():
-        return None
-    return service, member
+    return (service, member) if row.key.isascii() else None
+
+
+def _require_integer(value, maximum):
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise ValueError(f"expected an integer from 0 to {maximum}, got {value!r}")
+    return value
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from pomelograde.core import membership, takeovers
-from pomelograde.platform import manifest, registry, store
+from pomelograde.core import checks, membership, takeovers
+from pomelograde.platform import _json, manifest, registry, store
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -223,7 +223,10 @@
         row = self.rows.get(key)
         if row is None:
             return 0
-        return row.version if _takeover_revision(row) <= known_revision else None
+        takeover = _decode_takeover(row)
+        if takeover is not None and takeover.row_version > known_revision:
+            return None
+        return row.version
 
     async def register(self, instance):
         """Write an instance's row; returns the Instance with its new incarnation.
@@ -287,35 +290,53 @@
     return document
 
 
+@attrs.frozen
+class _TakeoverRow:
+    """Content of a takeover's row, without the fence until the takeover ends."""
+
+    holder: str
+    successor: str = ""
+    fence: int | None = None
+    era: int = 0
+
+
 def _decode_instance(row):
-    try:
-        instance = membership.Instance(**json.loads(row.value))
-        era = store.era_of(instance.incarnation)
-        revision = store.make_revision(era, row.version)
-        return attrs.evolve(instance, incarnation=revision)
-    except (ValueError, TypeError):
+    instance = _structure_row(row, membership.Instance)
+    if instance is None or not 0 < instance.peer_port < 1 << 16:
         return None
+    era = store.era_of(instance.incarnation)
+    if not 0 <= era <= store.MAX_ERA:
+        return None
+    return attrs.evolve(instance, incarnation=store.make_revision(era, row.version))
 
 
 def _decode_takeover(row):
-    try:
-        fields = json.loads(row.value)
-        revision = _takeover_revision(row)
-        return takeovers.Takeover(
-            service=row.key.removeprefix(TAKEOVER_PREFIX),
-            holder=fields["holder"],
-            successor=fields.get("successor", ""),
-            fence=fields.get("fence", revision),
-            row_version=revision,
-        )
-    except (ValueError, TypeError, KeyError, AttributeError):
+    fields = _structure_row(row, _TakeoverRow)
+    if fields is None or not 0 <= fields.era <= store.MAX_ERA:
+        return None
+    revision = store.make_revision(fields.era, row.version)
+    fence = revision if fields.fence is None else fields.fence
+    if not 0 <= fence <= revision:
         return None
+    return takeovers.Takeover(
+        service=row.key.removeprefix(TAKEOVER_PREFIX),
+        holder=fields.holder,
+        successor=fields.successor,
+        fence=fence,
+        row_version=revision,
+    )
 
 
-def _takeover_revision(row):
-    """Return the revision of a takeover's row, which holds the era of the write."""
+def _structure_row(row, cls):
+    """Return the content of a row as an attrs class, or None if it is malformed.
+
+    Fields that the class does not have are ignored: later versions may add them.
+    """
     try:
-        era = int(json.loads(row.value).get("era", 0))
-    except (ValueError, TypeError, AttributeError):
-        era = 0
-    return store.make_revision(era, row.version)
+        fields = _json.parse_object(row.value)
+        row.key.encode()
+    except ValueError:
+        return None
+    names = {field.name for field in attrs.fields(cls)}
+    known = {name: value for name, value in fields.items() if name in names}
+    return checks.structure(known, cls).ok()
--- a/pomelograde/standins/host.py
+++ b/pomelograde/standins/host.py
@@ -170,9 +170,9 @@
                 )
             )
             # A reserved port stays this member's while it is killed.
-            port = member_settings.port or processes.free_ports(
-                1, member_settings.host
-            )[0]
+            port = (
+                member_settings.port or processes.free_ports(1, member_settings.host)[0]
+            )
             self.addresses[group_settings.name, group_member.name] = (
                 address.IPv4Address("TCP", member_settings.host, port)
             )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -47,6 +47,28 @@
         )
         self.assertEqual(3.0, found.transaction_idle_s)
 
+    def test_fields_that_no_message_can_hold_are_rejected(self):
+        account = {"name": "n", "apiKeys": ["k"], "ratePerS": 1, "burst": 1}
+        service = {"name": "s", "maxConns": 5}
+        changes = (
+            {"version": 1 << 64},
+            {"tenants": [{**account, "name": "\ud800"}]},
+            {"tenants": [{**account, "name": 7}]},
+            {"tenants": [{**account, "apiKeys": "abc"}]},
+            {"tenants": [{**account, "apiKeys": [""]}]},
+            {"tenants": [{**account, "ratePerS": float("nan")}]},
+            {"tenants": [{**account, "burst": float("inf")}]},
+            {"tenants": [{**account, "burst": -1}]},
+            {"services": [{**service, "maxConns": float("inf")}]},
+            {"services": [{**service, "name": None}]},
+            {"routes": [{**host.MANIFEST["routes"][0], "host": 5}]},
+        )
+        for change in changes:
+            document = json.dumps({**host.MANIFEST, **change})
+            error = manifest.InvalidManifestError
+            self.assertRaises(error, manifest.parse_manifest, document)
+        self.assertRaises(error, manifest.parse_manifest, "[" * 100_000)
+
     @hypothesis.given(JSON)
     def test_invalid_document_is_rejected(self, value):
         error = manifest.InvalidManifestError
@@ -77,6 +99,11 @@
             {**ROW, "dbRole": "witness"},
             {**ROW, "slots": "3"},
             {**ROW, "slots": True},
+            {**ROW, "slots": -1},
+            {**ROW, "slots": 1 << 16},
+            {**ROW, "born": 1 << 64},
+            {**ROW, "zone": "\ud800"},
+            {**ROW, "zone": {"a": float("inf")}},
             {**ROW, "zone": 5},
             {**ROW, "address": "10.0.0.1"},
             {**ROW, "address": None},
@@ -85,8 +112,9 @@
             [],
         ]
         values = [json.dumps(row).encode() for row in invalid_rows]
-        found = parse_rows(b"\xff\xfe", b"{", *values, json.dumps(ROW).encode())
-        self.assertEqual(["i-12"], [member.name for member in found["g"]])
+        values += [b"\xff\xfe", b"{", b"[" * 100_000]
+        found = parse_rows(*values, json.dumps(ROW).encode())
+        self.assertEqual([f"i-{len(values)}"], [member.name for member in found["g"]])
 
     @hypothesis.given(JSON)
     def test_arbitrary_json_is_skipped(self, value):
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -2,9 +2,11 @@
 
 import json
 
+import attrs
 import testtools
 from twisted.internet import defer
 
+from pomelograde.core import membership
 from pomelograde.platform import source, store
 
 
@@ -68,3 +70,42 @@
             [("g", "a/2", 7)],
             [(known.service, known.holder, known.fence) for known in found],
         )
+
+    def test_rows_that_no_message_can_hold_are_skipped(self):
+        instance = {
+            "name": "a",
+            "data_centre": "x",
+            "incarnation": 2,
+            "host": "h",
+            "peer_port": 1,
+        }
+        takeover = {"holder": "a/2"}
+        too_late = store.make_revision(store.MAX_ERA + 1, 0)
+        values = [
+            ("a", {**instance, "peer_port": 1 << 16}),
+            ("b", {**instance, "peer_port": "1"}),
+            ("c", {**instance, "incarnation": too_late}),
+            ("d", {**instance, "incarnation": -1}),
+            ("e", {**instance, "host": "\ud800"}),
+            ("f", {**instance, "leaving": 3}),
+            ("takeover/a", {**takeover, "era": store.MAX_ERA + 1}),
+            ("takeover/b", {**takeover, "era": "1"}),
+            ("takeover/c", {**takeover, "fence": too_late}),
+            ("takeover/d", {**takeover, "holder": 5}),
+            ("takeover/e", {**takeover, "successor": "\ud800"}),
+        ]
+        rows = [store.Row(key, json.dumps(value).encode(), 7) for key, value in values]
+        rows += [store.Row(key, b"[" * 100_000, 8) for key in ("g", "takeover/g")]
+        client = source.PlatformSource(FakeStoreClient(*rows))
+        self.assertEqual(([], []), run(client.fetch_instances()))
+
+    def test_fields_of_later_versions_are_ignored(self):
+        instance = membership.Instance("a", "x", 7, "h", 1)
+        fields = {**attrs.asdict(instance), "added": 1}
+        rows = [
+            store.Row("a", json.dumps(fields).encode(), 7),
+            store.Row("takeover/g", b'{"holder": "a/7", "added": 1}', 8),
+        ]
+        found = run(source.PlatformSource(FakeStoreClient(*rows)).fetch_instances())
+        self.assertEqual(["a"], [entry.name for entry in found[0]])
+        self.assertEqual(["a/7"], [entry.holder for entry in found[1]])
