End the registration of a silent instance after a failed probe

Change: silence is counted from the last message, also over times without checks; before a registration ends, its instance must also fail to answer a ping.

--- a/pomelograde/core/membership/_registrations.py
+++ b/pomelograde/core/membership/_registrations.py
@@ -3,27 +3,54 @@
 import attrs
 
 SILENCE_TIMEOUT_S = 2.5  # five refresh intervals
+PROBE_AFTER_S = 1.5  # three refresh intervals
+PROBE_VALIDITY_S = 1.5  # a probe that failed earlier does not count any more
+MAX_PROBE_DURATION_S = 1.8  # to connect and to answer, and a margin
+MAX_PROBES = 16  # at a time
 REMOVAL_DELAY_S = 3.5  # a primary lease ends 3 s after the last refresh
 MAX_CHECK_GAP_S = 1.5  # three refresh intervals; a longer gap shows a paused process
 
 
+@attrs.frozen
+class StaleRegistrations:
+    """What to do about the registrations of instances that send nothing.
+
+    Attributes
+    ----------
+    unconfirmed : list of Instance
+        Instances to probe.
+    silent : list of Instance
+        Instances whose registration is to be marked as ended.
+    removable : list of Instance
+        Instances whose registration is to be removed.
+    """
+
+    unconfirmed: list
+    silent: list
+    removable: list
+
+
 @attrs.define
 class RegistrationMonitor:
     """Finds stale registrations.
 
-    It runs on the reader, the instance that reads the store for the others.
+    It runs on the reader, the instance that reads the store for the others. The
+    load that it answers: an instance is lost while the store is away, and its
+    share of the rates is missed from the store's return on.
 
     Attributes
     ----------
     last_messages : dict of str to tuple
         Incarnation of each instance, and when its last message arrived.
+    probes : dict of str to float
+        When each outstanding probe was sent.
+    probe_failures : dict of str to float
+        When the last probe of each instance failed, if it has sent nothing since.
     ended_at : dict of str to float
         When each registration was first seen to be marked as ended, which
         `Instance.leaving` shows.
     checked_at : float
         Time of the last check.
-    continuous_since : float
-        Start of the series of checks without a gap.
 
     Notes
     -----
@@ -31,20 +58,53 @@
     instance registers again if it still runs. It is removed once its instance
     can't hold a primary lease any more. Therefore a takeover waits only for the
     primary leases of registered instances.
+
+    Instances send messages only to the reader that they use, so silence alone
+    shows little after a change of the reader or a pause of this process. An
+    instance counts as silent only if it does not answer a probe either.
     """
 
     last_messages: dict = attrs.field(factory=dict)
+    probes: dict = attrs.field(factory=dict)
+    probe_failures: dict = attrs.field(factory=dict)
     ended_at: dict = attrs.field(factory=dict)
     checked_at: float = float("-inf")
-    continuous_since: float = float("inf")
 
     def record_message(self, name, now):
         """Record that an instance has sent a message."""
         incarnation, _ = self.last_messages.get(name, (0, now))
         self.last_messages[name] = (incarnation, now)
+        self.probe_failures.pop(name, None)
+
+    def start_probe(self, name, now):
+        """Record that a probe is sent to an instance."""
+        self.probes[name] = now
+
+    def end_probe(self, name, answered, now):
+        """Record the end of a probe.
+
+        Parameters
+        ----------
+        name : str
+            Instance that was probed.
+        answered : bool
+            Whether it answered.
+        now : float
+            Monotonic seconds.
+
+        Notes
+        -----
+        A failure that is noticed late does not count: if this process was paused
+        meanwhile, the answer may be waiting to be read.
+        """
+        sent_at = self.probes.pop(name)
+        if answered:
+            self.record_message(name, now)
+        elif now - sent_at <= MAX_PROBE_DURATION_S:
+            self.probe_failures[name] = now
 
     def find_stale(self, instances, own, now):
-        """Return the registrations to mark as ended and those to remove.
+        """Return the registrations to act on.
 
         Parameters
         ----------
@@ -57,29 +117,39 @@
 
         Returns
         -------
-        silent, removable : list of Instance
-            Instances without a message for `SILENCE_TIMEOUT_S`, and instances
-            whose registration was first seen to be marked as ended at least
+        StaleRegistrations
+            Instances without a message for `PROBE_AFTER_S`; those without one for
+            `SILENCE_TIMEOUT_S` that did not answer a probe either; and those whose
+            registration was first seen to be marked as ended at least
             `REMOVAL_DELAY_S` ago.
         """
         if now - self.checked_at > MAX_CHECK_GAP_S:
-            self.continuous_since = now
             self.ended_at.clear()
         self.checked_at = now
-        silent = []
-        removable = []
+        stale = StaleRegistrations([], [], [])
         for instance in instances:
             name = instance.name
             if instance.leaving:
                 if now - self.ended_at.setdefault(name, now) >= REMOVAL_DELAY_S:
-                    removable.append(instance)
+                    stale.removable.append(instance)
                 continue
             self.ended_at.pop(name, None)
-            incarnation, heard_at = self.last_messages.get(name, (0, now))
-            if incarnation != instance.incarnation:
-                heard_at = now
-                self.last_messages[name] = (instance.incarnation, now)
-            silent_since = max(heard_at, self.continuous_since)
-            if name != own and now - silent_since >= SILENCE_TIMEOUT_S:
-                silent.append(instance)
-        return silent, removable
+            if name != own:
+                self._check_silence(instance, stale, now)
+        del stale.unconfirmed[max(0, MAX_PROBES - len(self.probes)) :]
+        return stale
+
+    def _check_silence(self, instance, stale, now):
+        name = instance.name
+        incarnation, heard_at = self.last_messages.get(name, (0, now))
+        if incarnation != instance.incarnation:
+            self.last_messages[name] = (instance.incarnation, now)
+            self.probe_failures.pop(name, None)
+            return
+        silence_s = now - heard_at
+        failed_at = self.probe_failures.get(name, float("-inf"))
+        has_failed = now - failed_at < PROBE_VALIDITY_S
+        if has_failed and silence_s >= SILENCE_TIMEOUT_S:
+            stale.silent.append(instance)
+        elif not has_failed and silence_s >= PROBE_AFTER_S and name not in self.probes:
+            stale.unconfirmed.append(instance)
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -236,12 +236,27 @@
         if not self.store_available:
             return
         own = self.context.members.own.name
-        silent, expired = self.registrations.find_stale(self.fleet.instances, own, now)
-        for instance in silent:
+        stale = self.registrations.find_stale(self.fleet.instances, own, now)
+        for instance in stale.unconfirmed:
+            self.registrations.start_probe(instance.name, now)
+            defer.ensureDeferred(self._probe(instance))
+        for instance in stale.silent:
             self._end_registration(instance, "silent", self.source.end_registration)
-        for instance in expired:
+        for instance in stale.removable:
             self._end_registration(instance, "gone", self.source.remove_registration)
 
+    async def _probe(self, instance):
+        answered = False
+        try:
+            ping = peer_messages.Ping()
+            await self.context.peers.request(instance, ping, PEER_TIMEOUT_S)
+            answered = True
+        except peers.PeerUnreachableError:
+            pass
+        finally:
+            now = self.context.now()
+            self.registrations.end_probe(instance.name, answered, now)
+
     def _end_registration(self, instance, reason, write):
         self.context.log.write(
             events.Event.REGISTRATION_ENDED,
