Count the connection into the time limit of a request to another instance

Hypothesis: a request to a machine that is dark waits up to 1.0 s for its connection, although its own limit is 0.3 s. Ticks of the state's synchronization, borrowing and the holds of a takeover wait for it. Change: the time limit runs from the call; a request that has timed out while the connection was being opened is not sent any more, so a lender no longer gives tokens for a request that nobody waits for. Two of three tests of test_peer_requests fail without the change.

--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -191,14 +191,16 @@
         Raises
         ------
         PeerUnreachableError
-            If there is no reply within the time limit.
+            If there is no reply within the time limit. A request that still waits
+            for its connection then is not sent any more.
         """
         request_id = next(self.request_ids)
         reply = defer.Deferred()
         self.pending_replies[request_id] = reply
         reply.addTimeout(timeout_s, self.context.reactor)
+        sending = defer.ensureDeferred(self._send(instance, message, request_id))
+        sending.addErrback(_fail_reply, reply)
         try:
-            await self._send(instance, message, request_id)
             return await reply
         except defer.TimeoutError as error:
             if self.drops_on_timeout:
@@ -206,10 +208,6 @@
             raise PeerUnreachableError(instance.name) from error
         finally:
             self.pending_replies.pop(request_id, None)
-            # If nothing was sent, the reply is never awaited, and its time-out
-            # would be logged as unhandled.
-            reply.addErrback(lambda reason: None)
-            reply.cancel()
 
     def receive(self, envelope, connection):
         """Handle a message from a peer."""
@@ -255,6 +253,8 @@
     async def _send(self, instance, message, request_id):
         connection = await self._connect(instance)
         if request_id:
+            if request_id not in self.pending_replies:
+                return
             connection.pending_requests.add(request_id)
         connection.send_envelope(self._make_envelope(message, request_id, False))
 
@@ -303,3 +303,11 @@
         except (net_error.ConnectError, defer.CancelledError) as error:
             raise PeerUnreachableError(instance.name) from error
         return connection
+
+
+def _fail_reply(reason, reply):
+    """Fail a request that was not sent, unless it has timed out before."""
+    if reply.called:
+        reason.trap(PeerUnreachableError)
+    else:
+        reply.errback(reason)
--- /dev/null
+++ b/tests/net/test_peer_requests.py
@@ -0,0 +1,62 @@
+"""Time limits of requests between instances, without a network."""
+
+import types
+
+import testtools
+from twisted.internet import defer, testing
+
+from pomelograde.core import membership
+from pomelograde.net import peer_messages, peers
+
+TIMEOUT_S = 0.3
+
+
+class RequestTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reactor = testing.MemoryReactorClock()
+        own = membership.Instance("own", "x", 1, "127.0.0.1", 1)
+        context = types.SimpleNamespace(
+            reactor=self.reactor,
+            members=types.SimpleNamespace(own=own, records={}),
+            settings=types.SimpleNamespace(
+                addresses=types.SimpleNamespace(bind_host="")
+            ),
+        )
+        self.task = peers.PeerTask(context, peers.PlainPeers())
+        self.peer = membership.Instance("a", "x", 1, "127.0.0.1", 2)
+
+    def start_request(self):
+        """Start a request; returns a list that gets its reply or failure."""
+        results = []
+        ping = peer_messages.Ping()
+        request = self.task.request(self.peer, ping, TIMEOUT_S)
+        defer.ensureDeferred(request).addBoth(results.append)
+        return results
+
+    def connect(self):
+        """Complete the connection to the peer; returns its transport."""
+        _, _, factory, _, _ = self.reactor.tcpClients[0]
+        connection = factory.buildProtocol(None)
+        transport = testing.StringTransport()
+        connection.makeConnection(transport)
+        return transport
+
+    def test_time_limit_includes_the_connection(self):
+        results = self.start_request()
+        self.reactor.advance(TIMEOUT_S - 0.01)
+        self.assertEqual([], results)
+        self.reactor.advance(0.02)
+        self.assertIsInstance(results[0].value, peers.PeerUnreachableError)
+
+    def test_request_that_has_timed_out_is_not_sent(self):
+        self.start_request()
+        self.reactor.advance(TIMEOUT_S)
+        transport = self.connect()
+        self.assertEqual(b"", transport.value())
+
+    def test_request_is_sent_once_the_connection_is_open(self):
+        results = self.start_request()
+        transport = self.connect()
+        self.assertEqual([], results)
+        self.assertNotEqual(b"", transport.value())
