Serve for 2 s in a planned stop, then announce the end of each session

Cause: at SIGTERM idle sessions were closed at once. New sessions were refused until the load balancer noticed, which used up retries. Change: the instance serves as before for 2 s, through other owners of connections. Then it sends an error without a request to each idle session, which the protocol lets callers take as the end; a request that crosses it has its answer with that, and is not run. Sessions whose key or database has been withdrawn end in the same way.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -8,6 +8,9 @@
 from pomelograde.net import events, pools, timers
 from pomelograde.net.hosted import rates, relay, sessions
 
+# Part of the time for a stop in which load balancers notice it; open transactions
+# have half of that time.
+STOP_NOTICE_FRACTION = 1 / 3
 SWEEP_INTERVAL_S = 0.05  # 1/16 of the shortest time limit in use
 FULL_RETRY_DELAY_S = 1.0  # until connections are requested again from a full member
 OWNER_CHECK_INTERVAL_S = 1.0
@@ -53,7 +56,9 @@
     sessions : set of SessionTask
         Open sessions.
     is_stopping : bool
-        Whether the instance is shutting down; idle sessions are closed.
+        Whether the instance is shutting down.
+    is_refusing : bool
+        Whether it refuses new operations, and ends sessions that are idle.
     created_at, started_at : float
         Start of the process, and of the periodic work, in monotonic seconds.
     startup_timer : IDelayedCall or None
@@ -71,6 +76,7 @@
         self.takeovers = {}
         self.sessions = set()
         self.is_stopping = False
+        self.is_refusing = False
         self.created_at = context.now()
         self.started_at = float("inf")
         self.startup_timer = None
@@ -115,9 +121,9 @@
         self.configuration = new
         self.rates.set_configuration(new)
         for task in list(self.sessions):
-            is_denied = self._check_access(task.database, task.key) is not None
-            if is_denied and task.core.is_idle:
-                task.close()
+            failure = self._check_access(task.database, task.key)
+            if failure is not None and task.is_idle:
+                task.end(failure)
         self._resize_pools()
 
     def set_instances(self, instances):
@@ -204,7 +210,7 @@
 
     def resolve(self, database, key, now):
         """Return the Route for a new operation, or a Failure."""
-        if self.is_stopping:
+        if self.is_refusing:
             return retries.Failure(_KIND.DRAINING)
         failure = self.check(database, key, now)
         return self.configuration.routes[database] if failure is None else failure
@@ -337,12 +343,18 @@
         return bool(self.sessions) or self.relay.is_busy
 
     def begin_stop(self):
-        """Refuse new operations, and close sessions once they are idle."""
+        """Serve until the load balancer has noticed, then end the sessions."""
         self.is_stopping = True
         self.relay.begin_stop()
+        notice_s = self.context.settings.grace_s * STOP_NOTICE_FRACTION
+        self.context.reactor.callLater(notice_s, self._end_sessions)
+
+    def _end_sessions(self):
+        """Refuse new operations, and end sessions once they are idle."""
+        self.is_refusing = True
         for task in list(self.sessions):
-            if task.core.is_idle:
-                task.close()
+            if task.is_idle:
+                task.end(retries.Failure(_KIND.DRAINING))
 
     def _check_access(self, database, key):
         """Return the Failure for an unknown database or a withdrawn key, or None."""
@@ -423,13 +435,11 @@
             pool.resize(self._connection_limit(pool.service, pool.spec))
 
     def _sweep(self):
-        """Apply time limits, probe silent peers, and close idle sessions on a stop."""
+        """Apply time limits, and probe silent peers."""
         now = self.context.now()
         idle_s = self.configuration.transaction_idle_s
         for task in list(self.sessions):
             task.sweep(now, idle_s)
-            if self.is_stopping and task.core.is_idle:
-                task.close()
         for pool in self.pools.values():
             pool.expire(now)
         self.relay.probe()
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -232,6 +232,8 @@
         Requests of other instances that are not answered yet.
     stopping : dict of str to int
         Incarnation of each instance that has announced its shutdown.
+    is_leaving : bool
+        Whether this instance has announced its shutdown.
     """
 
     def __init__(self, context, proxy):
@@ -244,6 +246,7 @@
         self.open_transactions = {}
         self.pending = set()
         self.stopping = {}
+        self.is_leaving = False
         self.transaction_numbers = itertools.count(1)
         self.instances = []
         handlers = context.peers.handlers
@@ -263,7 +266,8 @@
         return bool(self.open_transactions or self.pending)
 
     def begin_stop(self):
-        """Announce the shutdown, so that the other instances choose other owners."""
+        """Announce the shutdown, so that all instances choose other owners."""
+        self.is_leaving = True
         for instance in self.instances:
             if instance.name != self.context.members.own.name:
                 self.context.peers.send(instance, peer_messages.Leaving())
@@ -310,7 +314,7 @@
 
         Notes
         -----
-        This instance is always usable if it is registered there.
+        This instance is usable if it is registered there, until it stops.
         """
         now = self.context.now()
         own = self.context.members.own
@@ -318,9 +322,14 @@
             instance.name: instance
             for instance in self.instances
             if getattr(instance, attribute) == location
-            and (instance.name == own.name or self.is_usable(instance, now))
+            and self._may_use(instance, own, now)
         }
 
+    def _may_use(self, instance, own, now):
+        if instance.name == own.name:
+            return not self.is_leaving
+        return self.is_usable(instance, now)
+
     def rank_owner(self, member):
         """Return this instance's rank among the possible owners of a member.
 
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -8,6 +8,7 @@
 from pomelograde.net import events
 
 MAX_QUEUED_STATEMENTS = 64  # statements that a caller may pipeline
+END_LINGER_S = 1.0  # for callers to close their connections; several round trips
 
 _SESSION_IDS = itertools.count(1)
 
@@ -23,7 +24,8 @@
         Groups, pools and rates.
     caller : object
         Connection of the caller; has `respond(answer, status)`,
-        `refuse(failure, status)` and `close_gracefully()`.
+        `refuse(failure, status)`, `announce_end(failure, status)` and
+        `close_gracefully()`.
     database : str
         Database that the caller requested.
     account, key : str
@@ -43,6 +45,8 @@
         Request for a connection that the pool has not answered yet.
     session_id : int
         Number of the session in the log.
+    ended_at : float or None
+        When the caller was told that the session has ended.
     """
 
     def __init__(self, context, proxy, caller, database, account, key):
@@ -60,6 +64,12 @@
         self.started_at = 0.0
         self.waiter = None
         self.closed = False
+        self.ended_at = None
+
+    @property
+    def is_idle(self):
+        """Whether no statement is being run or queued, and no transaction is open."""
+        return self.statement is None and not self.queued and self.core.is_idle
 
     def resolve(self, now):
         """Return the Route in force, or a Failure if there is none."""
@@ -112,8 +122,25 @@
             self.caller.close_gracefully()
             self.on_closed()
 
+    def end(self, failure):
+        """End the idle session without cutting off a request that is on its way.
+
+        The caller closes the connection, or this instance after `END_LINGER_S`.
+
+        Parameters
+        ----------
+        failure : Failure
+            Why the session ends.
+        """
+        if not self.closed and self.ended_at is None:
+            self.ended_at = self.context.now()
+            self.caller.announce_end(failure, self.core.status)
+
     def sweep(self, now, transaction_idle_s):
-        """Fail operations that have passed their deadline."""
+        """Apply the time limits of the operation and of the end of the session."""
+        if self.ended_at is not None and now - self.ended_at >= END_LINGER_S:
+            self.close()
+            return
         actions = self.core.expire(now, transaction_idle_s)
         if actions:
             self.perform(actions)
@@ -135,8 +162,12 @@
         """Perform the actions that the core session decided on."""
         for action in actions:
             _execute(action, self)
-        if self.statement is None and self.queued and not self.closed:
+        if self.statement is not None or self.closed:
+            return
+        if self.queued:
             self.receive(self.queued.popleft())
+        elif self.proxy.is_refusing and self.is_idle:
+            self.end(retries.Failure(retries.ErrorKind.DRAINING))
 
     def _on_connection_lost(self, connection, outstanding):
         self.proxy.clear_outstanding(connection)
--- a/pomelograde/platform/_line_protocol.py
+++ b/pomelograde/platform/_line_protocol.py
@@ -271,13 +271,22 @@
 
     `status` is the transaction status of the session.
     """
+    return encode_error(failure) + encode_ready(status)
+
+
+def encode_error(failure):
+    """Encode an error without the status that follows an answer."""
     message = retries.ERROR_RESPONSES[failure.kind].message
     if failure.detail:
         message = f"{message}: {failure.detail}"
     if failure.retry_after_s > 0.0:
         message = f"{message}; retry after {failure.retry_after_s * 1000.0:.0f} ms"
-    error = b"ERROR " + ERROR_CODES[failure.kind] + b" " + message.encode()
-    return error + LINE_END + b"READY " + status + b" " + NO_POSITION + LINE_END
+    return b"ERROR " + ERROR_CODES[failure.kind] + b" " + message.encode() + LINE_END
+
+
+def encode_ready(status):
+    """Encode the transaction status of a session, without a log position."""
+    return b"READY " + status + b" " + NO_POSITION + LINE_END
 
 
 def encode_start_failure(failure):
--- a/pomelograde/platform/callers.py
+++ b/pomelograde/platform/callers.py
@@ -28,6 +28,13 @@
     ----------
     session : object or None
         The session; None before it is opened and after the connection is lost.
+    end_failure : Failure or None
+        Why the session has ended; None before `announce_end`.
+    end_status : bytes
+        State of the session at its end.
+    is_status_due : bool
+        Whether the next request has been answered by `announce_end`, but for the
+        state of the session.
     """
 
     def __init__(self, reactor, open_session, on_refused):
@@ -37,6 +44,9 @@
         self.reader = _line_protocol.LineReader()
         self.session = None
         self.start_timer = None
+        self.end_failure = None
+        self.end_status = b""
+        self.is_status_due = False
 
     def connectionMade(self):  # noqa: N802
         """Start the time limit for the start message."""
@@ -85,6 +95,24 @@
         """Answer the current statement with an error."""
         self.transport.write(_line_protocol.encode_failure(failure, status))
 
+    def announce_end(self, failure, status):
+        """Tell an idle caller that its session has ended.
+
+        A caller without a request closes the connection. If a request is on its
+        way, its caller takes the error for the answer, so it must not run.
+
+        Parameters
+        ----------
+        failure : Failure
+            Answer to all later requests; it must say that nothing was run.
+        status : bytes
+            State of the session.
+        """
+        self.end_failure = failure
+        self.end_status = status
+        self.is_status_due = True
+        self.transport.write(_line_protocol.encode_error(failure))
+
     def close_gracefully(self):
         """Close the connection after all pending data has been sent."""
         self.transport.unregisterProducer()
@@ -97,6 +125,9 @@
         if line == b"TERMINATE":
             self.close_gracefully()
             return
+        if self.end_failure is not None:
+            self._refuse_after_end()
+            return
         try:
             statement = _line_protocol.decode_statement(line)
         except _line_protocol.MalformedLineError:
@@ -104,6 +135,13 @@
             return
         self.session.receive(statement)
 
+    def _refuse_after_end(self):
+        if self.is_status_due:
+            self.is_status_due = False
+            self.transport.write(_line_protocol.encode_ready(self.end_status))
+        else:
+            self.refuse(self.end_failure, self.end_status)
+
     def _handle_start(self, line):
         self._cancel_start_timer()
         if line == b"TERMINATE":
