--- a/measure/cli.py
+++ b/measure/cli.py
@@ -165,7 +165,9 @@
 @click.option("--since", default=float("-inf"), help="Seconds from which to count.")
 @click.option("--until", default=float("inf"), help="Seconds until which to count.")
 @click.option("--id", "request_id", default="", help="Show one request's lines only.")
-def show_refusals(log, since, until, request_id):
+@click.option("--account", default="", help="Count one client account only.")
+@click.option("--by-second", is_flag=True, help="Show one line for each second.")
+def show_refusals(log, since, until, request_id, account, by_second):
     """Table the refused and failed statements of a fleet's logs by their cause.
 
     LOG holds the lines of all instances, in any order; "-" is standard input.
@@ -173,9 +175,12 @@
     \b
     Examples:
       python -m measure refusals fleet.log --since 30 --until 36
+      python -m measure refusals fleet.log --account desk --by-second
       python -m measure refusals fleet.log --id 9513903a26480b80
     """
     lines = refusals.read_lines(log)
+    if account:
+        lines = refusals.select_account(lines, account)
     if request_id:
         for line in refusals.follow(lines, request_id):
             click.echo(f"{line.at:.3f} {line.instance} {json.dumps(line.fields)}")
@@ -186,6 +191,11 @@
         for refusal in refusals.find_refusals(lines)
         if since <= refusal.line.at < until
     ]
+    if by_second:
+        for second, served, causes in refusals.tabulate_seconds(counted, found):
+            counts = [f"{count} {cause}" for cause, count in causes.most_common()]
+            click.echo(f"{second:6d} s {served:6d} served  {'; '.join(counts)}")
+        return
     served = refusals.count_served(counted)
     click.echo(f"{served} statements served, {len(found)} not")
     for cause, count, share, middle_ms, most_ms in refusals.tabulate(found, served):
--- a/measure/refusals.py
+++ b/measure/refusals.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import math
 
 import attrs
 
@@ -110,6 +111,36 @@
     return rows
 
 
+def tabulate_seconds(lines, refusals):
+    """Return rows of second, statements served, and a count of refusals by cause.
+
+    Parameters
+    ----------
+    lines : list of Line
+        Lines of the statements to count.
+    refusals : list of Refusal
+        Those of them that were not served.
+
+    Returns
+    -------
+    list of (int, int, collections.Counter)
+        One row for each second with statements, in order.
+    """
+    served = collections.Counter()
+    for line in lines:
+        served[math.floor(line.at)] += count_served([line])
+    causes = collections.defaultdict(collections.Counter)
+    for refusal in refusals:
+        causes[math.floor(refusal.line.at)][refusal.cause] += 1
+    seconds = sorted({second for second in served if served[second]} | set(causes))
+    return [(second, served[second], causes[second]) for second in seconds]
+
+
+def select_account(lines, account):
+    """Return the lines that name an account, and those that name none."""
+    return [line for line in lines if line.fields.get("account", account) == account]
+
+
 def count_served(lines):
     """Return how many statements that involved a member were answered with success."""
     return sum(
--- a/tests/measure/test_refusals.py
+++ b/tests/measure/test_refusals.py
@@ -130,3 +130,22 @@
         output = self.run_command("--id", "3")
         self.assertEqual(1, len(output))
         self.assertTrue(output[0].startswith("3.000 b "), output[0])
+
+    def test_seconds_show_what_was_served_and_why_not(self):
+        output = self.run_command("--by-second")
+        self.assertEqual(
+            [
+                "     1 s      1 served  ",
+                "     2 s      0 served  1 primary: its lease ended",
+                "     3 s      0 served  1 instance: stops",
+            ],
+            output,
+        )
+
+    def test_account_limits_what_is_counted(self):
+        self.assertEqual(
+            "1 statements served, 2 not", self.run_command("--account", "desk")[0]
+        )
+        self.assertEqual(
+            "0 statements served, 0 not", self.run_command("--account", "other")[0]
+        )
