Keep serving new callers in a planned stop without sessions

Change: a stop lasts at least as long as new sessions are accepted, and refuses them from then on, also while the registration is being ended.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -105,6 +105,7 @@
 
     def stop(self):
         """Stop the periodic work, and close all sessions and pools."""
+        self.is_refusing = True
         for loop in self.loops:
             if loop.running:
                 loop.stop()
@@ -339,8 +340,8 @@
 
     @property
     def is_busy(self):
-        """Whether there are sessions, or requests of other instances."""
-        return bool(self.sessions) or self.relay.is_busy
+        """Whether sessions may be opened or are open, or others have requests here."""
+        return not self.is_refusing or bool(self.sessions) or self.relay.is_busy
 
     def begin_stop(self):
         """Serve until the load balancer has noticed, then end the sessions."""
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -455,6 +455,17 @@
             self.assertTrue(late.query("WRITE late 1")[0].startswith("COMPLETE"))
         self.assertEqual(0, instance.child.wait(timeout=8.0))
 
+    def test_new_callers_are_served_in_a_stop_without_sessions(self):
+        instance = self.start_another(7)
+        instance.child.send_signal(signal.SIGTERM)
+        until = time.monotonic() + 1.5
+        while time.monotonic() < until:
+            with fleets.Caller(instance.port) as caller:
+                self.assertEqual(["READY I -"], caller.start)
+                self.assertTrue(caller.query("READ k1")[0].startswith("DATAROW"))
+            time.sleep(0.05)
+        self.assertEqual(0, instance.child.wait(timeout=8.0))
+
     def test_callers_under_load_lose_no_answer_in_a_stop(self):
         instance = self.start_another(6)
         acknowledged = []
