Tell instances that become known during a stop of it

Change: the stop is also announced to instances that are learned of later. Left: a refused connection is taken for a lost one, so the outcome is called unknown although nothing was sent.

--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -257,8 +257,11 @@
         context.peers.on_lost = self._on_peer_lost
 
     def set_instances(self, instances):
-        """Update the registered instances."""
+        """Update the registered instances; tells new ones of a shutdown."""
+        known = {instance.name for instance in self.instances}
         self.instances = instances
+        if self.is_leaving:
+            self._announce_leaving([new for new in instances if new.name not in known])
 
     @property
     def is_busy(self):
@@ -268,7 +271,10 @@
     def begin_stop(self):
         """Announce the shutdown, so that all instances choose other owners."""
         self.is_leaving = True
-        for instance in self.instances:
+        self._announce_leaving(self.instances)
+
+    def _announce_leaving(self, instances):
+        for instance in instances:
             if instance.name != self.context.members.own.name:
                 self.context.peers.send(instance, peer_messages.Leaving())
 
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -121,3 +121,15 @@
         ranks = [self.make(own).rank_owner(PRIMARY) for own in INSTANCES[:2]]
         self.assertEqual([(2, 0), (2, 1)], ranks)
         self.assertEqual((5, 4), self.make(INSTANCES[4]).rank_owner(PRIMARY))
+
+    def test_instances_that_become_known_in_a_stop_are_told_of_it(self):
+        found = self.make(INSTANCES[0])
+        told = []
+        found.context.peers.send = lambda peer, message: told.append(peer.name)
+        found.set_instances(INSTANCES[:2])
+        found.begin_stop()
+        self.assertEqual(["a2"], told)
+        found.set_instances(INSTANCES[:4])
+        self.assertEqual(["a2", "b1", "b2"], told)
+        found.set_instances(INSTANCES[:4])
+        self.assertEqual(["a2", "b1", "b2"], told)
