Derive what was kept or written twice

The list of takeovers that ended since another list was written twice in state_sync; Proxy.is_stopping repeated Relay.is_leaving; the number of registered instances stood beside their dictionary; an offer of state was encoded anew for each receiver. No behaviour changes.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -55,8 +55,6 @@
         Last takeover of each service.
     sessions : set of SessionTask
         Open sessions.
-    is_stopping : bool
-        Whether the instance is shutting down.
     is_refusing : bool
         Whether it refuses new operations, and ends sessions that are idle.
     created_at, started_at : float
@@ -75,7 +73,6 @@
         self.pools = {}
         self.takeovers = {}
         self.sessions = set()
-        self.is_stopping = False
         self.is_refusing = False
         self.created_at = context.now()
         self.started_at = float("inf")
@@ -338,6 +335,11 @@
         metrics.count(metrics.refusals, failure.kind.value)
         self.context.log.write(events.Event.CALLER_REFUSED, reason=failure.kind.value)
 
+    @property
+    def is_stopping(self):
+        """Whether the instance is shutting down."""
+        return self.relay.is_leaving
+
     @property
     def is_busy(self):
         """Whether sessions may be opened or are open, or others have requests here."""
@@ -345,7 +347,6 @@
 
     def begin_stop(self):
         """Serve until the load balancer has noticed, then end the sessions."""
-        self.is_stopping = True
         self.relay.begin_stop()
         notice_s = self.context.settings.grace_s * STOP_NOTICE_FRACTION
         self.context.reactor.callLater(notice_s, self._end_sessions)
--- a/pomelograde/net/hosted/rates.py
+++ b/pomelograde/net/hosted/rates.py
@@ -41,8 +41,6 @@
         Cached holders of each client account's rate.
     refunded_at : dict of str to list of float
         Times of refunds for accounts whose rate is held elsewhere.
-    registered_count : int
-        Number of registered instances.
     division : RateDivision
         Divides the rates between the instances.
     applied_part : float
@@ -72,7 +70,6 @@
         self.idle_s = MIN_RESTART_S
         self.division = limits.RateDivision(freshness.revocation_s)
         self.applied_part = 0.0
-        self.registered_count = 0
 
     def set_configuration(self, configuration):
         """Apply the rates of a configuration."""
@@ -101,7 +98,6 @@
             self.ended_instances.pop(name, None)
         self.instances_by_name = registered
         self._update_holders()
-        self.registered_count = len(instances)
         self.division.set_registered(self.instances_by_name, self.context.now())
         self.resize()
         self.idle_s = 0.0
@@ -141,7 +137,7 @@
 
     def may_hold_share(self, now):
         """Return whether the rates are divided into any shares."""
-        return self.registered_count > 0
+        return bool(self.instances_by_name)
 
     def rate_limits(self):
         """Return the rate and burst of each client account that is held here."""
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -424,9 +424,10 @@
             return
         self.is_offer_due = False
         own = self.context.members.own.name
+        offer = self._make_offer()
         for instance in self.fleet.registered:
             if instance.name != own:
-                self.context.peers.send(instance, self._make_offer())
+                self.context.peers.send(instance, offer)
 
     def _make_offer(self):
         own = peer_messages.write_instance(self.context.members.own)
@@ -532,12 +533,7 @@
         A takeover that ended between two reads is known before the store returns
         it. One for which two reads in a row return an older row is lost.
         """
-        revisions = {takeover.service: takeover.row_version for takeover in listed}
-        lost = [
-            known
-            for known in self.fleet.takeovers.values()
-            if known.is_done and revisions.get(known.service, 0) < known.row_version
-        ]
+        lost = self._find_newer_ends(listed)
         previous, self.era = self.era, self.source.rows_era
         if previous is not None and self.era > previous:
             self.context.log.write(
@@ -552,6 +548,21 @@
                 defer.ensureDeferred(self._record_takeover_again(known))
         self.lost_takeovers = {known.row_version for known in lost}
 
+    def _find_newer_ends(self, listed):
+        """Return the known takeovers that have ended since those of a list.
+
+        Parameters
+        ----------
+        listed : list of Takeover or TakeoverNews
+            Takeovers as the store or another instance knows them.
+        """
+        revisions = {takeover.service: takeover.row_version for takeover in listed}
+        return [
+            known
+            for known in self.fleet.takeovers.values()
+            if known.is_done and revisions.get(known.service, 0) < known.row_version
+        ]
+
     async def _record_takeover_again(self, takeover):
         try:
             ended = await self.source.end_takeover(takeover, takeover.successor)
@@ -614,11 +625,9 @@
             send(instance, self._make_offer())
         if not answer.instances:
             return
-        revisions = {known.service: known.row_version for known in answer.takeovers}
-        for known in self.fleet.takeovers.values():
-            if known.is_done and revisions.get(known.service, 0) < known.row_version:
-                ended = peer_messages.HoldRequest([encode_takeover(known)], 0)
-                send(instance, ended)
+        for known in self._find_newer_ends(answer.takeovers):
+            ended = peer_messages.HoldRequest([encode_takeover(known)], 0)
+            send(instance, ended)
 
     def _on_news_request(self, message, envelope):
         now = self.context.now()
