Check time limits only where they apply, and index instances by place

Change: only sessions with a statement, a transaction or an announced end are swept; instances are indexed by data centre and region; evidence about members is reported without copying it field by field, and the reader is found without sorting.

--- a/pomelograde/core/placement/_outliers.py
+++ b/pomelograde/core/placement/_outliers.py
@@ -252,23 +252,52 @@
         """Return the evidence of this instance's own connections."""
         self.own.decay(now)
         own = self.own
-        is_silent = self.is_silent_here() and now - self.silent_at < RECENT_S
-        is_slow = (
-            own.reads >= MIN_SUSPECT_READS
-            and own.mean_read_s >= SELF_SLOW_RATIO * self.usual_read_s
-            and own.mean_read_s >= MIN_SLOW_EXCESS_S
-        )
-        return attrs.evolve(
-            own,
+        is_silent = self.is_silent(now)
+        return Evidence(
+            as_of=own.as_of,
+            attempts=own.attempts,
+            failures=own.failures,
+            reads=own.reads,
+            read_s=own.read_s,
+            failed_at=own.failed_at,
             silent=int(is_silent),
             answering=int(not is_silent and now - self.heard_at < RECENT_S),
             heard_at=self.heard_at,
             silent_from=self.silent_from if is_silent else float("-inf"),
             sources=int(own.attempts > 0.0),
-            suspecting=int(is_slow),
+            suspecting=int(self.is_slow()),
             passed=self.passed,
         )
 
+    def is_silent(self, now):
+        """Return whether an answer is missing at present."""
+        return self.is_silent_here() and now - self.silent_at < RECENT_S
+
+    def is_slow(self):
+        """Return whether its reads take much longer than usual."""
+        own = self.own
+        return (
+            own.reads >= MIN_SUSPECT_READS
+            and own.mean_read_s >= SELF_SLOW_RATIO * self.usual_read_s
+            and own.mean_read_s >= MIN_SLOW_EXCESS_S
+        )
+
+    def is_questioned(self, now):
+        """Return whether there is recent evidence against it."""
+        self.own.decay(now)
+        return (
+            self.fault is not None
+            or now - self.own.failed_at < REPORT_MAX_AGE_S
+            or self.is_silent(now)
+            or self.is_slow()
+            or any(report.is_bad(now) for report in self.reports.values())
+            or (
+                self.shared is not None
+                and now - self.shared.as_of < REPORT_MAX_AGE_S
+                and self.shared.is_bad(now)
+            )
+        )
+
     def collect(self, now):
         """Return the evidence of this and of the instances that report to it."""
         found = self.report(now)
@@ -541,17 +570,7 @@
 
     def is_questioned(self, now):
         """Return whether there is recent evidence against a member of the group."""
-        return any(
-            health.fault is not None
-            or health.report(now).is_bad(now)
-            or any(report.is_bad(now) for report in health.reports.values())
-            or (
-                health.shared is not None
-                and now - health.shared.as_of < REPORT_MAX_AGE_S
-                and health.shared.is_bad(now)
-            )
-            for health in self.healths.values()
-        )
+        return any(health.is_questioned(now) for health in self.healths.values())
 
     def forget_others(self):
         """Forget the evidence of other instances once nothing is wrong."""
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -60,6 +60,9 @@
         Time from which nothing is sent, by evacuated data centre.
     sessions : set of SessionTask
         Open sessions.
+    timed_sessions : set of SessionTask
+        Those that a time limit applies to: with a statement or an open transaction,
+        or told to end.
     is_refusing : bool
         Whether it refuses new operations, and ends sessions that are idle.
     created_at, started_at : float
@@ -83,6 +86,7 @@
         self.takeovers = {}
         self.evacuation_deadlines = {}
         self.sessions = set()
+        self.timed_sessions = set()
         self.is_refusing = False
         self.created_at = context.now()
         self.started_at = float("inf")
@@ -121,7 +125,7 @@
                 timers.start_loop(
                     self.context,
                     placing.REPORT_INTERVAL_S,
-                    self._report_shares,
+                    self._report_changes,
                     now=False,
                 )
             )
@@ -562,11 +566,10 @@
         """Apply time limits, and probe silent peers."""
         now = self.context.now()
         idle_s = self.configuration.transaction_idle_s
-        for task in list(self.sessions):
+        for task in list(self.timed_sessions):
             task.sweep(now, idle_s)
         for pool in self.pools.values():
             pool.expire(now)
-            pool.report_limit(now)
         if self.health is not None:
             self.health.check_silence(now)
         self.relay.probe()
@@ -584,7 +587,11 @@
             if primary is not None and now - primary.position_at > POSITION_INTERVAL_S:
                 self._query_position(group, primary)
 
-    def _report_shares(self):
+    def _report_changes(self):
+        """Log the limits and shares of the members that have changed."""
+        now = self.context.now()
+        for pool in self.pools.values():
+            pool.report_limit(now)
         for group in self.groups.values():
             self.placing.report_shares(group)
 
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -313,6 +313,10 @@
         Incarnation of each instance that has announced its shutdown.
     is_leaving : bool
         Whether this instance has announced its shutdown.
+    instances : list of Instance
+        Registered instances.
+    instances_by_place : dict of tuple to list of Instance
+        The same by "data_centre" or "region" and its name.
     paths : Paths or None
         Decides which instances and members are reached; None to suspect silent
         peers for a time.
@@ -334,6 +338,7 @@
         self.paths = None
         self.transaction_numbers = itertools.count(1)
         self.instances = []
+        self.instances_by_place = {}
         handlers = context.peers.handlers
         handlers[peer_messages.RelayRequest] = self._on_request
         handlers[peer_messages.FloorRequest] = self._on_floor_request
@@ -347,6 +352,10 @@
         if self.paths is not None:
             self.paths.set_instances(self.instances, instances)
         self.instances = instances
+        self.instances_by_place = by_place = collections.defaultdict(list)
+        for instance in instances:
+            by_place["data_centre", instance.data_centre].append(instance)
+            by_place["region", instance.region].append(instance)
         if self.is_leaving:
             self._announce_leaving([new for new in instances if new.name not in known])
 
@@ -434,9 +443,8 @@
         own = self.context.members.own
         return {
             instance.name: instance
-            for instance in self.instances
-            if getattr(instance, attribute) == location
-            and self._may_use(instance, own, now)
+            for instance in self.instances_by_place.get((attribute, location), ())
+            if self._may_use(instance, own, now)
         }
 
     def _may_use(self, instance, own, now):
@@ -461,13 +469,10 @@
         then.
         """
         own = self.context.members.own
-        names = [found.name for found in self.instances]
+        near = None
         if own.data_centre == member.data_centre:
-            names = [
-                found.name
-                for found in self.instances
-                if found.data_centre == member.data_centre
-            ] or names
+            near = self.instances_by_place.get(("data_centre", own.data_centre))
+        names = [found.name for found in near or self.instances]
         others = [name for name in names if name != own.name]
         return len(others) + 1, sum(name < own.name for name in others)
 
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -99,6 +99,7 @@
         now = self.context.now()
         self.statement = statement
         self.started_at = now
+        self.proxy.timed_sessions.add(self)
         self.perform(self.core.on_statement(statement, now))
 
     def on_malformed(self):
@@ -119,6 +120,7 @@
             return
         self.closed = True
         self.proxy.sessions.discard(self)
+        self.proxy.timed_sessions.discard(self)
         self.perform(self.core.on_closed())
 
     def close(self):
@@ -139,10 +141,14 @@
         """
         if not self.closed and self.ended_at is None:
             self.ended_at = self.context.now()
+            self.proxy.timed_sessions.add(self)
             self.caller.announce_end(failure, self.core.status)
 
     def sweep(self, now, transaction_idle_s):
         """Apply the time limits of the operation and of the end of the session."""
+        if self.ended_at is None and self.is_idle:
+            self.proxy.timed_sessions.discard(self)
+            return
         if self.ended_at is not None and now - self.ended_at >= END_LINGER_S:
             self.close()
             return
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -44,7 +44,9 @@
     members_digest : int
         Hash of the members.
     instances : list of Instance
-        All registrations, including those that are marked as ended.
+        All registrations, including those that are marked as ended, by name.
+    registered : list of Instance
+        Those that are not marked as ended.
     takeovers : dict of str to Takeover
         Last takeover of each service.
     instances_digest : int
@@ -58,6 +60,7 @@
     members: dict = attrs.field(factory=dict)
     members_digest: int = 0
     instances: list = attrs.field(factory=list)
+    registered: list = attrs.field(factory=list)
     takeovers: dict = attrs.field(factory=dict)
     instances_digest: int = 0
     evacuations: placement.Evacuations = attrs.field(factory=placement.Evacuations)
@@ -67,10 +70,10 @@
         """Hash of the evacuated data centres; never 0."""
         return _digest_names(self.evacuations.data_centres)
 
-    @property
-    def registered(self):
-        """Instances whose registration is not marked as ended."""
-        return [found for found in self.instances if not found.leaving]
+    def set_instances(self, instances):
+        """Set the registrations, which must be sorted by name."""
+        self.instances = instances
+        self.registered = [found for found in instances if not found.leaving]
 
 
 class StateSync:
@@ -325,8 +328,7 @@
     @property
     def is_registered(self):
         """Whether the store's state holds this instance's registration."""
-        name = self.context.members.own.name
-        return any(found.name == name for found in self.fleet.registered)
+        return self.context.members.own.name in self.registered_names
 
     def _record_members_read(self, as_of):
         """Record when the members were read, or renew an ended registration.
@@ -353,14 +355,14 @@
     def _find_reader(self, now):
         """Return the first instance by name that is not suspected, or this one."""
         own = self.context.members.own
-        candidates = {instance.name: instance for instance in self.fleet.registered}
-        candidates[own.name] = own
-        for name in sorted(candidates):
-            if name == own.name or (
-                now >= self.suspected_until.get(name, now)
-                and (self.paths is None or self.paths.is_usable(name, now))
+        for instance in self.fleet.registered:
+            name = instance.name
+            if name >= own.name:
+                break
+            if now >= self.suspected_until.get(name, now) and (
+                self.paths is None or self.paths.is_usable(name, now)
             ):
-                return candidates[name]
+                return instance
         return own
 
     def _is_first(self, name):
@@ -836,7 +838,7 @@
         instances = sorted(instances, key=lambda found: found.name)
         if instances == self.fleet.instances:
             return
-        self.fleet.instances = instances
+        self.fleet.set_instances(instances)
         self._update_instances_digest()
         registered = self.fleet.registered
         names = [found.name for found in registered]
