--- a/pomelograde/core/membership/_instances.py
+++ b/pomelograde/core/membership/_instances.py
@@ -28,6 +28,10 @@
         marked as ended.
     region : str
         Region of the data centre.
+    build : str
+        Version and digest of the sources that it runs; empty for earlier builds.
+        Instances that differ only in this are equal, and lists of them have the
+        same digest in all builds.
     """
 
     name: str
@@ -37,6 +41,7 @@
     peer_port: int
     leaving: bool = False
     region: str = "default"
+    build: str = attrs.field(default="", eq=False, repr=False)
 
 
 class State(enum.IntEnum):
--- a/pomelograde/daemon/composition.py
+++ b/pomelograde/daemon/composition.py
@@ -9,6 +9,7 @@
 from twisted.web import server
 
 from pomelograde.core import membership
+from pomelograde.daemon import build_id
 from pomelograde.net import (
     admission,
     callers,
@@ -71,7 +72,9 @@
         can reach an instance that waits for its configuration, and it can get
         the configuration from peers.
         """
-        self.context.log.write(events.Event.DAEMON_STARTED)
+        self.context.log.write(
+            events.Event.DAEMON_STARTED, build=self.context.members.own.build
+        )
         if self.context.peers.security is not None:
             addresses = self.context.settings.addresses
             self.ports["peer"] = self.context.peers.listen(
@@ -180,6 +183,7 @@
         host=addresses.advertised_host or addresses.host,
         peer_port=addresses.advertised_peer_port or addresses.peer_port,
         region=settings.region,
+        build=build_id.read(),
     )
     shared_context = context.InstanceContext(
         reactor=reactor,
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer, task
 
 from pomelograde.core import configuration, membership
-from pomelograde.daemon import runner
+from pomelograde.daemon import build_id, runner
 from pomelograde.net import (
     events,
     faults,
@@ -89,6 +89,7 @@
             host=instance_settings.host,
             data_centre=instance_settings.data_centre,
             store=instance_settings.store,
+            build=self.context.members.own.build,
         )
         self._listen(
             instance_settings.ready_port,
@@ -194,6 +195,7 @@
         host=instance_settings.host,
         peer_port=instance_settings.peer_port,
         region=instance_settings.region,
+        build=build_id.read(),
     )
     shared_context = context.HostedContext(
         reactor=reactor,
@@ -203,6 +205,7 @@
         members=membership.Membership(own_instance),
         random=random.SystemRandom(),
     )
+    shared_context.metrics.set_build(own_instance.build)
     shared_context.peers = peers.PeerTask(shared_context, peers.PlainPeers())
     shared_context.peers.drops_on_timeout = False
     call_counter = shared_context.metrics.add_counter(
--- a/pomelograde/net/_resource_views.py
+++ b/pomelograde/net/_resource_views.py
@@ -64,6 +64,7 @@
             "status": {
                 "incarnation": found.incarnation,
                 "leaving": found.leaving,
+                "build": found.build,
                 "revision": revisions.get(name),
             },
         }
--- a/pomelograde/net/metrics.py
+++ b/pomelograde/net/metrics.py
@@ -122,6 +122,13 @@
         self.latencies = {}
         self.pending_latencies = {}
 
+    def set_build(self, build):
+        """Register the gauge that names the build."""
+        gauge = self.add_gauge(
+            "pomelograde_build_info", "The build that runs, with the value 1.", "build"
+        )
+        gauge.set(1.0, build)
+
     def add_counter(self, name, documentation, label):
         """Register and return a `Counter`."""
         counter = Counter(name, documentation, label)
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -24,7 +24,8 @@
 WITHDRAWN = (1 << 64) - 1
 MAX_PRIORITY = 255
 
-SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
+SCHEMA_PATH = pathlib.Path(__file__).with_name("peers.capnp")
+SCHEMA = capnp.load(str(SCHEMA_PATH))
 
 
 @attrs.frozen
@@ -39,6 +40,8 @@
         Number of the instance's last heartbeat that the record is based on.
     state : int
         Value of `membership.State`.
+    build : str
+        Version and digest of its sources; earlier builds send none.
     """
 
     name: str
@@ -51,6 +54,7 @@
     age_ms: int = 0
     beat: int = 0
     state: int = 0
+    build: str = ""
 
 
 @attrs.frozen
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -44,6 +44,7 @@
   ageMs @7 :UInt32;
   beat @8 :UInt64;
   state @9 :UInt8;
+  build @10 :Text;
 }
 
 struct Heartbeat {
