Ask one instance of the region for all positions at once

Change: the instances of a data centre ask the same instance of the region, for all databases in one request; it asks the owners of the primaries' connections. An instance of an earlier build answers for the first database, and is asked for the others one by one. The queries are a module of their own.

--- a/pomelograde/net/hosted/paths.py
+++ b/pomelograde/net/hosted/paths.py
@@ -88,7 +88,7 @@
 
     def find_candidates(self, member):
         """Return the instances to reach a member through, by name."""
-        near = self.relay._find_usable("data_centre", member.data_centre)
+        near = self.relay.find_usable("data_centre", member.data_centre)
         reaches = not self.members.reach.is_unreachable(member.name)
         if reaches and member.name not in self.marks.marks:
             return near
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -3,11 +3,17 @@
 import functools
 
 import attrs
-from twisted.internet import defer
 
 from pomelograde.core import configuration, placement, pooling, retries
 from pomelograde.net import events, pools, timers
-from pomelograde.net.hosted import cold_starts, placing, rates, relay, sessions
+from pomelograde.net.hosted import (
+    cold_starts,
+    placing,
+    positions,
+    rates,
+    relay,
+    sessions,
+)
 
 # Part of the time for a stop in which load balancers notice it; open transactions
 # have half of that time.
@@ -15,10 +21,6 @@
 SWEEP_INTERVAL_S = 0.05  # 1/16 of the shortest time limit in use
 FULL_RETRY_DELAY_S = 1.0  # until connections are requested again from a full member
 OWNER_CHECK_INTERVAL_S = 1.0
-POSITION_INTERVAL_S = 0.4  # 3 updates within the shortest staleness limit in use
-# Time in which starting instances learn of each other. Until it has passed, no
-# connection is requested only to query a position.
-STARTUP_SETTLE_S = 3.0
 # Age of the configuration up to which it may deny access. A new
 # configuration is in force 3 s after it is acknowledged.
 MAX_DENIAL_AGE_S = 2.5
@@ -52,6 +54,8 @@
         Rate limits of the client accounts.
     relay : Relay
         Relays statements to and from other instances.
+    positions : Positions
+        Learns the log positions of the primaries.
     cold_starts : ColdStarts
         Limits what is sent to members that have just started.
     takeovers : dict of str to Takeover
@@ -97,6 +101,7 @@
         if context.settings.shares_members:
             pools.RoomGauges(context.metrics, self.pools)
         self.relay = relay.Relay(context, self)
+        self.positions = positions.Positions(context, self)
         self.cold_starts = cold_starts.ColdStarts(context, self)
         self.rates = rates.RegisteredRates(context, self.relay, freshness)
 
@@ -111,7 +116,7 @@
         self.loops = [
             timers.start_loop(self.context, SWEEP_INTERVAL_S, self._sweep, now=False),
             timers.start_loop(
-                self.context, POSITION_INTERVAL_S, self._refresh_positions, now=False
+                self.context, positions.INTERVAL_S, self._refresh_positions, now=False
             ),
             timers.start_loop(
                 self.context,
@@ -583,9 +588,7 @@
         for group in self.groups.values():
             if group.update_primary(now):
                 self._log_primary(group)
-            primary = group.usable_primary(now)
-            if primary is not None and now - primary.position_at > POSITION_INTERVAL_S:
-                self._query_position(group, primary)
+        self.positions.refresh()
 
     def _report_changes(self):
         """Log the limits and shares of the members that have changed."""
@@ -607,28 +610,15 @@
             if not pool.idle:
                 continue
             candidates = self.relay.find_candidates(pool.spec)
-            owns = functools.partial(self._owns, pool.spec, candidates)
+            owns = functools.partial(self.owns, pool.spec, candidates)
             if len(pool.open) > 1 or not owns(""):
                 pool.close_roles(owns)
 
-    def _owns(self, member, candidates, account):
+    def owns(self, member, candidates, account):
         """Return whether an account's connections to a member belong here."""
         owner = self.relay.choose_owner(member, account, candidates)
         return owner.name == self.context.members.own.name
 
-    def _choose_query_role(self, primary):
-        """Return the client account to query a primary's position with.
-
-        Notes
-        -----
-        The query needs no particular one, but a connection that another instance
-        owns would be closed again.
-        """
-        accounts = list(self.configuration.accounts) or [""]
-        candidates = self.relay.find_candidates(primary)
-        owned = (name for name in accounts if self._owns(primary, candidates, name))
-        return next(owned, accounts[0])
-
     def _log_primary(self, group):
         self.context.log.write(
             events.Event.PRIMARY_CHANGED,
@@ -636,71 +626,3 @@
             primary=group.primary,
             age_s=round(self.context.now() - self.freshness.members_at, 3),
         )
-
-    def _query_position(self, group, primary):
-        """Query the log position of a primary.
-
-        Notes
-        -----
-        This uses an idle connection. Without one, another instance is asked;
-        the owner of the primary's connections opens a connection.
-        """
-        pool = self.pools.get(primary.name)
-        role = None
-        if pool is not None:
-            role = next((found.role for found in pool.idle), None)
-        connection = None
-        if role is not None:
-            connection = pool.try_acquire(role, needs_room=False)
-        query = PositionQuery(self, group, primary.name)
-        if connection is not None:
-            query.on_connection(connection)
-            return
-        source = self.relay.find_position_source(group, primary)
-        if source.name != self.context.members.own.name:
-            defer.ensureDeferred(self.relay.request_position(group, primary, source))
-        elif pool is not None and (not pool.open or pool.core.gate is not None):
-            now = self.context.now()
-            if now - self.started_at >= STARTUP_SETTLE_S:
-                role = self._choose_query_role(primary)
-                deadline = now + POSITION_INTERVAL_S
-                waiter = pooling.Waiter(role, role, deadline, query)
-                waiter.has_alternative = True  # The next query comes soon.
-                pool.request(waiter)
-
-
-class PositionQuery:
-    """Queries the log position of a primary once a connection is available.
-
-    Parameters
-    ----------
-    proxy : Proxy
-        Gets the connection back.
-    group : Group
-        Group to update.
-    member : str
-        Name of the primary.
-    """
-
-    def __init__(self, proxy, group, member):
-        self.proxy = proxy
-        self.group = group
-        self.member = member
-        self.connection = None
-
-    def on_connection(self, connection):
-        """Send the query."""
-        self.connection = connection
-        connection.ask_position(self._on_answer)
-
-    def on_refused(self, failure):
-        """Do nothing; the next periodic update queries again."""
-
-    def _on_answer(self, answer):
-        connection = self.connection
-        if answer.error is None and answer.position is not None:
-            self.group.on_position(self.member, answer.position, connection.sent_at)
-            if self.group.outliers is not None:
-                now = self.proxy.context.now()
-                self.group.outliers.record_alive(self.member, now)
-        self.proxy.release(connection)
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -341,7 +341,6 @@
         self.instances_by_place = {}
         handlers = context.peers.handlers
         handlers[peer_messages.RelayRequest] = self._on_request
-        handlers[peer_messages.FloorRequest] = self._on_floor_request
         handlers[peer_messages.Ping] = lambda message, envelope: None
         handlers[peer_messages.Leaving] = self._on_leaving
         context.peers.on_lost = self._on_peer_lost
@@ -405,7 +404,7 @@
             return {owner.name: owner}
         if self.paths is not None:
             return self.paths.find_candidates(member)
-        return self._find_usable("data_centre", member.data_centre)
+        return self.find_usable("data_centre", member.data_centre)
 
     def choose_owner(self, member, account, candidates):
         """Return the owner among the result of `find_candidates`."""
@@ -432,7 +431,7 @@
         if self.paths is not None:
             self.paths.on_member_unreachable(pool)
 
-    def _find_usable(self, attribute, location):
+    def find_usable(self, attribute, location):
         """Return the usable instances of a region or data centre, by name.
 
         Notes
@@ -596,53 +595,12 @@
                 peer = next(iter(waiting)).peer
                 defer.ensureDeferred(self._probe(peer))
 
-    def find_position_source(self, group, primary):
-        """Return the instance to ask for the log position of a primary.
-
-        Parameters
-        ----------
-        group : Group
-            Database service.
-        primary : Member
-            Its primary.
-
-        Returns
-        -------
-        Instance
-            The owner of the primary's connections if it is in this region, or
-            if this instance asks it on behalf of its region; otherwise the
-            instance of this region that asks the owner.
-        """
-        own = self.context.members.own
-        owner = self.find_owner(primary, "")
-        if owner.region == own.region:
-            return owner
-        candidates = self._find_usable("region", own.region)
-        if not candidates:
-            return owner
-        source = candidates[membership.rendezvous(group.name, candidates, 1)[0]]
-        return owner if source.name == own.name else source
-
-    async def request_position(self, group, primary, source):
-        """Request the log position of a primary from another instance."""
-        asked_at = self.context.now()
-        placing = self.proxy.placing
-        loads = [] if placing is None else placing.describe(group, asked_at)
-        request = peer_messages.FloorRequest(group.name, loads)
-        try:
-            answer = await self.context.peers.request(source, request, PROBE_TIMEOUT_S)
-        except peers.PeerUnreachableError:
-            if self.paths is not None:
-                self.paths.check(source.name)
-            else:
-                self._suspect(source.name, "no answer")
-            return
-        if placing is not None and isinstance(answer, peer_messages.FloorAnswer):
-            placing.on_loads(group, answer.loads, asked_at)
-        if getattr(answer, "known", False):
-            position = sessions.Position(answer.term, answer.index)
-            asked_at -= answer.age_ms / 1000.0
-            group.on_position(primary.name, position, asked_at)
+    def check_silent(self, name):
+        """Handle that an instance did not answer a request outside of the relay."""
+        if self.paths is not None:
+            self.paths.check(name)
+        else:
+            self._suspect(name, "no answer")
 
     async def _probe(self, peer):
         try:
@@ -754,24 +712,6 @@
         self.stopping[envelope.sender] = envelope.incarnation
         self.context.log.write(events.Event.KEEPER_LEAVING, keeper=envelope.sender)
 
-    def _on_floor_request(self, message, envelope):
-        """Return the known log position of a service's primary, with its age."""
-        group = self.proxy.groups.get(message.group)
-        now = self.context.now()
-        primary = None if group is None else group.usable_primary(now)
-        placing = self.proxy.placing
-        loads = []
-        if placing is not None and group is not None:
-            loads = placing.describe(group, now)
-            placing.on_loads(group, message.loads, now)
-        if primary is None or primary.position is None:
-            return peer_messages.FloorAnswer(False, loads=loads)
-        age_ms = int((now - primary.position_at) * 1000.0) + 1
-        position = primary.position
-        return peer_messages.FloorAnswer(
-            True, position.term, position.index, age_ms, loads
-        )
-
 
 class RelayHandler:
     """Serves one RelayRequest of another instance.
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -157,6 +157,14 @@
     wait_ms: int
 
 
+@attrs.frozen
+class FloorQuery:
+    """Part of a `FloorRequest` for one more group, with the same fields."""
+
+    group: str
+    loads: list[LoadNews] = attrs.field(factory=list)
+
+
 @attrs.frozen
 class FloorRequest:
     """Asks for a floor: a position at or above all acknowledged writes.
@@ -167,10 +175,25 @@
         Group of the primary.
     loads : list of LoadNews
         What the asking instance knows of the load of the group's members.
+    queries : list of FloorQuery
+        More groups to answer for; earlier builds answer for the first one only.
     """
 
     group: str
     loads: list[LoadNews] = attrs.field(factory=list)
+    queries: list[FloorQuery] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class FloorNews:
+    """Part of a `FloorAnswer` for one more group, with the same fields."""
+
+    group: str
+    known: bool
+    term: int = 0
+    index: int = 0
+    age_ms: int = 0
+    loads: list[LoadNews] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -183,6 +206,8 @@
         Time from the query of the members to the arrival of the request.
     loads : list of LoadNews
         What the answering instance knows of the load of the group's members.
+    floors : list of FloorNews
+        Answers for the further groups of the request.
     """
 
     known: bool
@@ -190,6 +215,7 @@
     index: int = 0
     age_ms: int = 0
     loads: list[LoadNews] = attrs.field(factory=list)
+    floors: list[FloorNews] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -713,6 +739,8 @@
     "takeovers": TakeoverNews,
     "evidence": EvidenceNews,
     "loads": LoadNews,
+    "queries": FloorQuery,
+    "floors": FloorNews,
     "evacuations": EvacuationNews,
 }
 
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -117,6 +117,12 @@
 struct FloorRequest {
   group @0 :Text;
   loads @1 :List(LoadNews);
+  queries @2 :List(FloorQuery);
+}
+
+struct FloorQuery {
+  group @0 :Text;
+  loads @1 :List(LoadNews);
 }
 
 struct FloorAnswer {
@@ -125,6 +131,16 @@
   index @2 :UInt64;
   ageMs @3 :UInt32;
   loads @4 :List(LoadNews);
+  floors @5 :List(FloorNews);
+}
+
+struct FloorNews {
+  group @0 :Text;
+  known @1 :Bool;
+  term @2 :UInt64;
+  index @3 :UInt64;
+  ageMs @4 :UInt32;
+  loads @5 :List(LoadNews);
 }
 
 struct LoadNews {
