--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -159,7 +159,7 @@
         for instance in self.instances:
             processes.wait_for_port("127.0.0.1", instance.port)
 
-    def start_instance(self, number, ports=None, store=None):
+    def start_instance(self, number, ports=None, store=None, sources=None):
         """Start one instance and return it.
 
         Parameters
@@ -170,6 +170,8 @@
             Caller port, readiness port and two internal ports; None for free ones.
         store : str or None
             Address by which the instance reaches the store; None for the store's own.
+        sources : pathlib.Path or None
+            Folder with the package to run; None for the package of this process.
         """
         zone = host.ZONES[number % len(host.ZONES)]
         name = f"{zone}-{number}"
@@ -184,6 +186,7 @@
         with log_path.open("ab") as log:
             child = subprocess.Popen(
                 [sys.executable, "-c", PROGRAM],
+                cwd=sources,
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,12 @@
 """Command line of the soak runs: ``python -m soak --seed 7`` or ``--seeds 50``."""
 
+import contextlib
+import io
+import pathlib
+import subprocess
 import sys
+import tarfile
+import tempfile
 import time
 
 import click
@@ -15,6 +21,16 @@
 }
 
 
+def extract_sources(commit, folder):
+    """Extract the package of a commit into a folder, and return the folder."""
+    archive = subprocess.run(
+        ["git", "archive", commit, "pomelograde"], check=True, capture_output=True
+    )
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as tar:
+        tar.extractall(folder, filter="data")
+    return folder
+
+
 @click.command(epilog="Exit codes: 0 if all guarantees held, 1 if one was violated.")
 @click.option("--seed", type=int, help="First seed; by default from the time.")
 @click.option(
@@ -29,22 +45,42 @@
 @click.option(
     "--shifts", is_flag=True, help="Members start cold, and a route names regions, too."
 )
+@click.option(
+    "--other-build", help="Commit; instances are replaced between it and this build."
+)
 @click.option("--logs", help="Directory for the logs of failed runs.")
-def main(seed, seeds, seconds, regressions, restores, evacuations, shifts, logs):
+def main(
+    seed,
+    seeds,
+    seconds,
+    regressions,
+    restores,
+    evacuations,
+    shifts,
+    other_build,
+    logs,
+):
     """Run real instances under randomized faults and check their guarantees."""
     first = seed if seed is not None else int(time.time())
     durations_s = dict.fromkeys(range(first, first + seeds), seconds)
     if regressions:
         durations_s = REGRESSIONS
     failed = []
-    for run_seed, duration_s in durations_s.items():
-        soak_run = run.Run(run_seed, duration_s, logs, restores, evacuations, shifts)
-        violations, served = soak_run.execute()
-        click.echo(f"seed {run_seed}: {served} served, {len(violations)} broken")
-        for violation in violations:
-            click.echo(f"  {violation.guarantee}: {violation.detail}")
-        if violations:
-            failed.append(run_seed)
+    with contextlib.ExitStack() as stack:
+        sources = None
+        if other_build:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            sources = extract_sources(other_build, pathlib.Path(folder))
+        for run_seed, duration_s in durations_s.items():
+            soak_run = run.Run(
+                run_seed, duration_s, logs, restores, evacuations, shifts, sources
+            )
+            violations, served = soak_run.execute()
+            click.echo(f"seed {run_seed}: {served} served, {len(violations)} broken")
+            for violation in violations:
+                click.echo(f"  {violation.guarantee}: {violation.detail}")
+            if violations:
+                failed.append(run_seed)
     passed = len(durations_s) - len(failed)
     click.echo(f"{passed} passed, {len(failed)} failed {failed or ''}")
     sys.exit(1 if failed else 0)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -52,6 +52,7 @@
     with_restores=False,
     with_evacuations=False,
     with_shifts=False,
+    with_builds=False,
 ):
     """Return the faults of a run, ordered by their start.
 
@@ -73,6 +74,9 @@
     with_shifts : bool
         Whether members also start again under their name (``member_restart``),
         likewise.
+    with_builds : bool
+        Whether instances are replaced in turn by another build (``replace``), and
+        all of them are killed at once (``kill_all``).
 
     Notes
     -----
@@ -101,6 +105,8 @@
         faults.extend(_plan_evacuations(seed, seconds, instances))
     if with_shifts:
         faults.extend(_plan_member_restarts(seed, seconds, instances))
+    if with_builds:
+        faults.extend(_plan_builds(seed, seconds, instances))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -112,6 +118,18 @@
         start_s += rng.uniform(1.0, 8.0)
 
 
+def _plan_builds(seed, seconds, instances):
+    """Yield replacements in turn, and at least one loss of all instances."""
+    rng = random.Random(f"{seed}/builds")
+    start_s = INITIAL_DELAY_S + rng.uniform(0.0, 2.0)
+    number = rng.randrange(instances)
+    while start_s < seconds:
+        yield Fault(start_s, rng.uniform(0.1, 0.8), "replace", number % instances)
+        number += 1
+        start_s += rng.uniform(0.8, 2.5)
+    yield Fault(rng.uniform(0.3, 0.9) * seconds, rng.uniform(0.1, 1.0), "kill_all", 0)
+
+
 def _plan_restores(seed, seconds):
     """Yield the returns of the store, one after the other."""
     rng = random.Random(f"{seed}/restores")
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,12 +48,15 @@
         Proxy between the instance and the store.
     instance : Instance or None
         The latest process; None before the first start.
+    sources : pathlib.Path or None
+        Folder with the package that it runs; None for the working tree.
     """
 
     number: int
     ports: list
     link: proxy.Proxy
     instance: object = None
+    sources: object = None
 
 
 class Run:
@@ -73,6 +76,9 @@
         Whether operators also evacuate data centres.
     with_shifts : bool
         Whether members also start cold, and a route names regions.
+    other_sources : pathlib.Path or None
+        Folder with the package of another build. All instances start with it, and
+        are replaced in turn, back and forth.
 
     Attributes
     ----------
@@ -90,6 +96,7 @@
         with_restores=False,
         with_evacuations=False,
         with_shifts=False,
+        other_sources=None,
     ):
         self.seed = seed
         self.seconds = seconds
@@ -98,6 +105,7 @@
         self.with_evacuations = with_evacuations
         self.evacuated_at = {}
         self.with_shifts = with_shifts
+        self.other_sources = other_sources
         self.operator = None
         self.observed = history.History()
         self.acknowledged = {}
@@ -113,7 +121,9 @@
             for number in range(INSTANCE_COUNT):
                 link = proxy.Proxy(self.fleet.store)
                 stack.callback(link.close)
-                self.slots.append(InstanceSlot(number, processes.free_ports(4), link))
+                ports = processes.free_ports(4)
+                slot = InstanceSlot(number, ports, link, sources=self.other_sources)
+                self.slots.append(slot)
             for slot in self.slots:
                 self._start(slot)
             stack.callback(self._resume_processes)
@@ -167,7 +177,7 @@
 
     def _start(self, slot):
         slot.instance = self.fleet.start_instance(
-            slot.number, slot.ports, slot.link.address
+            slot.number, slot.ports, slot.link.address, slot.sources
         )
 
     def _inject_faults(self):
@@ -180,6 +190,7 @@
             self.with_restores,
             self.with_evacuations,
             self.with_shifts,
+            self.other_sources is not None,
         )
         steps = [(fault.start_s, "begin", fault) for fault in faults]
         steps += [(fault.start_s + fault.duration_s, "end", fault) for fault in faults]
@@ -204,8 +215,11 @@
             slot.instance.child.kill()
         elif fault.kind == "pause":
             slot.instance.child.send_signal(signal.SIGSTOP)
-        elif fault.kind == "restart":
+        elif fault.kind in ("restart", "replace"):
             slot.instance.child.send_signal(signal.SIGTERM)
+        elif fault.kind == "kill_all":
+            for each in self.slots:
+                each.instance.child.kill()
         else:
             self._begin_member_fault(fault)
 
@@ -227,6 +241,12 @@
             self._take_back(fault)
         elif fault.kind in ("kill", "restart"):
             self._restart_process(slot)
+        elif fault.kind == "replace":
+            slot.sources = None if slot.sources else self.other_sources
+            self._restart_process(slot)
+        elif fault.kind == "kill_all":
+            for each in self.slots:
+                self._restart_process(each)
         else:
             self._end_member_fault(fault)
 
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -37,3 +37,15 @@
         self.assertTrue(
             all(a < b.start_s for a, b in zip(ends[:-1], added[1:], strict=True))
         )
+
+    def test_builds_are_replaced_in_turn_and_all_instances_killed_once(self):
+        plain = plan.make_plan(3, 20.0, 5)
+        found = plan.make_plan(3, 20.0, 5, with_builds=True)
+        added = [fault for fault in found if fault not in plain]
+        self.assertEqual(plain, [fault for fault in found if fault not in added])
+        replaced = [fault.instance for fault in added if fault.kind == "replace"]
+        self.assertEqual(
+            [(replaced[0] + turn) % 5 for turn in range(len(replaced))], replaced
+        )
+        self.assertTrue(len(replaced) >= 5, replaced)
+        self.assertEqual(1, sum(fault.kind == "kill_all" for fault in added))
