Let replicas receive again after each takeover

The instance that ran the takeover was killed after it had paused the replicas; the second attempt paused them for a higher term, and the promotion led a lower one, which does not end such a pause. Change: after a takeover the replicas are told to receive again, also if a member was promoted. The stand-in's promotion ends only pauses up to its term.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -373,10 +373,16 @@
                 self.context.peers.send(instance, message)
 
     async def _promote(self, group, takeover, old_primary, reason, begun_at):
-        """Choose a member and promote it; returns its name, or None."""
+        """Choose a member and promote it; returns its name, or None.
+
+        Notes
+        -----
+        The replicas receive again in any case. A promotion does not end a pause
+        for a higher term, as an earlier attempt at this takeover may have left it.
+        """
         opened = await self._open_connections(group, old_primary)
         connections = {name: found for name, found in opened.items() if found}
-        is_promoted = False
+        promoted = None
         try:
             candidates = await self._find_candidates(
                 group, connections, old_primary, reason
@@ -400,11 +406,9 @@
                 return None
             if _is_evacuated(group, chosen.name):
                 return None  # since it was chosen
-            is_promoted = await self.promoter.promote(
-                group.name, chosen.name, takeover.fence
-            )
-            if not is_promoted:
+            if not await self.promoter.promote(group.name, chosen.name, takeover.fence):
                 return None
+            promoted = chosen.name
             if old_primary in connections and not group.is_closed(
                 old_primary, self.context.now()
             ):
@@ -412,11 +416,12 @@
             await self._wait_until_primary(connections[chosen.name])
             return chosen.name
         finally:
-            if not is_promoted:
-                for name, connection in connections.items():
-                    is_closed = group.is_closed(name, self.context.now())
-                    if name != old_primary and not (connection.is_lost or is_closed):
-                        connection.resume(_ignore)
+            for name, connection in connections.items():
+                is_closed = group.is_closed(name, self.context.now())
+                if name not in (old_primary, promoted) and not (
+                    connection.is_lost or is_closed
+                ):
+                    connection.resume(_ignore)
             # The last calls must reach the members before the connections are aborted.
             for connection in connections.values():
                 self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
--- a/pomelograde/standins/hosting/member.py
+++ b/pomelograde/standins/hosting/member.py
@@ -49,8 +49,8 @@
     down : bool
         Whether it aborts connections that send a message and has no row in the
         store.
-    paused : bool
-        Whether replication to this replica is paused.
+    paused_term : int
+        Term that replication to this replica is paused for; 0 if it is not paused.
     connections : int
         Number of connections open now.
     most_connections : int
@@ -80,7 +80,7 @@
     queried_at: float = 0.0
     state: str = "ready"
     down: bool = False
-    paused: bool = False
+    paused_term: int = 0
     connections: int = 0
     most_connections: int = 0
     started_ms: int = 1
@@ -136,12 +136,13 @@
         term = max(member.term for member in self.members) + 1
         for member in self.members:
             member.role = REPLICA
-            member.paused = False
+            if member.paused_term <= term:
+                member.paused_term = 0
         chosen.role = PRIMARY
         chosen.term = term
 
     def _apply(self, replica, primary):
-        if replica.paused or replica.down:
+        if replica.paused_term or replica.down:
             return
         if replica.role == REPLICA and primary.role == PRIMARY:
             replica.log = list(primary.log)
@@ -310,11 +311,11 @@
         )
 
     def _pause(self, request_id, arguments, text):
-        self.member.paused = True
+        self.member.paused_term = max(self.member.paused_term, int(arguments))
         self._status(request_id, arguments, text)
 
     def _resume(self, request_id, arguments, text):
-        self.member.paused = False
+        self.member.paused_term = 0
         self._status(request_id, arguments, text)
 
     def _step_down(self, request_id, arguments, text):
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -306,3 +306,117 @@
         asked.callback(None)
         self.assertTrue(done.called)
         self.assertEqual([], self.source.begun)
+
+
+class FakeMember:
+    """Member and connection to it, which counts terms as members do.
+
+    Attributes
+    ----------
+    term, received : int
+        Term and number of the last log entry.
+    paused_term : int
+        Term that it is paused for; 0 if it receives the log.
+    """
+
+    is_lost = False
+
+    def __init__(self, received):
+        self.is_primary = False
+        self.term = 1
+        self.received = received
+        self.paused_term = 0
+
+    def ask_status(self, done):
+        term = max(self.term, self.paused_term)
+        done((self.is_primary, term, sessions.Position(self.term, self.received)))
+
+    def read_status(self, answer):
+        return answer
+
+    def pause(self, term, done):
+        self.paused_term = max(self.paused_term, term)
+        self.ask_status(done)
+
+    def resume(self, done):
+        self.paused_term = 0
+        self.ask_status(done)
+
+    def step_down(self, term, done):
+        self.is_primary = False
+        self.ask_status(done)
+
+    def close(self):
+        pass
+
+
+class PromotionTests(testtools.TestCase):
+    """Takeovers of a service with three members, the former primary among them."""
+
+    def setUp(self):
+        super().setUp()
+        self.members = {name: FakeMember(n) for n, name in enumerate("abc", 101)}
+        self.clock = task.Clock()
+        self.promotes = True
+        context = types.SimpleNamespace(
+            reactor=self.clock,
+            now=self.clock.seconds,
+            peers=types.SimpleNamespace(handlers={}),
+            log=types.SimpleNamespace(write=lambda event, **_: None),
+            settings=types.SimpleNamespace(host="127.0.0.1"),
+        )
+        self.group = placement.Group("g")
+        self.group.update([placement.Member(name, "x") for name in "abc"], 0.0)
+        proxy = types.SimpleNamespace(
+            configuration=configuration.FleetConfiguration(),
+            open_connection=self.open_connection,
+        )
+        promoter = types.SimpleNamespace(promote=self.promote)
+        self.task = hosted_takeovers.TakeoverTask(context, None, proxy, promoter)
+        self.task._is_in_force = self.confirm
+
+    async def open_connection(self, reactor, service, member, account, host):
+        return self.members[member.name]
+
+    async def confirm(self, takeover):
+        return True
+
+    async def promote(self, service, name, fence):
+        if not self.promotes:
+            return False
+        term = 1 + max(member.term for member in self.members.values())
+        for member in self.members.values():
+            member.term = term
+            member.is_primary = False
+            if member.paused_term <= term:
+                member.paused_term = 0
+        self.members[name].is_primary = True
+        self.members[name].paused_term = 0
+        return True
+
+    def run_takeover(self):
+        takeover = takeovers.Takeover("g", "reader/1", "", 7, 7)
+        reason = takeovers.Reason.ABSENT
+        found = []
+        promoting = self.task._promote(self.group, takeover, None, reason, 0.0)
+        defer.ensureDeferred(promoting).addCallback(found.append)
+        self.clock.advance(1.0)
+        return found[0]
+
+    def find_paused(self):
+        return [name for name, found in self.members.items() if found.paused_term]
+
+    def test_replicas_receive_after_a_promotion(self):
+        self.assertEqual("c", self.run_takeover())
+        self.assertEqual([], self.find_paused())
+
+    def test_replicas_that_an_interrupted_takeover_has_paused_receive_again(self):
+        for member in self.members.values():
+            member.pause(2, lambda status: None)
+        self.assertEqual("c", self.run_takeover())
+        self.assertEqual([], self.find_paused())
+
+    def test_replicas_receive_after_a_refused_promotion(self):
+        self.promotes = False
+        self.assertIsNone(self.run_takeover())
+        self.assertEqual([], self.find_paused())
