--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -191,7 +191,7 @@
         """
         while not self.is_stopped:
             try:
-                if self._is_stale():
+                if self._is_stale() or self._has_old_lists():
                     await self._read_all()
                 await self._register()
                 break
@@ -501,6 +501,9 @@
     def _is_stale(self):
         return self.context.now() - self.freshness.configuration_at > STALE_AFTER_S
 
+    def _has_old_lists(self):
+        return self.context.now() - self.freshness.members_at > STALE_AFTER_S
+
     async def _request_state(self, instance):
         """Request the state from an instance.
 
