Keep the connections of the accounts that send most

Cause: at its limit a pool closed an idle connection of the role with most idle ones, and of equal ones the role that was seen first. Change: it closes one of the role that uses its idle connections least; uses are counted and decay with the uses of all roles.

--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -1,5 +1,7 @@
 """Pool of the upstream connections to one member."""
 
+import math
+
 import attrs
 
 from pomelograde.core.limits import _cold_starts
@@ -10,6 +12,7 @@
 ROLE_RETENTION_S = 0.03  # time for which a role keeps a connection others wait for
 REOPEN_DELAY_S = 0.1  # before a member that had no room for a single one is asked again
 RETRY_SPREAD = 0.25  # largest random part of a time to retry after
+USE_HORIZON = 300.0  # uses of all roles, after which one use counts for 37 %
 MIN_SERVICE_S = 0.002  # before the first answer of a member
 
 
@@ -51,6 +54,36 @@
     cause: str = ""
 
 
+class RoleUses:
+    """Counts how often each role is used; uses of long ago count for less.
+
+    The load that this answers: many more client accounts than connections, of
+    which a few send most of the statements. A connection that is used rarely is
+    closed before one that is used often, though the rare use was the last one.
+
+    Attributes
+    ----------
+    total : int
+        Number of uses of all roles.
+    by_role : dict of str to tuple
+        Decayed number of uses, and `total` at the last of them.
+    """
+
+    def __init__(self):
+        self.total = 0
+        self.by_role = {}
+
+    def record(self, role):
+        """Record a use."""
+        self.by_role[role] = (1.0 + self.count(role), self.total)
+        self.total += 1
+
+    def count(self, role):
+        """Return the decayed number of uses."""
+        count, at = self.by_role.get(role, (0.0, 0))
+        return count * math.exp((at - self.total) / USE_HORIZON)
+
+
 class Pool:
     """Connections of this instance to one member.
 
@@ -74,6 +107,8 @@
     gate : ColdPace or None
         Limits when connections are assigned, as the member is cold; None for no
         limit.
+    uses : RoleUses
+        How often the connections of each role are used.
 
     Notes
     -----
@@ -82,7 +117,7 @@
 
     A connection keeps its database role until it is closed. When the limit is
     reached, an idle connection of another role is closed to make room for a
-    new one. If its role has waiters too, they may use it for `ROLE_RETENTION_S`
+    new one, of the role that has most for its use. If its role has waiters too, they may use it for `ROLE_RETENTION_S`
     after it was opened, so that the cost of opening is spread over several
     statements.
 
@@ -109,6 +144,7 @@
         self.opened_at = {}
         self.reopen_at = float("-inf")
         self.gate = None
+        self.uses = RoleUses()
 
     @property
     def size(self):
@@ -493,6 +529,7 @@
             return None
         self.idle_count -= 1
         self.busy_count += 1
+        self.uses.record(role)
         return connections.pop()
 
     def _put_idle(self, connection, role):
@@ -509,7 +546,11 @@
         roles = [
             r for r, connections in self.idle.items() if connections and r != keep_role
         ]
-        role = max(roles, key=lambda r: len(self.idle[r]), default=keep_role)
+        role = min(
+            roles,
+            key=lambda r: self.uses.count(r) / len(self.idle[r]),
+            default=keep_role,
+        )
         self.idle_count -= 1
         connection = self.idle[role].pop(0)
         self.opened_at.pop(connection, None)
--- a/tests/core/pooling/test_pool.py
+++ b/tests/core/pooling/test_pool.py
@@ -1,5 +1,8 @@
 """Tests of the connection pool and its fair queue."""
 
+import itertools
+import random
+
 import hypothesis
 import hypothesis.strategies as st
 import testtools
@@ -50,6 +53,45 @@
         self.assertEqual(["c", "b", "a"], [queue.pop().account for _ in range(3)])
 
 
+class UnevenAccountTests(testtools.TestCase):
+    """Statements of 24 accounts, one after the other, over 8 connections."""
+
+    ACCOUNTS = 24
+    LIMIT = 8
+
+    def play(self, weights, statements):
+        """Return the part of the statements that had to open a connection."""
+        rng = random.Random(5)
+        pool = pooling.Pool(self.LIMIT)
+        numbers = itertools.count()
+        opened = 0
+        for account in rng.choices(range(self.ACCOUNTS), weights, k=statements):
+            role = str(account)
+            actions = pool.request(waiter(role), 0.0)
+            if any(isinstance(action, pooling.Open) for action in actions):
+                opened += 1
+                actions = pool.opened(next(numbers), role, 0.0)
+            (assigned,) = [each for each in actions if isinstance(each, pooling.Assign)]
+            pool.release(assigned.connection, role, 0.0)
+            self.assertTrue(pool.size <= self.LIMIT)
+        return opened / statements
+
+    def test_accounts_that_send_most_keep_their_connections(self):
+        weights = [1.0 / (1 + account) for account in range(self.ACCOUNTS)]
+        # One connection changes hands, the others stay with those who send most.
+        best = sum(weights[self.LIMIT - 1 :]) / sum(weights)
+        found = self.play(weights, 20_000)
+        self.assertTrue(found <= 1.1 * best, (found, best))
+
+    def test_account_that_stops_sending_loses_its_connection(self):
+        pool = pooling.Pool(1)
+        pool.uses.record("busy")
+        for _ in range(2_000):
+            pool.uses.record("new")
+        self.assertTrue(pool.uses.count("busy") < 0.01)
+        self.assertTrue(100.0 < pool.uses.count("new") < 1_000.0)
+
+
 class PoolTests(testtools.TestCase):
     def test_opens_no_more_than_the_limit(self):
         pool = pooling.Pool(2)
