--- a/pomelograde/core/pooling/_pool.py
+++ b/pomelograde/core/pooling/_pool.py
@@ -117,9 +117,9 @@
 
     A connection keeps its database role until it is closed. When the limit is
     reached, an idle connection of another role is closed to make room for a
-    new one, of the role that has most for its use. If its role has waiters too, they may use it for `ROLE_RETENTION_S`
-    after it was opened, so that the cost of opening is spread over several
-    statements.
+    new one, of the role that uses its own least. If the role of a connection has
+    waiters, too, they may use it for `ROLE_RETENTION_S` after it was opened, so
+    that the cost of opening is spread over several statements.
 
     A waiter whose expected wait exceeds its deadline is refused immediately. So
     is every waiter while the member has no room for a single connection; it is
