--- a/pomelograde/net/hosted/positions.py
+++ b/pomelograde/net/hosted/positions.py
@@ -39,7 +39,7 @@
     def refresh(self):
         """Query the positions that are old, here or at another instance."""
         now = self.context.now()
-        groups_by_source = collections.defaultdict(list)
+        asked = collections.defaultdict(list)
         sources = {}
         for group in self.proxy.groups.values():
             primary = group.usable_primary(now)
@@ -48,9 +48,9 @@
             source = self._query_here(group, primary)
             if source is not None:
                 sources[source.name] = source
-                groups_by_source[source.name].append(group)
-        for name, groups in groups_by_source.items():
-            defer.ensureDeferred(self._request(sources[name], groups))
+                asked[source.name].append((group, primary.name))
+        for name, queries in asked.items():
+            defer.ensureDeferred(self._request(sources[name], queries))
 
     def find_source(self, primary):
         """Return the instance to ask for the log position of a primary.
@@ -121,8 +121,16 @@
         )
         return next(owned, accounts[0])
 
-    async def _request(self, source, groups):
-        """Request the positions of the primaries of groups from an instance.
+    async def _request(self, source, queries):
+        """Request the positions of primaries from an instance.
+
+        Parameters
+        ----------
+        source : Instance
+            The instance to ask.
+        queries : list of (Group, str)
+            Groups with the names of their primaries. An answer counts for nothing
+            if another member is the primary by then.
 
         Notes
         -----
@@ -130,15 +138,15 @@
         requested one by one.
         """
         asked_at = self.context.now()
-        first, *others = groups
+        first, *others = queries
         request = peer_messages.FloorRequest(
-            first.name,
-            self._describe_loads(first, asked_at),
+            first[0].name,
+            self._describe_loads(first[0], asked_at),
             [
                 peer_messages.FloorQuery(
                     group.name, self._describe_loads(group, asked_at)
                 )
-                for group in others
+                for group, _ in others
             ],
         )
         try:
@@ -150,27 +158,25 @@
             return
         if not isinstance(answer, peer_messages.FloorAnswer):
             return
-        self._apply(first, answer, asked_at)
+        self._apply(*first, answer, asked_at)
         by_name = {floor.group: floor for floor in answer.floors}
-        for group in others:
+        for group, primary in others:
             if group.name in by_name:
-                self._apply(group, by_name[group.name], asked_at)
+                self._apply(group, primary, by_name[group.name], asked_at)
             else:
-                defer.ensureDeferred(self._request(source, [group]))
+                defer.ensureDeferred(self._request(source, [(group, primary)]))
 
     def _describe_loads(self, group, now):
         placing = self.proxy.placing
         return [] if placing is None else placing.describe(group, now)
 
-    def _apply(self, group, floor, asked_at):
-        """Record what another instance knows of a group."""
+    def _apply(self, group, primary, floor, asked_at):
+        """Record what another instance knows of a group and its primary."""
         if self.proxy.placing is not None:
             self.proxy.placing.on_loads(group, floor.loads, asked_at)
-        primary = group.usable_primary(self.context.now())
-        if floor.known and primary is not None:
+        if floor.known:
             position = sessions.Position(floor.term, floor.index)
-            asked_at -= floor.age_ms / 1000.0
-            group.on_position(primary.name, position, asked_at)
+            group.on_position(primary, position, asked_at - floor.age_ms / 1000.0)
 
     def _on_request(self, message, envelope):
         """Return the known log positions of the primaries, with their ages."""
--- a/tests/net/hosted/test_positions.py
+++ b/tests/net/hosted/test_positions.py
@@ -189,6 +189,22 @@
             [(floor.group, floor.known, floor.index) for floor in answer.floors],
         )
 
+    def test_answer_counts_for_nothing_after_a_change_of_the_primary(self):
+        self.start({"ax": 2})
+        found = self.fleet["ax-0"]
+        group = found.proxy.groups["g"]
+        answer = peer_messages.FloorAnswer(True, 1, 7)
+        group.update(
+            [
+                placement.Member("p-g", "ax"),
+                placement.Member("new", "ax", role=placement.Role.PRIMARY),
+            ],
+            self.now,
+        )
+        found._apply(group, "p-g", answer, self.now)
+        self.assertIsNone(group.members["new"].position)
+        self.assertIsNone(group.read_requirement(None, 1.5, self.now))
+
     def record_at_owners_of(self, found, index):
         for name, group in found.proxy.groups.items():
             group.on_position(f"p-{name}", sessions.Position(1, index), self.now)
