Replace an evacuated primary after all instances have started again

Cause: an evacuated primary is replaced by a member that holds its last known position. A member that is missing, leaving or behind keeps the takeover from happening.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -655,7 +655,9 @@
         -----
         A primary that cannot be asked any more has been sent nothing since the
         time limit of the evacuation. Its log is then the latest known position,
-        or what a replica holds once it has not grown for `SETTLE_TIME_S`.
+        or what a replica holds once it has not grown for `SETTLE_TIME_S`. After
+        all instances have started again, nobody knows that position; then it is
+        what all other members hold, two at least, if they hold the same.
         """
         staying = {
             name: found
@@ -664,10 +666,11 @@
         }
         member = group.members.get(old_primary)
         target = None if member is None else member.position
+        other_count = len(group.members.keys() - {old_primary})
         settle_s = SETTLE_TIME_S
         if primary_status is not None:
             target, settle_s = primary_status[2], 0.0
-        elif target is None or not group.is_closed(old_primary, self.context.now()):
+        elif not group.is_closed(old_primary, self.context.now()):
             return {}
         states = {}
         since = self.context.now()
@@ -679,9 +682,14 @@
             )
             if _positions(previous) != _positions(states):
                 since = self.context.now()
-            complete = {
-                name: state for name, state in states.items() if state[2] >= target
-            }
+            if target is None:
+                is_same = len(set(_positions(states).values())) == 1
+                agreed = is_same and len(states) == other_count >= 2
+                complete = states if agreed else {}
+            else:
+                complete = {
+                    name: state for name, state in states.items() if state[2] >= target
+                }
             if complete and self.context.now() - since >= settle_s:
                 return complete
             await self._sleep(POLL_INTERVAL_S)
