Say what is wrong with a route's type and times

Cause: `pomelogradectl check` called a wrong type of a route a missing field, showed Python's own message for a time given as text, and did not find an objective above the time limit. Change: the messages name field, value and what is expected; such an objective is a warning.

--- a/pomelograde/core/review/_fleet.py
+++ b/pomelograde/core/review/_fleet.py
@@ -83,6 +83,13 @@
                     entry.path,
                     f"{name}: a {field} of {value:g} s refuses every statement",
                 )
+        if route.latency_objective_s > route.timeout_s > 0.0:
+            yield _findings.warning(
+                entry.path,
+                f"{name}: a latency objective of {route.latency_objective_s:g} s is "
+                f"above the time limit of {route.timeout_s:g} s, after which a "
+                "statement is given up",
+            )
         limited = route.max_staleness_s != float("inf")
         if route.route_type is _PRIMARY and limited:
             yield _findings.warning(
--- a/pomelograde/platform/manifest.py
+++ b/pomelograde/platform/manifest.py
@@ -124,7 +124,7 @@
 
 
 def _parse_idle_time(limits):
-    return limits.get("txIdleMs", 3000) / 1000.0
+    return _parse_time({"txIdleMs": 3000, **limits}, "txIdleMs")
 
 
 def _parse_service(service):
@@ -143,16 +143,33 @@
         # The platform calls the database name "host".
         database=_json.require_text(route["host"]),
         service=_json.require_text(route["service"]),
-        route_type=ROUTE_TYPES[route["routeType"]],
-        timeout_s=route["timeoutMs"] / 1000.0,
-        latency_objective_s=route["latencySloMs"] / 1000.0,
+        route_type=_parse_route_type(route["routeType"]),
+        timeout_s=_parse_time(route, "timeoutMs"),
+        latency_objective_s=_parse_time(route, "latencySloMs"),
         priority=_json.require_integer(route.get("priority", 0), MAX_PRIORITY),
-        max_staleness_s=float("inf") if staleness_ms is None else staleness_ms / 1000.0,
+        max_staleness_s=float("inf")
+        if staleness_ms is None
+        else _parse_time(route, "maxStalenessMs"),
         is_open=route.get("anonymous", False),
         allowed_regions=_parse_texts(route.get("allowedRegions", [])),
     )
 
 
+def _parse_route_type(name):
+    if name not in ROUTE_TYPES:
+        known = ", ".join(ROUTE_TYPES)
+        raise ValueError(f"routeType is {name!r}, expected one of {known}")
+    return ROUTE_TYPES[name]
+
+
+def _parse_time(fields, name):
+    """Return a field in milliseconds as seconds."""
+    value = fields[name]
+    if type(value) not in (int, float):
+        raise ValueError(f"{name}: expected a number of milliseconds, got {value!r}")
+    return value / 1000.0
+
+
 def _parse_account(tenant):
     return configuration.ClientAccount(
         name=_json.require_text(tenant["name"]),
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -39,8 +39,22 @@
     ({"version": "7"}, "expected an integer"),
     ({"routes": None}, "expected a list"),
     ({"routes": [{**ROUTE, "host": ""}]}, "expected a string with content"),
-    ({"routes": [{**ROUTE, "routeType": "fast"}]}, "fast"),
-    ({"routes": [{**ROUTE, "timeoutMs": "soon"}]}, "unsupported operand"),
+    (
+        {"routes": [{**ROUTE, "routeType": "fast"}]},
+        "routeType is 'fast', expected one of primary,",
+    ),
+    (
+        {"routes": [{**ROUTE, "timeoutMs": "soon"}]},
+        "timeoutMs: expected a number of milliseconds, got 'soon'",
+    ),
+    (
+        {"routes": [{**BOUNDED, "maxStalenessMs": "9"}]},
+        "maxStalenessMs: expected a number of milliseconds, got '9'",
+    ),
+    (
+        {"routes": [{**ROUTE, "timeoutMs": 500, "latencySloMs": 600}]},
+        "a latency objective of 0.6 s is above the time limit of 0.5 s",
+    ),
     ({"routes": [{**ROUTE, "timeoutMs": 0}]}, "refuses every statement"),
     ({"routes": [{**ROUTE, "latencySloMs": -5}]}, "refuses every statement"),
     ({"routes": [{**ROUTE, "priority": 256}]}, "expected an integer"),
