--- a/pomelograde/core/pooling/__init__.py
+++ b/pomelograde/core/pooling/__init__.py
@@ -2,7 +2,6 @@
 
 from pomelograde.core.pooling import _limits, _pool, _priority_queue, _queue, _room
 
-CONNECTIONS_PER_OWNER = _limits.CONNECTIONS_PER_OWNER
 STARTUP_S = _limits.STARTUP_S
 
 AdaptiveLimit = _room.AdaptiveLimit
@@ -16,11 +15,9 @@
 Refuse = _pool.Refuse
 Room = _room.Room
 Waiter = _queue.Waiter
-count_owners = _limits.count_owners
 divide_connections = _limits.divide_connections
 
 __all__ = [
-    "CONNECTIONS_PER_OWNER",
     "STARTUP_S",
     "AdaptiveLimit",
     "Assign",
@@ -33,6 +30,5 @@
     "Refuse",
     "Room",
     "Waiter",
-    "count_owners",
     "divide_connections",
 ]
--- a/pomelograde/core/pooling/_limits.py
+++ b/pomelograde/core/pooling/_limits.py
@@ -3,30 +3,9 @@
 # A member keeps the connections of an instance that lost power for some seconds.
 # The rest must suffice for the instance that starts again, and for all of them.
 RESERVED_FRACTION = 0.25
-CONNECTIONS_PER_OWNER = 8
-MIN_OWNERS = 2  # of a member's connections, so that one may be lost
 STARTUP_S = 3.0  # after which a member has dropped connections of earlier processes
 
 
-def count_owners(max_connections):
-    """Return how many instances should own connections to a member.
-
-    Parameters
-    ----------
-    max_connections : int
-        Connections that the member accepts from all instances together.
-
-    Notes
-    -----
-    This answers the load of many client accounts on a member with few
-    connections. A connection serves one account at a time, and opening one takes
-    as long as a statement. An owner with two or three connections closes one for
-    nearly each statement of another account, while its neighbours have idle ones.
-    """
-    usable = max_connections - int(max_connections * RESERVED_FRACTION)
-    return max(MIN_OWNERS, usable // CONNECTIONS_PER_OWNER)
-
-
 def divide_connections(max_connections, owner_count, rank, is_starting):
     """Return how many connections to a member one of its owners may open.
 
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -317,9 +317,6 @@
         Registered instances.
     instances_by_place : dict of tuple to list of Instance
         The same by "data_centre" or "region" and its name.
-    has_earlier_builds : bool
-        Whether an instance is registered that does not tell its build. Such builds
-        choose owners among all instances of a data centre.
     paths : Paths or None
         Decides which instances and members are reached; None to suspect silent
         peers for a time.
@@ -342,7 +339,6 @@
         self.transaction_numbers = itertools.count(1)
         self.instances = []
         self.instances_by_place = {}
-        self.has_earlier_builds = True
         handlers = context.peers.handlers
         handlers[peer_messages.RelayRequest] = self._on_request
         handlers[peer_messages.Ping] = lambda message, envelope: None
@@ -355,7 +351,6 @@
         if self.paths is not None:
             self.paths.set_instances(self.instances, instances)
         self.instances = instances
-        self.has_earlier_builds = not all(found.build for found in instances)
         self.instances_by_place = by_place = collections.defaultdict(list)
         for instance in instances:
             by_place["data_centre", instance.data_centre].append(instance)
@@ -408,29 +403,8 @@
             owner = self.proxy.cold_starts.find_owner(member)
             return {owner.name: owner}
         if self.paths is not None:
-            found = self.paths.find_candidates(member)
-        else:
-            found = self.find_usable("data_centre", member.data_centre)
-        count = self._count_owners(member)
-        if len(found) <= count:
-            return found
-        return {name: found[name] for name in _choose_owners(member, found, count)}
-
-    def _count_owners(self, member):
-        """Return how many instances of a data centre may own a member's connections.
-
-        Notes
-        -----
-        All of them while there is an instance of a build that chooses among all.
-        """
-        if self.has_earlier_builds:
-            return len(self.instances)
-        pool = self.proxy.pools.get(member.name)
-        services = self.proxy.configuration.services
-        service = None if pool is None else services.get(pool.service)
-        if service is None:
-            return len(self.instances)
-        return pooling.count_owners(service.max_connections)
+            return self.paths.find_candidates(member)
+        return self.find_usable("data_centre", member.data_centre)
 
     def choose_owner(self, member, account, candidates):
         """Return the owner among the result of `find_candidates`."""
@@ -491,17 +465,13 @@
         -----
         An instance in another data centre owns connections only while it knows
         no usable instance in the member's data centre. All instances may do so
-        then. Likewise, another one of the data centre owns some only while it
-        knows that an owner is not usable.
+        then.
         """
         own = self.context.members.own
         near = None
         if own.data_centre == member.data_centre:
             near = self.instances_by_place.get(("data_centre", own.data_centre))
         names = [found.name for found in near or self.instances]
-        if near is not None:
-            owners = _choose_owners(member, names, self._count_owners(member))
-            names = owners if own.name in owners else names
         others = [name for name in names if name != own.name]
         return len(others) + 1, sum(name < own.name for name in others)
 
@@ -988,11 +958,6 @@
             self.done.callback(None)
 
 
-def _choose_owners(member, names, count):
-    """Return the names of the instances that own a member's connections."""
-    return membership.rendezvous(member.name, names, count)
-
-
 def _ignore_answer(answer):
     """Discard an answer."""
 
--- a/tests/core/pooling/test_limits.py
+++ b/tests/core/pooling/test_limits.py
@@ -1,7 +1,6 @@
 """Tests of how a member's connections are divided between their owners."""
 
 import collections
-import random
 
 import attrs
 import testtools
@@ -37,46 +36,6 @@
                 self.assertEqual(maximum, total)
 
 
-class OwnerTests(testtools.TestCase):
-    """Client accounts of uneven load on a member of 33 connections."""
-
-    def count_openings(self, owner_count, statements=20_000):
-        """Return the part of the statements that had to open a connection."""
-        rng = random.Random(3)
-        accounts = range(73)
-        weights = [1.0 / (1 + account) for account in accounts]
-        owner_of = [rng.randrange(owner_count) for _ in accounts]
-        shares = [
-            pooling.divide_connections(33, owner_count, rank, False)
-            for rank in range(owner_count)
-        ]
-        open_accounts = [[] for _ in range(owner_count)]
-        opened = 0
-        for account in rng.choices(accounts, weights, k=statements):
-            owner = owner_of[account]
-            recent = open_accounts[owner]
-            if account in recent:
-                recent.remove(account)
-            else:
-                opened += 1
-                del recent[: max(0, len(recent) + 1 - shares[owner])]
-            recent.append(account)
-        return opened / statements
-
-    def test_few_owners_open_fewer_connections(self):
-        few = self.count_openings(pooling.count_owners(33))
-        many = self.count_openings(10)
-        self.assertTrue(few < many, (few, many))
-
-    def test_owner_may_be_lost(self):
-        for maximum in range(1, 200):
-            count = pooling.count_owners(maximum)
-            self.assertTrue(count >= 2, (maximum, count))
-            if maximum >= 22:
-                least = pooling.divide_connections(maximum, count, count - 1, False)
-                self.assertTrue(least >= pooling.CONNECTIONS_PER_OWNER, maximum)
-
-
 class Member:
     """A member that keeps the connections of lost instances for some time."""
 
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -231,54 +231,6 @@
         self.assertEqual([(2, 0), (2, 1)], ranks)
         self.assertEqual((5, 4), self.make(INSTANCES[4]).rank_owner(PRIMARY))
 
-    def make_owners(self, own, builds):
-        """Return a relay that knows six instances of the member's data centre."""
-        found = self.make(own)
-        service = configuration.DatabaseService("g", 22, 0, 0.0, 0.0)
-        found.proxy = types.SimpleNamespace(
-            pools={"p": types.SimpleNamespace(service="g")},
-            configuration=configuration.FleetConfiguration(services={"g": service}),
-        )
-        found.set_instances(
-            [
-                attrs.evolve(INSTANCES[0], name=f"a{number}", build=build)
-                for number, build in enumerate(builds)
-            ]
-        )
-        return found
-
-    def test_few_instances_own_a_members_connections_and_all_agree(self):
-        accounts = [f"account-{number}" for number in range(60)]
-        owners = set()
-        for own in INSTANCES:
-            found = self.make_owners(own, ["new"] * 6)
-            owners.update(found.find_owner(PRIMARY, name).name for name in accounts)
-        self.assertEqual(2, len(owners))
-
-    def test_another_instance_owns_connections_while_an_owner_is_suspected(self):
-        found = self.make_owners(INSTANCES[0], ["new"] * 6)
-        accounts = [f"account-{number}" for number in range(60)]
-        before = {found.find_owner(PRIMARY, name).name for name in accounts}
-        lost = min(before)
-        found._suspect(lost, "no answer")
-        during = {found.find_owner(PRIMARY, name).name for name in accounts}
-        self.assertEqual(2, len(during))
-        self.assertEqual(before - {lost}, before & during)
-
-    def test_owners_are_chosen_among_all_beside_an_earlier_build(self):
-        found = self.make_owners(INSTANCES[0], ["new"] * 5 + [""])
-        accounts = [f"account-{number}" for number in range(60)]
-        owners = {found.find_owner(PRIMARY, name).name for name in accounts}
-        self.assertEqual(6, len(owners))
-
-    def test_owners_divide_the_connections_among_themselves(self):
-        ranks = []
-        for number in range(6):
-            own = attrs.evolve(INSTANCES[0], name=f"a{number}")
-            ranks.append(self.make_owners(own, ["new"] * 6).rank_owner(PRIMARY))
-        self.assertEqual([(2, 0), (2, 1)], sorted(ranks)[:2])
-        self.assertEqual({6}, {count for count, _ in sorted(ranks)[2:]})
-
     def test_instances_that_become_known_in_a_stop_are_told_of_it(self):
         found = self.make(INSTANCES[0])
         told = []
