Wait for an answer that begins early as long as for others

Cause: the limit of a long poll fell from its own wait to 0.8 s as soon as the server had sent a part of its answer.

--- a/pomelograde/daemon/composition.py
+++ b/pomelograde/daemon/composition.py
@@ -194,6 +194,7 @@
         members=membership.Membership(own_instance),
         random=random.SystemRandom(),
     )
+    shared_context.metrics.set_build(own_instance.build)
     shared_context.log.buffer = shared_context.events
     shared_context.peers = peers.PeerTask(
         shared_context, _make_peer_tls(shared_context)
--- a/pomelograde/platform/http.py
+++ b/pomelograde/platform/http.py
@@ -156,7 +156,7 @@
         self.first_s = first_s
         self.is_over = False
         self.timer = None
-        self.latest = reactor.seconds() + first_s + MAX_ANSWER_S
+        self.first_until = reactor.seconds() + first_s
 
     def start(self, request):
         """Limit the time of a request, given as a Deferred."""
@@ -164,10 +164,17 @@
             self.timer = self.reactor.callLater(self.first_s, self._cancel, request)
 
     def extend(self):
-        """Wait for the next part of the answer."""
+        """Wait for the next part of the answer.
+
+        Notes
+        -----
+        The server may begin its answer long before it knows the rest.
+        """
         if self.timer is not None and self.timer.active():
-            left_s = max(0.0, self.latest - self.reactor.seconds())
-            self.timer.reset(min(CALL_TIMEOUT_S, left_s))
+            now = self.reactor.seconds()
+            until = max(self.first_until, now + CALL_TIMEOUT_S)
+            until = min(until, self.first_until + MAX_ANSWER_S)
+            self.timer.reset(max(0.0, until - now))
 
     def stop(self):
         """End the limit."""
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -121,6 +121,13 @@
         self.assertEqual("TimeoutError", str(found[0].value))
         self.assertTrue(self.transports[0].disconnecting)
 
+    def test_answer_that_begins_early_is_awaited_as_long_as_one_that_does_not(self):
+        found = self.start(wait_s=5.0)
+        self.deliver(ANSWER[:20])
+        self.reactor.advance(5.0)
+        self.deliver(ANSWER[20:])
+        self.assertEqual(200, found[0].status)
+
     def test_answer_that_never_ends_is_given_up(self):
         found = self.start()
         self.deliver(ANSWER.replace(b"11", b"99"))
