Ask for positions within the data centre only

Cause: two data centres of a region could each choose an instance of the other one as the source of positions, and these asked each other instead of the owner, so that bounded reads there lacked recent positions. Found by reading the change. Change: the source is an instance of the own data centre. The new test fails without.

--- a/pomelograde/net/hosted/positions.py
+++ b/pomelograde/net/hosted/positions.py
@@ -63,13 +63,14 @@
         Returns
         -------
         Instance
-            The same one of this region for all groups, and for all instances of
-            this data centre; itself, it asks the owner of the connections.
+            The same one of this data centre for all groups and for all of its
+            instances; itself, it asks the owner of the connections. One of another
+            data centre might ask an instance of this one in turn.
         """
         relay = self.proxy.relay
         own = self.context.members.own
         owner = relay.find_owner(primary, "")
-        candidates = relay.find_usable("region", own.region)
+        candidates = relay.find_usable("data_centre", own.data_centre)
         if owner.name == own.name or not candidates:
             return owner
         key = f"positions/{own.data_centre}"
--- a/tests/net/hosted/test_positions.py
+++ b/tests/net/hosted/test_positions.py
@@ -148,6 +148,16 @@
         }
         self.assertTrue(len(over_regions) <= 2, over_regions)
 
+    def test_source_asks_the_owner_and_no_other_source(self):
+        self.start({f"b{number}": 4 for number in range(8)} | {"ax": 2})
+        for found in self.fleet.values():
+            primary = found.proxy.groups["g"].members["p-g"]
+            owner = found.proxy.relay.find_owner(primary, "").name
+            source = found.find_source(primary).name
+            if source != owner:
+                asked = self.fleet[source].find_source(primary).name
+                self.assertEqual(owner, asked)
+
     def test_silent_source_is_replaced(self):
         self.start({"ax": 3, "bx": 4})
         found = self.fleet["bx-0"]
