--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -40,7 +40,17 @@
     "requireFence": False,
     "thawSlackMs": 300,
 }
-CONTRACTS = "base drain config cost recover sql tenants quota platform".split()
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "recover",
+    "sql",
+    "tenants",
+    "quota",
+    "platform",
+]
 
 
 def free_ports(host, count):
