--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = {"catania-a": "catania", "palermo-a": "palermo", "agrigento-a": "agrigento"}
+PORTS = (15_000, 30_000)
 HEARTBEAT_S = 1.2
 LIMIT_S = 112.0  # for a whole script
 BOUNDS = {
@@ -54,13 +56,17 @@
 
 
 def free_ports(host, count):
-    """Return free ports of an address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind((host, 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
+    """Return free ports of an address, below those of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as found:
+            try:
+                found.bind((host, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
