Review case 3: a takeover loses commits that a synchronous replica holds

Tried: review/3/run.sh, four processes; a replica isn't reached from one of them for 5 s, and the primary goes dark meanwhile.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -20,6 +20,7 @@
 ZONES = {"catania-a": "catania", "palermo-a": "palermo", "agrigento-a": "agrigento"}
 PORTS = (15_000, 30_000)
 HEARTBEAT_S = 1.2
+LOST_BEATS = 3  # after which the row of a silent member is removed
 LIMIT_S = 112.0  # for a whole script
 BOUNDS = {
     "seedLagS": 3,
@@ -264,6 +265,7 @@
         self.instances = {}
         self.seq = 0
         self.manifest = {}
+        self.is_partial = os.environ.get("TROUBLE") == "partial"
 
     def record(self, kind, **fields):
         """Write an event into the record."""
@@ -299,7 +301,11 @@
     def check_in(self, member):
         """Write the row of a member."""
         self.seq += 1
-        if member.is_registered:
+        if member.is_dark:
+            member.silent_beats += 1
+            if member.silent_beats == LOST_BEATS:
+                self.store.put("servers", member.name, None)
+        elif member.is_registered:
             row = json.dumps(member.row(self.seq)).encode()
             self.store.put("servers", member.name, row)
 
--- a/review/lib/members.py
+++ b/review/lib/members.py
@@ -6,6 +6,7 @@
 
 RECEIVE_FRACTION = 0.5  # of the replication lag, until a commit is received
 REACH_S = 1.0  # after which an old primary that reaches the new one gives up
+DARK_S = 3.0  # after which a member drops a connection whose far end is dark
 _DIGESTS = itertools.count(1)
 _CONNECTIONS = itertools.count(1)
 
@@ -38,12 +39,24 @@
         self.applied = 0
         self.is_paused = False
         self.is_deaf = False
+        self.is_dark = False
+        self.cut_off = set()  # hosts that it can't be reached from
+        self.lag_s = None  # that of the service
         self.state = "ready"
         self.is_registered = True
+        self.silent_beats = 0
         self.born = int(time.time() * 1000)
         self.connections = set()
         self.server = None
 
+    def cut(self, *hosts):
+        """Lose all that comes from hosts, or from all if none is given."""
+        self.cut_off.update(hosts)
+        self.is_dark = self.is_dark or not hosts
+        for connection in list(self.connections):
+            if self.is_dark or connection.host in self.cut_off:
+                asyncio.ensure_future(connection.go_silent())
+
     def position(self, number):
         """Return a position of the log as text."""
         term = self.log[number - 1][0] if number else 3
@@ -85,13 +98,16 @@
         Called with a member whose row changes.
     """
 
-    def __init__(self, name, record, on_change, lag_s=0.02, promote_s=0.3, limit=22):
+    def __init__(
+        self, name, record, on_change, lag_s=0.02, promote_s=0.3, limit=22, sync=0
+    ):
         self.name = name
         self.record = record
         self.on_change = on_change
         self.lag_s = lag_s
         self.promote_s = promote_s
         self.limit = limit
+        self.sync = sync
         self.members = {}
         self.work_s = 0.006
 
@@ -115,30 +131,47 @@
             )
 
     def commit(self, member, writes):
-        """Append a transaction to the log of a primary, and send it on."""
+        """Append a transaction to the log of a primary, and send it on.
+
+        Returns
+        -------
+        Future
+            Done once as many replicas have received it as the service asks for.
+        """
         member.log.append((member.term, writes))
         member.applied = len(member.log)
         loop = asyncio.get_running_loop()
+        received = loop.create_future()
+        if not self.sync:
+            received.set_result(None)
         for other in self.members.values():
             if other is not member:
+                lag_s = self.lag_s if other.lag_s is None else other.lag_s
                 loop.call_later(
-                    self.lag_s * RECEIVE_FRACTION, self._receive, other, member
+                    lag_s * RECEIVE_FRACTION,
+                    self._receive,
+                    other,
+                    member,
+                    len(member.log),
+                    lag_s,
+                    received,
                 )
+        return received
 
-    def _receive(self, replica, primary):
+    def _receive(self, replica, primary, number, lag_s, received=None):
         is_behind = replica.role == "replica" and primary.role == "primary"
         if not is_behind or replica.is_paused or replica.is_deaf:
             return
-        if primary.term < replica.term:
+        if primary.term < replica.term or primary.is_dark:
             return
-        replica.log = list(primary.log)
+        if primary.log[:number] != replica.log:
+            replica.log = primary.log[:number]
+            replica.applied = min(replica.applied, number)
         replica.term = primary.term
-        replica.applied = min(replica.applied, len(replica.log))
+        if received is not None and not received.done():
+            received.set_result(None)
         asyncio.get_running_loop().call_later(
-            self.lag_s * (1.0 - RECEIVE_FRACTION),
-            self._apply,
-            replica,
-            len(replica.log),
+            lag_s * (1.0 - RECEIVE_FRACTION), self._apply, replica, number
         )
 
     def _apply(self, replica, number):
@@ -155,7 +188,8 @@
         member.role = "primary"
         member.applied = len(member.log)
         member.is_paused = False
-        self.record("promoted", member=member.name, term=member.term)
+        held = [found[2] for _, writes in member.log for found in writes]
+        self.record("promoted", member=member.name, term=member.term, held=held)
         self.on_change(member)
         loop = asyncio.get_running_loop()
         for other in self.members.values():
@@ -163,12 +197,14 @@
                 other.is_paused = False
                 loop.call_later(REACH_S, self._follow, other, member)
                 if other.role == "replica":
-                    self._receive(other, member)
+                    self._receive(other, member, len(member.log), self.lag_s)
 
     def _follow(self, other, leader):
+        if other.is_dark or leader.is_dark:
+            return
         if leader.role == "primary" and other.term < leader.term:
             other.role = "replica"
-            self._receive(other, leader)
+            self._receive(other, leader, len(leader.log), self.lag_s)
             self.on_change(other)
 
 
@@ -180,6 +216,8 @@
         self.reader = reader
         self.writer = writer
         self.number = next(_CONNECTIONS)
+        self.host = writer.get_extra_info("peername")[0]
+        self.received = None
         self.tenant = None
         self.values = {}
         self.prepared = {}
@@ -188,10 +226,13 @@
         self.writes = []
         self.transaction = 0
         self.transactions = itertools.count(1)
+        self.is_silent = False
 
     async def run(self):
         """Serve the connection until it ends."""
         self.member.connections.add(self)
+        if self.member.is_dark or self.host in self.member.cut_off:
+            asyncio.ensure_future(self.go_silent())
         try:
             await self._serve()
         except (
@@ -207,18 +248,30 @@
                 self._record("end of connection rolls back")
             self.writer.close()
 
+    async def go_silent(self):
+        """Lose all bytes from now on; the member drops the connection later."""
+        self.is_silent = True
+        await asyncio.sleep(DARK_S)
+        self.member.connections.discard(self)
+        self.status, self.writes = "I", []
+
     async def _serve(self):
         while True:
             line = await self.reader.readline()
             if not line.endswith(b"\r\n"):
                 return
             text = line[:-2].decode("latin-1")
+            if self.is_silent:
+                continue  # the bytes got lost on the way
             if self.tenant is None:
                 if not self._start(text):
                     return
                 continue
             _, request_id, text = text.split(" ", 2)
-            for answer in await self._query(request_id, text):
+            answers = await self._query(request_id, text)
+            if self.is_silent:
+                continue
+            for answer in answers:
                 self.writer.write(answer.encode("latin-1") + b"\r\n")
             await self.writer.drain()
 
@@ -278,7 +331,13 @@
         if verb in ("READ", "WRITE", "COMMIT"):
             async with member.slots:
                 await asyncio.sleep(member.service.work_s)
-                return self._run(verb, arguments, request_id, text, shape)
+                if self.is_silent:
+                    return []
+                answer = self._run(verb, arguments, request_id, text, shape)
+            if self.received is not None:
+                await self.received
+                self.received = None
+            return answer
         return self._control(verb, arguments)
 
     def _run(self, verb, arguments, request_id, text, shape):
@@ -302,12 +361,12 @@
             if self.status == "T":
                 self.writes.append(write)
             else:
-                member.service.commit(member, [write])
+                self.received = member.service.commit(member, [write])
                 self._record("committed", ids=[request_id], by=request_id)
             return self._done([], digest)
         writes, self.writes = self.writes, []
         if writes:
-            member.service.commit(member, writes)
+            self.received = member.service.commit(member, writes)
         self._record("committed", ids=[found[2] for found in writes], by=request_id)
         self.status = "I"
         return self._done([], digest)
