--- a/review/lib/members.py
+++ b/review/lib/members.py
@@ -329,6 +329,7 @@
         if self.status == "E" and verb != "ROLLBACK":
             return self._fail("MALFORMED")
         if verb in ("READ", "WRITE", "COMMIT"):
+            self._record("reaches", id=request_id)
             async with member.slots:
                 await asyncio.sleep(member.service.work_s)
                 if self.is_silent:
