Review case 2: a takeover that the store has lost blocks all writes for good

Tried: review/2/run.sh, three processes: a primary goes dark for 3.5 s, the leader is killed in its takeover, and the store returns from an older copy.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -42,6 +42,7 @@
     "recoveryS": 12,
     "requireFence": False,
     "thawSlackMs": 300,
+    "evacuateMs": 5000,
 }
 CONTRACTS = [
     "base",
@@ -298,6 +299,13 @@
             self.check_in(member)
         return service
 
+    def write_again(self):
+        """Write what the operator and the members wrote, after a store's return."""
+        self.store.put("op", "config", json.dumps(self.manifest).encode())
+        for service in self.services.values():
+            for member in service.members.values():
+                self.check_in(member)
+
     def check_in(self, member):
         """Write the row of a member."""
         self.seq += 1
--- a/review/lib/members.py
+++ b/review/lib/members.py
@@ -57,6 +57,12 @@
             if self.is_dark or connection.host in self.cut_off:
                 asyncio.ensure_future(connection.go_silent())
 
+    def heal(self):
+        """Be reached again by all."""
+        self.cut_off.clear()
+        self.is_dark = False
+        self.silent_beats = 0
+
     def position(self, number):
         """Return a position of the log as text."""
         term = self.log[number - 1][0] if number else 3
--- a/review/lib/platform_store.py
+++ b/review/lib/platform_store.py
@@ -32,6 +32,10 @@
         self.fault = None
         self.rows = {}
         self.version = 0
+        self.has_eras = False
+        self.era = 1  # 1 for a store that has never returned from a copy
+        self.copy = None
+        self.on_begin = None  # called when a takeover's row is written
         self.changed = asyncio.Event()
 
     async def start(self, host, port):
@@ -46,6 +50,18 @@
         changed.set()
         return self.version
 
+    def keep_copy(self):
+        """Keep a copy of all rows."""
+        self.copy = (self.version, dict(self.rows))
+
+    def restore(self):
+        """Return to the kept copy: later writes are gone, versions go back."""
+        self.version, rows = self.copy
+        self.rows = dict(rows)
+        self.era += 1
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -59,8 +75,9 @@
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 status, answer = await self._call(method, target, fields, body)
                 data = json.dumps(answer).encode()
+                era = f"Store-Era: {self.era}\r\n" if self.has_eras else ""
                 writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}"
                     f"Content-Length: {len(data)}\r\n\r\n".encode()
                     + data
                 )
@@ -95,6 +112,8 @@
                 if row_table == table and value is not None and key >= start
             ]
             return 200, {"rows": found, "hasMore": False}
+        if path == "/rows-feed" and int(query["after"]) > self.version:
+            return 410, {}
         if path == "/rows-feed":
             return 200, {"rows": await self._follow(query)}
         if path == "/rows-tx":
@@ -123,7 +142,7 @@
                 if table == query["table"] and version > int(query["after"])
             )
             left_s = until - time.monotonic()
-            if found or left_s <= 0.0:
+            if found or left_s <= 0.0 or int(query["after"]) > self.version:
                 return [
                     _format(query["table"], key, value, version)
                     for version, key, value in found
@@ -147,6 +166,10 @@
             self.put(row["table"], row["key"], value)
             self.rows[row["table"], row["key"]] = (value, version)
         self.version = version
+        if self.on_begin is not None and any(
+            row["key"].startswith("takeover/") for row in content["puts"]
+        ):
+            self.on_begin()
         return 200, {}
 
 
