--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A primary with a synchronous replica is lost; that replica answers not everybody."""
 
 import asyncio
+import os
 
 import deployment
 
@@ -8,6 +9,7 @@
 LOAD_S = 6.0  # before the loss of the primary
 CUT_S = 2.0  # from the cut to the loss of the primary
 CUT_LASTS_S = 5.0
+EVACUATED_S = 7.0  # before the loss of the primary; evacuateMs is 5,000
 TAKEOVER_S = 10.0
 WRITE_PAUSE_S = 0.01
 
@@ -55,13 +57,17 @@
     for instance in instances:
         await instance.wait_ready()
     loop = asyncio.get_running_loop()
-    until = loop.time() + LOAD_S + TAKEOVER_S
+    until = loop.time() + LOAD_S + EVACUATED_S + TAKEOVER_S
     writers = [
         asyncio.ensure_future(write(found, instance, until)) for instance in instances
     ]
     await asyncio.sleep(LOAD_S - CUT_S)
     reader = min(instances, key=lambda instance: instance.name)
-    if trouble and not found.is_partial:
+    if os.environ.get("TROUBLE") == "evacuation":
+        found.record("evacuation", zone=near.zone)
+        found.store.put("op", f"evacuate/{near.zone}", b"{}")
+        await asyncio.sleep(EVACUATED_S - CUT_S)
+    elif trouble and not found.is_partial:
         found.record("cut", member=near.name, instance=reader.name)
         near.cut(reader.host)
         loop.call_later(CUT_LASTS_S, near.cut_off.clear)
