--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -410,7 +410,7 @@
 
     try:
         found = asyncio.run(run())
-    except (UnplayableError, OSError) as error:
+    except Exception as error:  # any error of a script is no verdict on the rule
         print(f"the case could not be played: {error!r}")
         sys.exit(2)
     finally:
