Identify a relayed transaction by the connection it was opened over

Cause: an owner numbered the transactions that it holds for other instances from 1 in each process, and looked numbers up without comparing who had opened them. The relaying instance kept the number of an idle transaction after it had lost the connection to the owner.

Change: a transaction is identified by the peer connection that it was opened over, and ends with it on both sides; the owner compares connection, account and member. The number has a random part for each process, so that relaying instances of earlier builds are covered, too. No message changes. Requests that can be withdrawn are found by the connection as well.

--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -23,6 +23,8 @@
 MIN_SUSPICION_S = 0.3  # a killed process restarts within about this time
 MAX_SUSPICION_S = 2.0  # longest time until a silent peer is used again
 MAX_USEFUL_MS = 3_600_000
+PROCESS_BITS = 31  # of a transaction's number, above the bits that count
+COUNT_BITS = 32
 SUSPICION_RESET_S = 5.0  # without a failure, after which MIN_SUSPICION_S applies
 
 _KIND = retries.ErrorKind
@@ -158,6 +160,8 @@
             return
         self.is_lost = True
         self.relay.untrack(self)
+        if self.transaction:
+            self.relay.track_transaction(self)
         if self.transaction or self.response_handlers:
             self.relay.discard(self)
             self.relay.withdraw(self)
@@ -186,6 +190,8 @@
         if self.is_lost:
             return
         self.is_lost = True
+        if self.transaction:
+            self.relay.track_transaction(self)
         on_lost, self.on_lost = self.on_lost, None
         if on_lost is not None:
             on_lost(bool(self.response_handlers))
@@ -239,6 +245,7 @@
             self.relay.proxy.placing.on_relay_answer(self, message)
         if self.is_lost or self.is_abandoned:
             self.transaction = message.transaction
+            self.relay.track_transaction(self)
             self.relay.discard(self)
             return
         done = self.response_handlers.popleft()
@@ -259,6 +266,7 @@
             self._on_lost()
             return
         self.transaction = message.transaction
+        self.relay.track_transaction(self)
         done(_decode_answer(message))
 
 
@@ -268,18 +276,26 @@
 
     Attributes
     ----------
-    origin : str
-        Name of the other instance.
+    origin : PeerProtocol
+        Connection that the other instance opened the transaction over.
     connection : UpstreamConnection
         Connection of the transaction.
     used_at : float
         When its last statement was answered.
     """
 
-    origin: str
+    origin: object
     connection: object
     used_at: float
 
+    def is_continued_by(self, message, origin):
+        """Return whether a RelayRequest over a peer connection belongs to it."""
+        return (
+            self.origin is origin
+            and self.connection.member == message.member
+            and self.connection.role == message.account
+        )
+
 
 class Relay:
     """Relays statements to connection owners, and serves other instances as one.
@@ -303,12 +319,16 @@
         Peers that a ping is outstanding for.
     open_transactions : dict of int to OpenTransaction
         Transactions that are open for other instances.
+    remote_transactions : dict of str to set of RemoteConnection
+        Transactions that are open for this instance, by the owner's name.
     pending : set of RelayHandler
         Requests of other instances that are not answered yet.
-    calls : dict of (str, int) to RelayHandler
-        Requests that can be withdrawn, by sender and number.
+    calls : dict of (PeerProtocol, int) to RelayHandler
+        Requests that can be withdrawn, by their peer connection and number.
     call_numbers : iterator of int
         Numbers of this instance's requests.
+    transaction_numbers : iterator of int
+        Numbers of `open_transactions`.
     stopping : dict of str to int
         Incarnation of each instance that has announced its shutdown.
     is_leaving : bool
@@ -320,6 +340,12 @@
     paths : Paths or None
         Decides which instances and members are reached; None to suspect silent
         peers for a time.
+
+    Notes
+    -----
+    A transaction ends with the peer connection that it was opened over, on both
+    sides. Its number has the process of the owner in its upper bits: earlier builds
+    may send a number over another connection, to the owner's next process.
     """
 
     def __init__(self, context, proxy):
@@ -330,13 +356,15 @@
         self.outstanding = {}
         self.probing = set()
         self.open_transactions = {}
+        self.remote_transactions = collections.defaultdict(set)
         self.pending = set()
         self.calls = {}
         self.call_numbers = itertools.count(1)
         self.stopping = {}
         self.is_leaving = False
         self.paths = None
-        self.transaction_numbers = itertools.count(1)
+        process = context.random.getrandbits(PROCESS_BITS)
+        self.transaction_numbers = itertools.count((process << COUNT_BITS) + 1)
         self.instances = []
         self.instances_by_place = {}
         handlers = context.peers.handlers
@@ -537,6 +565,39 @@
         """Stop waiting for the answer to a call."""
         self.outstanding.get(call.peer.name, set()).discard(call)
 
+    def track_transaction(self, connection):
+        """Note whether a RemoteConnection has an open transaction at its owner."""
+        held = self.remote_transactions[connection.peer.name]
+        is_given_up = connection.is_lost or connection.is_abandoned
+        if connection.transaction and not is_given_up:
+            held.add(connection)
+        else:
+            held.discard(connection)
+
+    def find_transaction(self, message, origin):
+        """Return the OpenTransaction that a request continues, or None.
+
+        Parameters
+        ----------
+        message : RelayRequest
+            The request.
+        origin : PeerProtocol
+            Connection that it has arrived over.
+        """
+        found = self.open_transactions.get(message.transaction)
+        if found is None or found.connection.is_lost:
+            return None
+        if found.is_continued_by(message, origin):
+            return found
+        self.context.log.write(
+            events.Event.TRANSACTION_MISMATCHED,
+            member=message.member,
+            account=message.account,
+            transaction=message.transaction,
+            step=message.step,
+        )
+        return None
+
     def discard(self, connection):
         """Make the owner close the connection of an open transaction."""
         if connection.transaction:
@@ -659,30 +720,34 @@
             self.untrack(call)
             call.on_unreachable()
 
-    def _on_peer_lost(self, name, is_inbound):
+    def _on_peer_lost(self, connection):
         """Handle the loss of a peer connection.
 
         Notes
         -----
-        If the peer had opened it (`is_inbound`), its open transactions here are closed.
-        Otherwise the peer is suspected.
+        If the peer had opened it, the transactions that it opened over it are
+        closed. Otherwise the peer is suspected, and the transactions that it holds
+        for this instance are lost: the peer ends them, or has ended itself.
         """
-        if not is_inbound:
+        if not connection.is_inbound:
+            name = connection.peer_name
+            for remote in list(self.remote_transactions.pop(name, ())):
+                remote.on_unreachable()
             if self.paths is not None:
                 self.paths.on_lost(name)
             else:
                 self._suspect(name, "connection lost")
             return
         for number, transaction in list(self.open_transactions.items()):
-            if transaction.origin == name:
+            if transaction.origin is connection:
                 del self.open_transactions[number]
                 transaction.connection.close()
         for handler in list(self.calls.values()):
-            if handler.origin == name:
+            if handler.origin is connection:
                 handler.withdraw()
 
     def _on_request(self, message, envelope):
-        handler = RelayHandler(self, message, envelope.sender)
+        handler = RelayHandler(self, message, envelope.connection)
         if self.paths is not None:
             self.paths.on_contact(envelope.sender)
             self.paths.receive_news(message.paths)
@@ -722,8 +787,8 @@
         Holds the open transactions.
     message : RelayRequest
         The request.
-    origin : str
-        Name of the other instance.
+    origin : PeerProtocol
+        Connection that it has arrived over.
 
     Attributes
     ----------
@@ -756,12 +821,12 @@
                 handler.withdraw()
             self.done.callback(None)
             return
-        transaction = self.relay.open_transactions.get(message.transaction)
-        if message.transaction and (
-            transaction is None or transaction.connection.is_lost
-        ):
-            self.done.callback(None)
-            return
+        transaction = None
+        if message.transaction:
+            transaction = self.relay.find_transaction(message, self.origin)
+            if transaction is None:
+                self.done.callback(None)
+                return
         if message.step == "discard":
             self.relay.open_transactions.pop(message.transaction)
             transaction.connection.on_lost = None
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -694,6 +694,8 @@
     accepts_streams : bool
         Whether the sender can decode messages in `FORMAT_STREAM`; earlier builds
         can't.
+    connection : object or None
+        Connection that the message has arrived over; it isn't sent.
     """
 
     sender: str
@@ -702,6 +704,7 @@
     is_reply: bool
     message: object
     accepts_streams: bool = True
+    connection: object = attrs.field(default=None, eq=False, repr=False)
 
 
 MESSAGE_CLASSES = (
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import capnp
 from twisted.internet import defer, endpoints, protocol
 from twisted.internet import error as net_error
@@ -104,7 +105,7 @@
             and self.task.is_in_other_region(self.peer_name)
         ):
             self.encoder = peer_streams.StreamEncoder()
-        self.task.receive(envelope, self)
+        self.task.receive(attrs.evolve(envelope, connection=self), self)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Report the loss to the task."""
@@ -132,8 +133,7 @@
     drops_on_timeout : bool
         Whether a connection is dropped when a request over it times out.
     on_lost : callable or None
-        Called when a connection is lost, with the name of the peer and whether
-        the peer had opened the connection.
+        Called with the PeerProtocol of each lost connection whose peer is known.
     handlers : dict of type to callable
         For each message class, a function of message and `Envelope` that
         returns the reply, a Deferred of it, or None.
@@ -258,7 +258,7 @@
                 reply.errback(PeerUnreachableError(connection.peer_name))
         connection.pending_requests.clear()
         if self.on_lost is not None and connection.peer_name:
-            self.on_lost(connection.peer_name, connection.is_inbound)
+            self.on_lost(connection)
 
     def is_in_other_region(self, name):
         """Return whether a known instance is in another region than this one."""
--- a/tests/net/hosted/test_evacuation_task.py
+++ b/tests/net/hosted/test_evacuation_task.py
@@ -1,5 +1,6 @@
 """Tests of what the task ends in evacuated data centres, and of the relay's owner."""
 
+import random
 import types
 
 import testtools
@@ -61,6 +62,7 @@
         context = types.SimpleNamespace(
             reactor=self.clock,
             now=self.clock.seconds,
+            random=random.Random(1),
             members=types.SimpleNamespace(own=OWN),
             peers=types.SimpleNamespace(handlers={}),
             metrics=metrics.Metrics(),
--- a/tests/net/hosted/test_health.py
+++ b/tests/net/hosted/test_health.py
@@ -29,7 +29,7 @@
         self.sent = []
         context = types.SimpleNamespace(
             now=lambda: self.now,
-            random=types.SimpleNamespace(random=lambda: 0.0),
+            random=types.SimpleNamespace(random=lambda: 0.0, getrandbits=lambda n: 0),
             members=types.SimpleNamespace(own=own),
             metrics=metrics.Metrics(),
             log=types.SimpleNamespace(write=self.log),
--- a/tests/net/hosted/test_positions.py
+++ b/tests/net/hosted/test_positions.py
@@ -1,6 +1,7 @@
 """Tests of how instances learn the log positions of the primaries."""
 
 import collections
+import random
 import types
 
 import attrs
@@ -76,6 +77,7 @@
     def make(self, own, instances):
         context = types.SimpleNamespace(
             now=lambda: self.now,
+            random=random.Random(1),
             members=types.SimpleNamespace(own=own),
             peers=self.network.join(own.name),
             metrics=metrics.Metrics(),
--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -38,6 +38,7 @@
             members=types.SimpleNamespace(own=INSTANCES[0]),
             peers=types.SimpleNamespace(handlers={}),
             metrics=metrics.Metrics(),
+            random=random.Random(1),
             log=types.SimpleNamespace(write=lambda event, **_: None),
             settings=types.SimpleNamespace(
                 rate_excess=0.1,
@@ -101,7 +102,6 @@
         member = placement.Member("p", "a-x", slots=5)
         self.assertIsNone(self.proxy._make_pool("s", member).core.room)
         self.proxy.context.settings.shares_members = True
-        self.proxy.context.random = random.Random(1)
         service = configuration.DatabaseService("s", 32)
         self.proxy.configuration = configuration.FleetConfiguration(
             services={"s": service}
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of the choice of peers by the relay."""
 
 import collections
+import random
 import types
 
 import attrs
@@ -54,6 +55,7 @@
     def make(self, own):
         context = types.SimpleNamespace(
             now=lambda: 100.0,
+            random=random.Random(1),
             members=types.SimpleNamespace(own=own),
             peers=types.SimpleNamespace(handlers={}),
             log=types.SimpleNamespace(write=lambda event, **_: None),
@@ -296,6 +298,7 @@
         self.events = []
         self.context = types.SimpleNamespace(
             now=lambda: self.clock.now,
+            random=random.Random(1),
             members=types.SimpleNamespace(own=INSTANCES[2]),
             peers=self.peers,
             metrics=metrics.Metrics(),
@@ -511,7 +514,7 @@
         request = peer_messages.RelayRequest(
             "execute", "g", "q", "account", budget_ms=900, operation=operation
         )
-        envelope = types.SimpleNamespace(sender="a1", incarnation=5)
+        envelope = types.SimpleNamespace(sender="a1", incarnation=5, connection=None)
         answers = []
         self.relay._on_request(request, envelope).addCallback(answers.append)
         return answers
--- a/tests/net/hosted/test_relayed_room.py
+++ b/tests/net/hosted/test_relayed_room.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task, testing
 
 from pomelograde.core import configuration, membership, pooling, statements
-from pomelograde.net import events, exposition, metrics, peer_messages, pools
+from pomelograde.net import events, exposition, metrics, peer_messages, peers, pools
 from pomelograde.net.hosted import proxy as hosted_proxy
 from pomelograde.net.hosted import relay
 from pomelograde.platform import upstreams
@@ -35,6 +35,8 @@
         self.clock = task.Clock()
         self.sent = []
         self.logged = []
+        self.peer_connection = peers.PeerProtocol(None)
+        self.peer_connection.peer_name = ENTRY.name
         self.context = types.SimpleNamespace(
             now=lambda: self.now,
             random=random.Random(1),
@@ -99,7 +101,9 @@
 
     def receive(self, message):
         """Let the owner handle a message; returns the Deferred of its answer."""
-        envelope = types.SimpleNamespace(sender=ENTRY.name, incarnation=5)
+        envelope = types.SimpleNamespace(
+            sender=ENTRY.name, incarnation=5, connection=self.peer_connection
+        )
         return self.context.peers.handlers[peer_messages.RelayRequest](
             message, envelope
         )
@@ -197,7 +201,7 @@
     def test_requests_of_a_lost_instance_leave_the_queue(self):
         _, message = self.relay_statement()
         self.receive(message)
-        self.owner._on_peer_lost(ENTRY.name, is_inbound=True)
+        self.owner._on_peer_lost(self.peer_connection)
         self.assertEqual([], self.waiters())
         self.assertFalse(self.owner.is_busy)
 
