Promote only a member that holds every acknowledged commit

Cause: the number of synchronous replicas was read from the configuration and used nowhere. The successor was the furthest of the replicas that had answered one instance, however few these were.

Change: the choice gets the number of replicas, those that have answered, and the end of the old primary's log. Other instances are asked for the position of a replica that this one does not reach. Nobody is promoted while a replica that has not answered may be the only one with a commit; a takeover that could promote nobody is not begun. Services without synchronous replicas are handled as before. WitnessAnswer gets three fields; earlier builds send none, which counts as no answer.

--- a/pomelograde/core/takeovers/__init__.py
+++ b/pomelograde/core/takeovers/__init__.py
@@ -8,8 +8,10 @@
 from pomelograde.core.takeovers import _decide, _takeover
 
 Candidate = _decide.Candidate
+LogRequirement = _decide.LogRequirement
 PrimaryHealth = _decide.PrimaryHealth
 Reason = _decide.Reason
+STORE_SETTLE_TIME_S = _decide.STORE_SETTLE_TIME_S
 PROMOTE_DEADLINE_S = _takeover.PROMOTE_DEADLINE_S
 Takeover = _takeover.Takeover
 choose_successor = _decide.choose_successor
@@ -18,7 +20,9 @@
 
 __all__ = [
     "PROMOTE_DEADLINE_S",
+    "STORE_SETTLE_TIME_S",
     "Candidate",
+    "LogRequirement",
     "PrimaryHealth",
     "Reason",
     "Takeover",
--- a/pomelograde/core/takeovers/_decide.py
+++ b/pomelograde/core/takeovers/_decide.py
@@ -58,6 +58,8 @@
         Whether operators have evacuated its data centre.
     can_be_replaced : bool
         Whether evacuations leave a member that may be promoted.
+    synchronous_replicas : int
+        Replicas that must have received a commit before it is acknowledged.
     """
 
     primary: str | None
@@ -71,6 +73,62 @@
     since_failing_s: float = float("inf")
     is_evacuated: bool = False
     can_be_replaced: bool = True
+    synchronous_replicas: int = 0
+
+
+@attrs.frozen
+class LogRequirement:
+    """What decides whether a successor holds every acknowledged commit.
+
+    Attributes
+    ----------
+    synchronous_replicas : int
+        Replicas that must have received a commit before it is acknowledged. With
+        0, commits that no replica has received may be lost.
+    replica_count : int or None
+        Number of replicas that the service has, whether they have answered or
+        not; None if it isn't known.
+    primary_position : Position or None
+        End of the old primary's log, asked once no instance used it any more; None
+        if it has not answered.
+    """
+
+    synchronous_replicas: int = 0
+    replica_count: int | None = None
+    primary_position: object = None
+
+    def find_required(self, positions):
+        """Return the position that a successor must have received at least.
+
+        Parameters
+        ----------
+        positions : list of Position
+            Positions of the replicas that have answered.
+
+        Returns
+        -------
+        Position or None
+            None if a replica that has not answered may be the only one with an
+            acknowledged commit.
+
+        Notes
+        -----
+        A commit is acknowledged by any `synchronous_replicas` of the replicas. All
+        these sets have a replica in common with those that have answered if at most
+        ``synchronous_replicas - 1`` have not.
+        """
+        furthest = max(positions, default=None)
+        if furthest is None:
+            return None
+        if self.primary_position is not None and furthest >= self.primary_position:
+            return self.primary_position
+        if self.replica_count is None:
+            return None
+        missing = self.replica_count - len(positions)
+        return furthest if missing < self.synchronous_replicas else None
+
+
+ANY_LOG = LogRequirement()
 
 
 @attrs.frozen
@@ -127,8 +185,10 @@
         return None
     if not health.can_be_replaced:
         return None
+    settled = health.store_available_for_s >= STORE_SETTLE_TIME_S
+    if health.synchronous_replicas and not settled:
+        return None  # Replicas whose logs matter may not be registered again yet.
     if health.primary is None:
-        settled = health.store_available_for_s >= STORE_SETTLE_TIME_S
         return (
             Reason.ABSENT
             if settled and health.absent_for_s >= ABSENT_THRESHOLD_S
@@ -149,9 +209,16 @@
     return None
 
 
-def choose_successor(candidates):
+def choose_successor(candidates, requirement=ANY_LOG):
     """Return the candidate to promote, or None if there is none.
 
+    Parameters
+    ----------
+    candidates : list of Candidate
+        The replicas that have answered.
+    requirement : LogRequirement
+        What the successor's log must hold.
+
     Notes
     -----
     A member in an evacuated data centre is never promoted, since no statement
@@ -160,9 +227,18 @@
     Log entries that the successor has not received are lost, so the highest
     position wins. Ties go to a member that is not leaving, then to one that is
     not cold, then to one in the data centre of the old primary.
+
+    With synchronous replicas, nobody is promoted while a replica that has not
+    answered, or that is evacuated, may be the only one with an acknowledged commit.
     """
+    eligible = [found for found in candidates if not found.is_evacuated]
+    if requirement.synchronous_replicas:
+        required = requirement.find_required([found.position for found in candidates])
+        if required is None:
+            return None
+        eligible = [found for found in eligible if found.position >= required]
     return max(
-        (candidate for candidate in candidates if not candidate.is_evacuated),
+        eligible,
         key=lambda candidate: (
             candidate.position,
             not candidate.is_leaving,
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -6,9 +6,12 @@
 have expired, and promotes the replica that has received the most of the log.
 """
 
+import itertools
+import operator
+
 from twisted.internet import defer, task
 
-from pomelograde.core import configuration, takeovers
+from pomelograde.core import configuration, placement, sessions, takeovers
 from pomelograde.net import events, peer_messages, peers, pools, timers
 from pomelograde.net.hosted import state_sync
 
@@ -31,7 +34,7 @@
 # the evacuated primary cannot be asked any more. The usual lag is 0.02 s.
 SETTLE_TIME_S = 0.3
 RECORD_INTERVAL_S = 0.3  # between attempts to record the end of a takeover
-MAX_WITNESSES = 2
+MAX_WITNESSES = 2  # near a member, and elsewhere
 
 
 class TakeoverTask:
@@ -171,8 +174,14 @@
             since_failing_s=now - max(last_change_at, last_failing_at),
             is_evacuated=registered and primary.data_centre in group.evacuated,
             can_be_replaced=group.can_replace_primary(),
+            synchronous_replicas=self._count_synchronous(group.name),
         )
 
+    def _count_synchronous(self, service):
+        """Return how many replicas must receive a commit before it is acknowledged."""
+        found = self.proxy.configuration.services.get(service)
+        return 0 if found is None else found.synchronous_replicas
+
     def _may_start(self, service, now):
         """Return whether no other instance is running a takeover of the service."""
         takeover = self.sync.fleet.takeovers.get(service)
@@ -206,6 +215,10 @@
                 outcome = "no candidate"
             else:
                 is_confirmed = True
+            if is_confirmed and not self._resumes(service) and not reason.is_planned:
+                # Otherwise callers would wait for a takeover that can't end.
+                is_confirmed = await self._knows_logs(group)
+                outcome = "replica does not answer"
             if is_confirmed:
                 outcome = await self._take_over(group, reason)
         except (
@@ -230,6 +243,11 @@
             s=round(now - started_at, 3),
         )
 
+    def _resumes(self, service):
+        """Return whether a takeover that was not completed blocks the primary."""
+        takeover = self.sync.fleet.takeovers.get(service)
+        return takeover is not None and not takeover.is_done
+
     async def _take_over(self, group, reason):
         """Run the steps of a takeover; returns the outcome for the log."""
         source = self.sync.source
@@ -384,11 +402,24 @@
         connections = {name: found for name, found in opened.items() if found}
         promoted = None
         try:
-            candidates = await self._find_candidates(
+            candidates, primary_position = await self._find_candidates(
                 group, connections, old_primary, reason
             )
-            chosen = takeovers.choose_successor(candidates)
+            requirement = self._make_requirement(group, old_primary, primary_position)
+            if requirement.synchronous_replicas:
+                known = {found.name for found in candidates}
+                candidates += await self._find_remote(group, {*known, old_primary})
+            chosen = takeovers.choose_successor(candidates, requirement)
             if chosen is None:
+                self.context.log.write(
+                    events.Event.TAKEOVER_STEP,
+                    service=group.name,
+                    step="none chosen",
+                    fence=takeover.fence,
+                    candidates=sorted(found.name for found in candidates),
+                    members=sorted(group.members),
+                    synchronous=requirement.synchronous_replicas,
+                )
                 return None
             self.context.log.write(
                 events.Event.TAKEOVER_STEP,
@@ -413,7 +444,7 @@
                 old_primary, self.context.now()
             ):
                 connections[old_primary].step_down(self.highest_term + 1, _ignore)
-            await self._wait_until_primary(connections[chosen.name])
+            await self._wait_until_primary(group, chosen.name, connections)
             return chosen.name
         finally:
             for name, connection in connections.items():
@@ -426,19 +457,28 @@
             for connection in connections.values():
                 self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
 
-    async def _wait_until_primary(self, connection):
+    async def _wait_until_primary(self, group, name, connections):
         """Wait until a promoted member reports that it is the primary.
 
         Notes
         -----
         Until then it acts as a replica, and serves reads from the part of the
-        log that it has applied.
+        log that it has applied. If this instance doesn't reach it, its
+        registration tells.
         """
+        connection = connections.get(name)
         until = self.context.now() + PROMOTION_TIMEOUT_S
-        while self.context.now() < until and not connection.is_lost:
-            status = await self._request_status(connection, "ask_status", ())
-            if status is not None and status[0]:
+        while self.context.now() < until:
+            if connection is None:
+                member = group.members.get(name)
+                if member is None or member.role is placement.Role.PRIMARY:
+                    return
+            elif connection.is_lost:
                 return
+            else:
+                status = await self._request_status(connection, "ask_status", ())
+                if status is not None and status[0]:
+                    return
             await self._sleep(POLL_INTERVAL_S)
 
     async def _open_connections(self, group, old_primary):
@@ -446,15 +486,17 @@
 
         Notes
         -----
-        In evacuated data centres, only the old primary is asked, until the
-        evacuation's time limit.
+        In evacuated data centres, only the old primary and synchronous replicas
+        are asked, until the evacuation's time limit.
         """
         now = self.context.now()
+        is_synchronous = self._count_synchronous(group.name) > 0
         members = [
             member
             for name, member in group.members.items()
             if not _is_evacuated(group, name)
-            or (name == old_primary and not group.is_closed(name, now))
+            or (name == old_primary or is_synchronous)
+            and not group.is_closed(name, now)
         ]
         opened = await defer.gatherResults(
             [defer.ensureDeferred(self._try_open(group, member)) for member in members]
@@ -508,8 +550,115 @@
         taken = (pool.try_acquire(role, needs_room=False) for role in roles)
         return next((found for found in taken if found is not None), None)
 
+    def _make_requirement(self, group, old_primary, primary_position):
+        """Return the LogRequirement for the old primary's successor.
+
+        Notes
+        -----
+        The number of replicas is unknown after an outage of the store, until the
+        registrations that have expired meanwhile are back.
+        """
+        replica_count = len(group.members.keys() - {old_primary})
+        if not self._are_registrations_complete():
+            replica_count = None
+        return takeovers.LogRequirement(
+            self._count_synchronous(group.name), replica_count, primary_position
+        )
+
+    def _are_registrations_complete(self):
+        available_for_s = self.context.now() - self.sync.store_available_since
+        return available_for_s >= takeovers.STORE_SETTLE_TIME_S
+
+    async def _find_remote(self, group, known):
+        """Return Candidates for the members that only other instances reach.
+
+        Parameters
+        ----------
+        group : Group
+            Database service.
+        known : set of str
+            Members that need not be asked.
+        """
+        now = self.context.now()
+        members = [
+            member
+            for name, member in group.members.items()
+            if name not in known and not group.is_closed(name, now)
+        ]
+        positions = await defer.gatherResults(
+            [
+                defer.ensureDeferred(self._query_position(group, member))
+                for member in members
+            ]
+        )
+        return [
+            self._make_candidate(group, member.name, position, "")
+            for member, position in zip(members, positions, strict=True)
+            if position is not None and member.name in group.members
+        ]
+
+    async def _query_position(self, group, member):
+        """Return the position of a member as other instances find it, or None."""
+        message = peer_messages.WitnessRequest(group.name, member.name)
+        own = self.context.members.own.name
+        others = [found for found in self.sync.fleet.registered if found.name != own]
+        is_near = [found.data_centre == member.data_centre for found in others]
+        near = list(itertools.compress(others, is_near))
+        far = list(itertools.compress(others, map(operator.not_, is_near)))
+        answers = await defer.gatherResults(
+            [
+                defer.ensureDeferred(self._request_witness(instance, message))
+                for instance in near[:MAX_WITNESSES] + far[:MAX_WITNESSES]
+            ]
+        )
+        return max(
+            (
+                sessions.Position(answer.log_term, answer.log_index)
+                for answer in answers
+                if getattr(answer, "has_position", False)
+            ),
+            default=None,
+        )
+
+    async def _knows_logs(self, group):
+        """Return whether enough replicas answer to tell which commits may be lost.
+
+        Notes
+        -----
+        This matters only with synchronous replicas. Where other instances reach a
+        replica, it counts as answering.
+        """
+        if not self._count_synchronous(group.name):
+            return True
+        opened = await self._open_connections(group, group.primary)
+        connections = {
+            name: found
+            for name, found in opened.items()
+            if found and name != group.primary
+        }
+        try:
+            states = await self._request_statuses(connections, "ask_status")
+        finally:
+            for connection in connections.values():
+                connection.close()
+        candidates = [
+            self._make_candidate(group, name, position, "")
+            for name, (_, _, position) in states.items()
+            if name in group.members
+        ]
+        candidates += await self._find_remote(group, {*states, group.primary})
+        requirement = self._make_requirement(group, group.primary, None)
+        return takeovers.choose_successor(candidates, requirement) is not None
+
     async def _find_candidates(self, group, connections, old_primary, reason):
-        """Return the replicas that may be promoted, as Candidates.
+        """Return the replicas that may be promoted, and the end of the primary's log.
+
+        Returns
+        -------
+        candidates : list of Candidate
+            The replicas that have answered.
+        primary_position : Position or None
+            None if the old primary has not answered.
 
         Notes
         -----
@@ -519,6 +668,9 @@
         data centre is not replaced by a member that lacks a part of its log.
         """
         states = await self._request_statuses(connections, "ask_status")
+        primary_position = None
+        if old_primary in states:
+            primary_position = states[old_primary][2]
         terms = [term for _, term, _ in states.values()]
         self.highest_term = max([group.term, *terms])
         replicas = {
@@ -529,7 +681,7 @@
                 group, replicas, states.get(old_primary), old_primary
             )
         elif reason is takeovers.Reason.FAILING and old_primary not in states:
-            return []
+            return [], None
         elif reason.is_planned and old_primary in states:
             target = states[old_primary][2]
             states = await self._wait_until_caught_up(replicas, states, target)
@@ -540,23 +692,25 @@
             states = await self._request_statuses(
                 replicas, "pause", self.highest_term + 1
             )
-        data_centre = (
-            group.members[old_primary].data_centre
-            if old_primary in group.members
-            else ""
-        )
-        return [
-            takeovers.Candidate(
-                name,
-                position,
-                group.members[name].leaving,
-                group.members[name].data_centre == data_centre,
-                self.context.now() < group.members[name].cold_until,
-                _is_evacuated(group, name),
-            )
+        candidates = [
+            self._make_candidate(group, name, position, old_primary)
             for name, (_, _, position) in states.items()
             if name != old_primary and name in group.members
         ]
+        return candidates, primary_position
+
+    def _make_candidate(self, group, name, position, old_primary):
+        """Return the Candidate for a registered member."""
+        member = group.members[name]
+        old = group.members.get(old_primary)
+        return takeovers.Candidate(
+            name,
+            position,
+            member.leaving,
+            old is not None and member.data_centre == old.data_centre,
+            self.context.now() < member.cold_until,
+            _is_evacuated(group, name),
+        )
 
     async def _confirm_successor(self, group):
         """Return whether a replica that is not ejected has received the log.
@@ -767,13 +921,17 @@
 
     async def _query_witness(self, instance, message):
         """Return whether an instance can reach a member; None if it is unknown."""
+        answer = await self._request_witness(instance, message)
+        return getattr(answer, "reachable", None)
+
+    async def _request_witness(self, instance, message):
+        """Return an instance's answer about a member, or None if there is none."""
         try:
-            answer = await self.context.peers.request(
+            return await self.context.peers.request(
                 instance, message, WITNESS_TIMEOUT_S
             )
         except peers.PeerUnreachableError:
             return None
-        return getattr(answer, "reachable", None)
 
     async def _check_member(self, group, member):
         """Return whether a member answers on a new connection.
@@ -804,7 +962,17 @@
         member = None if group is None else group.members.get(message.member)
         if member is None:
             return peer_messages.WitnessAnswer(False)
-        return peer_messages.WitnessAnswer(await self._check_member(group, member))
+        asked_at = self.context.now()
+        answers = await self._check_member(group, member)
+        position = member.position
+        if not answers or position is None or member.position_at < asked_at:
+            return peer_messages.WitnessAnswer(answers)
+        return peer_messages.WitnessAnswer(
+            answers,
+            log_term=position.term,
+            log_index=position.index,
+            has_position=True,
+        )
 
     def _on_hold_request(self, message, envelope):
         """Apply another instance's takeover, and drain the old primary if it is held.
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -98,11 +98,28 @@
 
 @attrs.frozen
 class WitnessAnswer:
-    """Whether the witness reaches the member, and the member's role and term."""
+    """Whether the witness reaches the member, and what the member reported.
+
+    Attributes
+    ----------
+    reachable : bool
+        Whether the member answers the witness.
+    role : str
+        Role of the member.
+    term : int
+        Term of the member.
+    log_term, log_index : int
+        Last log position that the member has received.
+    has_position : bool
+        Whether that position is known; earlier builds don't tell it.
+    """
 
     reachable: bool
     role: str = ""
     term: int = 0
+    log_term: int = 0
+    log_index: int = 0
+    has_position: bool = False
 
 
 @attrs.frozen
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -69,6 +69,9 @@
   reachable @0 :Bool;
   role @1 :Text;
   term @2 :UInt64;
+  logTerm @3 :UInt64;
+  logIndex @4 :UInt64;
+  hasPosition @5 :Bool;
 }
 
 struct ConfigurationNews {
--- a/tests/core/takeovers/test_decide.py
+++ b/tests/core/takeovers/test_decide.py
@@ -99,6 +99,64 @@
         self.assertIsNone(self.choose())
 
 
+class SynchronousReplicaTests(testtools.TestCase):
+    """Whom acknowledged commits, which one replica has received, let lead."""
+
+    def choose(self, positions, evacuated=(), **requirement):
+        """Return the successor among the replicas that have answered."""
+        requirement = {"synchronous_replicas": 1, **requirement}
+        candidates = [
+            takeovers.Candidate(
+                name, sessions.Position(3, index), is_evacuated=name in evacuated
+            )
+            for name, index in positions.items()
+        ]
+        successor = takeovers.choose_successor(
+            candidates, takeovers.LogRequirement(**requirement)
+        )
+        return None if successor is None else successor.name
+
+    def test_all_replicas_must_have_answered(self):
+        # A commit may be held by any one of them.
+        self.assertEqual("b", self.choose({"a": 7, "b": 9}, replica_count=2))
+        self.assertIsNone(self.choose({"a": 7}, replica_count=2))
+        self.assertIsNone(self.choose({"a": 7, "b": 9}, replica_count=3))
+        self.assertIsNone(self.choose({}, replica_count=0))
+
+    def test_unknown_number_of_replicas_lets_nobody_lead(self):
+        self.assertIsNone(self.choose({"a": 7, "b": 9}))
+
+    def test_commits_that_two_replicas_hold_need_all_but_one(self):
+        found = {"a": 7, "b": 9}
+        for count, expected in ((3, "b"), (4, None)):
+            self.assertEqual(
+                expected,
+                self.choose(found, replica_count=count, synchronous_replicas=2),
+            )
+
+    def test_replica_with_the_log_of_the_primary_needs_no_others(self):
+        end = sessions.Position(3, 9)
+        self.assertEqual("b", self.choose({"b": 9}, primary_position=end))
+        self.assertIsNone(self.choose({"a": 8}, primary_position=end))
+
+    def test_evacuated_replica_that_is_ahead_lets_nobody_lead(self):
+        found = {"a": 7, "b": 9}
+        self.assertIsNone(self.choose(found, {"b"}, replica_count=2))
+        self.assertEqual("b", self.choose(found, {"a"}, replica_count=2))
+        end = sessions.Position(3, 7)
+        self.assertEqual("a", self.choose(found, {"b"}, primary_position=end))
+
+    def test_nothing_is_asked_for_without_synchronous_replicas(self):
+        found = {"synchronous_replicas": 0, "replica_count": 9}
+        self.assertEqual("a", self.choose({"a": 7}, **found))
+
+    def test_no_takeover_starts_before_registrations_are_back(self):
+        health = attrs.evolve(HEALTHY, is_leaving=True, store_available_for_s=2.0)
+        self.assertEqual(REASON.LEAVING, takeovers.find_takeover_reason(health))
+        health = attrs.evolve(health, synchronous_replicas=1)
+        self.assertIsNone(takeovers.find_takeover_reason(health))
+
+
 class TakeoverTests(testtools.TestCase):
     def test_takeover_of_another_instance_may_be_superseded_after_a_timeout(self):
         current = takeovers.Takeover("g", "x/1", "", 5, 5)
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -74,6 +74,7 @@
             set_takeover=lambda takeover: None,
             uses_primary=lambda service: False,
             fence_primary=lambda service: None,
+            configuration=configuration.FleetConfiguration(),
         )
         promoter = types.SimpleNamespace(UnavailableError=ValueError)
         self.group = group
@@ -189,7 +190,8 @@
         )
         for _ in range(40):
             self.task.context.reactor.advance(0.05)
-        return [candidate.name for candidate in finding.result]
+        candidates, _ = finding.result
+        return [candidate.name for candidate in candidates]
 
     def test_evacuated_primary_is_replaced_only_by_one_with_its_whole_log(self):
         self.assertEqual(["r"], self.find_candidates({"q": 8, "r": 9}))
@@ -215,7 +217,7 @@
             return {}
 
         async def find_candidates(*_):
-            return [chosen]
+            return [chosen], None
 
         async def is_in_force(takeover):
             self.evacuate("y", until=104.0)
@@ -267,6 +269,31 @@
         self.assertTrue(self.answers(full))
         self.assertFalse(self.answers(pools.UpstreamOpenError("no answer")))
 
+    def ask_as_witness(self, position):
+        async def check(group, member):
+            if position is not None:
+                group.on_position("p", position, self.task.context.now())
+            return position is not None
+
+        self.task._check_member = check
+        self.group.members["p"].position = sessions.Position(1, 5)
+        self.group.members["p"].position_at = 99.0
+        request = peer_messages.WitnessRequest("g", "p")
+        return self.task._on_witness_request(request, None).result
+
+    def test_position_is_told_if_the_member_has_answered_now(self):
+        answer = self.ask_as_witness(sessions.Position(2, 7))
+        self.assertEqual(
+            (True, 2, 7, True),
+            (
+                answer.reachable,
+                answer.log_term,
+                answer.log_index,
+                answer.has_position,
+            ),
+        )
+        self.assertEqual(peer_messages.WitnessAnswer(False), self.ask_as_witness(None))
+
     def confirm(self, here, elsewhere, after_s):
         """Check a silent primary; returns the result, or None if there is none yet."""
         clock = self.task.context.reactor
@@ -378,7 +405,11 @@
             open_connection=self.open_connection,
         )
         promoter = types.SimpleNamespace(promote=self.promote)
-        self.task = hosted_takeovers.TakeoverTask(context, None, proxy, promoter)
+        sync = types.SimpleNamespace(
+            store_available_since=-60.0,
+            fleet=types.SimpleNamespace(takeovers={}, registered=[]),
+        )
+        self.task = hosted_takeovers.TakeoverTask(context, sync, proxy, promoter)
         self.task._is_in_force = self.confirm
 
     async def open_connection(self, reactor, service, member, account, host):
@@ -426,3 +457,132 @@
         self.promotes = False
         self.assertIsNone(self.run_takeover())
         self.assertEqual([], self.find_paused())
+
+
+class SynchronousReplicaTests(PromotionTests):
+    """Takeovers after the loss of a primary whose commits one replica must receive.
+
+    The replicas are a, which has received 101 entries, b with 102, and c with 103.
+    """
+
+    def setUp(self):
+        super().setUp()
+        service = configuration.DatabaseService("g", 22, synchronous_replicas=1)
+        self.task.proxy.configuration = configuration.FleetConfiguration(
+            services={"g": service}
+        )
+        self.unreached = set()
+        self.witnesses = {}
+        own = make_instance("reader")
+        self.task.context.members = types.SimpleNamespace(own=own)
+        self.task.context.peers.request = self.ask_witness
+        self.task.sync.fleet.registered = [own, make_instance("other")]
+        self.asked = []
+
+    async def open_connection(self, reactor, service, member, account, host):
+        if member.name in self.unreached:
+            raise pools.UpstreamOpenError("no answer in time")
+        self.asked.append(member.name)
+        return self.members[member.name]
+
+    async def ask_witness(self, instance, message, timeout_s):
+        """Answer as an instance that reaches the members in `witnesses`."""
+        position = self.witnesses.get(message.member)
+        if position is None:
+            return peer_messages.WitnessAnswer(False)
+        return peer_messages.WitnessAnswer(
+            True, log_term=1, log_index=position, has_position=True
+        )
+
+    def start_takeover(self):
+        """Start a takeover; returns the list that gets the promoted member."""
+        takeover = takeovers.Takeover("g", "reader/1", "", 7, 7)
+        reason = takeovers.Reason.SILENT
+        found = []
+        promoting = self.task._promote(self.group, takeover, None, reason, 0.0)
+        defer.ensureDeferred(promoting).addCallback(found.append)
+        self.clock.advance(0.1)
+        return found
+
+    def test_nobody_is_promoted_while_a_replica_answers_no_instance(self):
+        # A takeover promoted a replica without commits that the synchronous one
+        # held, which the instance that ran the takeover did not reach.
+        for name in "abc":
+            self.unreached = {name}
+            self.assertEqual([None], self.start_takeover())
+        self.assertEqual([], self.find_paused())
+
+    def test_replica_that_only_others_reach_is_promoted_if_it_is_ahead(self):
+        self.unreached = {"c"}
+        self.witnesses = {"c": 103}
+        found = self.start_takeover()
+        self.assertTrue(self.members["c"].is_primary)
+        self.assertEqual([], found)  # it waits until the member is registered as one
+        self.group.members["c"].role = placement.Role.PRIMARY
+        self.clock.advance(0.1)
+        self.assertEqual(["c"], found)
+
+    def test_replica_that_only_others_reach_lets_another_one_be_promoted(self):
+        self.unreached = {"a"}
+        self.witnesses = {"a": 101}
+        self.assertEqual(["c"], self.start_takeover())
+
+    def test_witness_of_an_earlier_build_tells_no_position(self):
+        self.unreached = {"a"}
+
+        async def ask(instance, message, timeout_s):
+            return peer_messages.WitnessAnswer(True)
+
+        self.task.context.peers.request = ask
+        self.assertEqual([None], self.start_takeover())
+
+    def test_replica_whose_registration_has_ended_is_not_waited_for(self):
+        self.unreached = {"c"}
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        self.assertEqual(["b"], self.start_takeover())
+
+    def test_registrations_after_an_outage_of_the_store_are_waited_for(self):
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        self.task.sync.store_available_since = -2.0
+        self.assertEqual([None], self.start_takeover())
+
+    def place_in(self, **data_centres):
+        members = [
+            placement.Member(name, place) for name, place in data_centres.items()
+        ]
+        self.group.update([], 0.0)
+        self.group.update(members, 0.0)
+
+    def test_commits_of_an_evacuated_replica_are_kept(self):
+        # The synchronous replica is evacuated before the primary is lost.
+        self.place_in(a="x", b="x", c="y")
+        for deadline in (9.0, -9.0):
+            self.group.set_evacuations({"y": deadline})
+            self.asked.clear()
+            self.assertEqual([None], self.start_takeover())
+            self.assertEqual(deadline > 0.0, "c" in self.asked)
+
+    def test_evacuated_replica_that_is_behind_keeps_nobody_from_promotion(self):
+        self.place_in(a="y", b="x", c="x")
+        self.group.set_evacuations({"y": 9.0})
+        self.assertEqual(["c"], self.start_takeover())
+
+    def test_callers_do_not_wait_for_a_takeover_that_can_promote_nobody(self):
+        self.unreached = {"c"}
+        begun = []
+
+        async def take_over(group, reason):
+            begun.append(reason)
+            return "promoted"
+
+        self.task._take_over = take_over
+        for reason, expected in (
+            (takeovers.Reason.ABSENT, 0),
+            (takeovers.Reason.LEAVING, 1),
+        ):
+            begun.clear()
+            defer.ensureDeferred(self.task._run(self.group, reason))
+            self.assertEqual(expected, len(begun))
+        self.witnesses = {"c": 103}
+        defer.ensureDeferred(self.task._run(self.group, takeovers.Reason.ABSENT))
+        self.assertEqual(2, len(begun))
