End open transactions in a planned stop, and leave no statement unanswered

Cause: a stopping instance refuses new operations, which an open transaction does not ask for. It waited for the end of all sessions until the last half second of the grace period, and then closed them whatever they were doing.

Change: from three quarters of the grace period on, open transactions are rolled back once no statement of them is running, and their callers are told as those of idle sessions are. What still runs at the end is answered with an error: in doubt, rolled back or not run; what waits behind it as not run. There is a new error kind, draining_in_flight.

--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -55,6 +55,7 @@
     WRITE_DISCARDED = "write_discarded"
     CONFIGURATION_STALE = "configuration_stale"
     DRAINING = "draining"
+    DRAINING_IN_FLIGHT = "draining_in_flight"
     INTERNAL = "internal"
 
 
@@ -312,5 +313,12 @@
         "Connect again; the balancer picks another instance.",
         fatal=True,
     ),
+    ErrorKind.DRAINING_IN_FLIGHT: ErrorResponse(
+        "57P01",
+        _UNKNOWN,
+        "instance has stopped while a statement was under way",
+        "Check whether the statement took effect.",
+        fatal=True,
+    ),
     ErrorKind.INTERNAL: ErrorResponse("XX000", _UNKNOWN, "internal error", fatal=True),
 }
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -373,6 +373,27 @@
         commits = in_flight.commits
         return self._fail(_failure_on_loss(in_flight, transaction is not None, commits))
 
+    def on_stopping(self):
+        """Roll back the open transaction, as the instance is about to stop.
+
+        Call only while no statement is in flight.
+        """
+        return self._end_transaction()
+
+    def on_stopped(self):
+        """End the statement in flight, if there is one, as the instance stops now."""
+        in_flight = self.in_flight
+        if in_flight is None:
+            return []
+        kind = self._expiry_kind()
+        if kind is _KIND.DEADLINE_BEFORE_RUN:
+            kind = _KIND.DRAINING
+        elif kind is _KIND.DEADLINE_AFTER_SEND:
+            kind = _KIND.DRAINING_IN_FLIGHT
+        actions = self._fail(_errors.Failure(kind))
+        # The driver closes the session, once it has answered queued statements.
+        return [found for found in actions if not isinstance(found, _actions.Close)]
+
     def on_closed(self):
         """Release all resources after the caller has disconnected."""
         in_flight, self.in_flight = self.in_flight, None
@@ -858,13 +879,18 @@
             return [_actions.StartTimer(BUSY_RETRY_DELAY_S)]
         return self._select_member(now)
 
-    def _expire_statement(self):
+    def _expiry_kind(self):
+        """Return the error kind for a statement in flight that may not go on."""
         in_flight = self.in_flight
         in_transaction = self.transaction is not None
         attempt = _decide.Attempt(
             in_flight.phase, not in_flight.writes, in_transaction, in_flight.commits
         )
-        kind = _decide.expiry_kind(attempt)
+        return _decide.expiry_kind(attempt)
+
+    def _expire_statement(self):
+        in_flight = self.in_flight
+        kind = self._expiry_kind()
         if kind is _KIND.DEADLINE_BEFORE_RUN and self._needs_primary():
             group = self.router.group(in_flight.route.service)
             if group is None or group.primary is None:
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -15,9 +15,10 @@
     sessions,
 )
 
-# Part of the time for a stop in which load balancers notice it; open transactions
-# have half of that time.
+# Part of the time for a stop in which load balancers notice it.
 STOP_NOTICE_FRACTION = 1 / 3
+# Part of that time from which transactions are rolled back between statements.
+STOP_TRANSACTIONS_FRACTION = 3 / 4
 SWEEP_INTERVAL_S = 0.05  # 1/16 of the shortest time limit in use
 FULL_RETRY_DELAY_S = 1.0  # until connections are requested again from a full member
 OWNER_CHECK_INTERVAL_S = 1.0
@@ -69,6 +70,8 @@
         or told to end.
     is_refusing : bool
         Whether it refuses new operations, and ends sessions that are idle.
+    is_ending_transactions : bool
+        Whether it ends open transactions once no statement of them is running.
     created_at, started_at : float
         Start of the process, and of the periodic work, in monotonic seconds.
     health : HealthTask or None
@@ -92,6 +95,7 @@
         self.sessions = set()
         self.timed_sessions = set()
         self.is_refusing = False
+        self.is_ending_transactions = False
         self.created_at = context.now()
         self.started_at = float("inf")
         self.startup_timer = None
@@ -147,7 +151,7 @@
             self.startup_timer.cancel()
         self.rates.stop()
         for task in list(self.sessions):
-            task.close()
+            task.stop(retries.Failure(_KIND.DRAINING))
         for pool in self.pools.values():
             pool.close()
 
@@ -440,10 +444,18 @@
         return not self.is_refusing or bool(self.sessions) or self.relay.is_busy
 
     def begin_stop(self):
-        """Serve until the load balancer has noticed, then end the sessions."""
+        """Serve until the load balancer has noticed, then end the sessions.
+
+        Notes
+        -----
+        Sessions with an open transaction end later. A transaction that is still
+        open then could be cut off in the middle of a statement.
+        """
         self.relay.begin_stop()
-        notice_s = self.context.settings.grace_s * STOP_NOTICE_FRACTION
-        self.context.reactor.callLater(notice_s, self._end_sessions)
+        grace_s = self.context.settings.grace_s
+        later = self.context.reactor.callLater
+        later(grace_s * STOP_NOTICE_FRACTION, self._end_sessions)
+        later(grace_s * STOP_TRANSACTIONS_FRACTION, self._end_transactions)
 
     def _end_sessions(self):
         """Refuse new operations, and end sessions once they are idle."""
@@ -452,6 +464,12 @@
             if task.is_idle:
                 task.end(retries.Failure(_KIND.DRAINING))
 
+    def _end_transactions(self):
+        """End open transactions, each once no statement of it is running."""
+        self.is_ending_transactions = True
+        for task in list(self.sessions):
+            task.end_transaction()
+
     def _check_access(self, database, key):
         """Return the Failure for an unknown database or a withdrawn key, or None."""
         route = self.configuration.routes.get(database)
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -144,6 +144,27 @@
             self.proxy.timed_sessions.add(self)
             self.caller.announce_end(failure, self.core.status)
 
+    def end_transaction(self):
+        """End an open transaction and the session, unless a statement is running."""
+        if self.statement is None and self.core.transaction is not None:
+            self.perform(self.core.on_stopping())
+
+    def stop(self, failure):
+        """Answer what has been received with an error, and end the session.
+
+        Parameters
+        ----------
+        failure : Failure
+            Answer to the statements that are queued.
+        """
+        queued, self.queued = self.queued, collections.deque()
+        self.ended_at = self.context.now()  # The answers tell, not an announcement.
+        self.perform(self.core.on_stopped())
+        for _ in queued:
+            self.caller.refuse(failure, self.core.status)
+            self.proxy.record_refusal(self, failure)
+        self.close()
+
     def sweep(self, now, transaction_idle_s):
         """Apply the time limits of the operation and of the end of the session."""
         if self.ended_at is None and self.is_idle:
@@ -209,6 +230,8 @@
             return
         if self.queued:
             self.receive(self.queued.popleft())
+        elif self.proxy.is_ending_transactions and self.core.transaction is not None:
+            self.end_transaction()
         elif self.proxy.is_refusing and self.is_idle:
             self.end(retries.Failure(retries.ErrorKind.DRAINING))
 
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -518,6 +518,20 @@
         self.assertEqual(set(acknowledged), written)
         self.assertTrue(12 <= len(acknowledged) < 1200, len(acknowledged))
 
+    def test_open_transaction_that_goes_on_in_a_stop_ends_with_an_error(self):
+        # Its session was closed in the middle of a statement.
+        instance = self.start_another(8)
+        with fleets.Caller(instance.port) as caller:
+            answers = [caller.query("BEGIN"), caller.query("WRITE dropped 1")]
+            instance.child.send_signal(signal.SIGTERM)
+            while answers[-1][-1].startswith("READY T"):
+                time.sleep(0.02)
+                answers.append(caller.query("READ k1"))
+        self.assertTrue(answers[-1][0].startswith("ERROR RETRY "), answers[-1])
+        self.assertEqual("READY I -", answers[-1][-1])
+        self.assertEqual(0, instance.child.wait(timeout=8.0))
+        self.assertEqual("DATAROW -", self.call(1).query("READ dropped")[0])
+
     def test_stopping_owner_finishes_transactions_of_others_and_is_replaced(self):
         owner = self.fleet.instances[0]
         # An instance that knows no others owns all connections that it uses.
--- /dev/null
+++ b/tests/net/hosted/test_sessions.py
@@ -0,0 +1,263 @@
+"""Tests of callers' sessions with a real proxy and fake members."""
+
+import collections
+import random
+import types
+
+import testtools
+from twisted.internet import task, testing
+
+from pomelograde.core import configuration, membership, placement, statements
+from pomelograde.net import metrics
+from pomelograde.net.hosted import proxy
+from pomelograde.platform import callers
+
+OWN = membership.Instance("a1", "x", 5, "127.0.0.1", 2, region="a")
+GRACE_S = 6.0
+
+
+class Transport(testing.StringTransport):
+    """Transport of a caller's connection."""
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        """Do nothing."""
+
+
+class Upstream:
+    """Connection to the primary; the test answers its statements."""
+
+    service = "g"
+    member = "p"
+    is_remote = is_lost = is_counted = is_closed = False
+    on_lost = None
+    sent_at = 0.0
+
+    def __init__(self, role):
+        self.role = role
+        self.sent = []
+        self.response_handlers = collections.deque()
+
+    def begin(self, read_only, after, settings, done):
+        self.sent.append("BEGIN")
+        done(statements.Answer(status=b"T"))
+
+    def execute(self, statement, prepared, after, settings, done):
+        self.sent.append(statement.text.decode())
+        self.response_handlers.append(done)
+
+    def roll_back(self, done):
+        self.sent.append("ROLLBACK")
+        done(statements.Answer())
+
+    def answer(self, status):
+        """Answer the oldest statement with success."""
+        position = None
+        done = self.response_handlers.popleft()
+        done(statements.Answer(digest=b"d", status=status, position=position))
+
+    def close(self):
+        self.is_closed = self.is_lost = True
+
+
+class Pool:
+    """Pool that opens a connection for each request."""
+
+    def __init__(self):
+        self.opened = []
+        self.idle = set()
+
+    def try_acquire(self, role, priority=0):
+        self.opened.append(Upstream(role))
+        return self.opened[-1]
+
+    def release(self, connection):
+        pass
+
+    def expire(self, now):
+        pass
+
+    def close(self):
+        pass
+
+
+class SessionTestCase(testtools.TestCase):
+    """An instance with a primary, and callers with the keys of two accounts."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        context = types.SimpleNamespace(
+            reactor=self.clock,
+            now=self.clock.seconds,
+            random=random.Random(1),
+            members=types.SimpleNamespace(own=OWN),
+            peers=types.SimpleNamespace(handlers={}),
+            metrics=metrics.Metrics(),
+            log=types.SimpleNamespace(write=lambda event, **fields: None),
+            settings=types.SimpleNamespace(
+                rate_excess=0.1,
+                rate_slack=20.0,
+                host="127.0.0.1",
+                data_centre="x",
+                grace_s=GRACE_S,
+                regions={},
+                shares_members=False,
+            ),
+        )
+        freshness = configuration.Freshness(5.0, 1e9, 1e9)
+        self.proxy = proxy.Proxy(context, freshness, None)
+        self.proxy.rates.try_admit = lambda account, now: True
+        self.proxy.relay.set_instances([OWN])
+        self.pool = self.proxy.pools["p"] = Pool()
+        group = self.proxy.groups["g"] = placement.Group("g")
+        group.update([placement.Member("p", "x", role=placement.Role.PRIMARY)], 100.0)
+        group.primary_lease_until = 1e9
+        self.configure(red={"key-1", "key-2"}, blue={"key-3"})
+
+    def configure(self, **keys):
+        """Put a configuration with the keys of each account in force."""
+        route = statements.Route("cases", "g", statements.RouteType.PRIMARY, 2.0)
+        self.proxy._resize_pools = lambda: None
+        self.proxy.set_configuration(
+            configuration.FleetConfiguration(
+                routes={"cases": route},
+                accounts={
+                    name: configuration.ClientAccount(
+                        name, frozenset(found), 100.0, 100.0
+                    )
+                    for name, found in keys.items()
+                },
+            )
+        )
+
+    def call(self, key="key-1"):
+        """Open a caller's session; returns its protocol."""
+        caller = callers.CallerProtocol(
+            self.clock, self.proxy.open_session, self.proxy.record_session_refusal
+        )
+        caller.makeConnection(Transport())
+        caller.dataReceived(f"START cases {key}\r\n".encode())
+        self.assertEqual(["READY I -"], self.read(caller))
+        return caller
+
+    def send(self, caller, *texts):
+        """Send statements at once; returns the lines of what has been answered."""
+        for number, text in enumerate(texts):
+            caller.dataReceived(f"QUERY q{number} {text}\r\n".encode())
+        return self.read(caller)
+
+    def read(self, caller):
+        """Return the lines that a caller has got since the last call."""
+        lines = caller.transport.value().decode().splitlines()
+        caller.transport.clear()
+        return lines
+
+    def begin(self, caller):
+        """Run the first statement of a transaction; returns its connection."""
+        self.send(caller, "BEGIN", "WRITE k 1")
+        upstream = self.pool.opened[-1]
+        upstream.answer(b"T")
+        self.assertEqual("READY T -", self.read(caller)[-1])
+        return upstream
+
+
+class StopTests(SessionTestCase):
+    """What a planned stop does to transactions and statements in progress.
+
+    Sessions were closed without an answer to statements that members were running.
+    """
+
+    def stop_after(self, grace_part):
+        self.proxy.begin_stop()
+        self.clock.advance(GRACE_S * grace_part)
+
+    def test_transaction_may_end_by_itself(self):
+        caller = self.call()
+        upstream = self.begin(caller)
+        self.stop_after(0.7)
+        self.assertEqual([], self.read(caller))
+        self.send(caller, "COMMIT")
+        upstream.answer(b"I")
+        lines = self.read(caller)
+        self.assertEqual(["COMPLETE d", "READY I -"], lines[:2])
+        self.assertTrue(lines[2].startswith("ERROR RETRY "), lines)
+
+    def test_transaction_between_statements_is_rolled_back_and_its_caller_told(self):
+        caller = self.call()
+        upstream = self.begin(caller)
+        self.stop_after(0.76)
+        self.assertEqual("ROLLBACK", upstream.sent[-1])
+        (line,) = self.read(caller)
+        self.assertTrue(line.startswith("ERROR RETRY "), line)
+        # A request that crosses the announcement has its answer with it.
+        self.assertEqual(["READY I -"], self.send(caller, "COMMIT"))
+        self.assertEqual("ROLLBACK", upstream.sent[-1])
+
+    def test_transaction_without_a_statement_ends_as_well(self):
+        caller = self.call()
+        self.send(caller, "BEGIN")
+        self.stop_after(0.76)
+        (line,) = self.read(caller)
+        self.assertTrue(line.startswith("ERROR RETRY "), line)
+        self.assertEqual([], self.pool.opened)
+
+    def test_statement_of_a_transaction_is_answered_before_the_transaction_ends(self):
+        caller = self.call()
+        upstream = self.begin(caller)
+        self.send(caller, "READ k")
+        self.stop_after(0.76)
+        self.assertEqual([], self.read(caller))
+        upstream.answer(b"T")
+        lines = self.read(caller)
+        self.assertEqual(["COMPLETE d", "READY T -"], lines[:2])
+        self.assertTrue(lines[2].startswith("ERROR RETRY "), lines)
+        self.assertEqual("ROLLBACK", upstream.sent[-1])
+
+    def test_commit_that_has_been_received_runs_before_the_transaction_ends(self):
+        caller = self.call()
+        upstream = self.begin(caller)
+        self.send(caller, "READ k", "COMMIT")
+        self.stop_after(0.76)
+        upstream.answer(b"T")
+        self.assertEqual("COMMIT", upstream.sent[-1])
+
+    def stop(self, *texts):
+        """Return the answers to statements that run when the process stops."""
+        caller = self.call()
+        upstream = self.begin(caller) if "COMMIT" in texts else None
+        self.send(caller, *texts)
+        self.stop_after(0.9)
+        self.read(caller)
+        self.proxy.stop()
+        self.assertTrue(caller.transport.disconnecting)
+        self.assertTrue((upstream or self.pool.opened[-1]).is_closed)
+        return [line.split(" ")[:2] for line in self.read(caller)]
+
+    def test_statement_that_runs_at_the_end_gets_an_error(self):
+        answers = self.stop("WRITE k 1")
+        self.assertEqual([["ERROR", "INDOUBT"], ["READY", "I"]], answers)
+
+    def test_commit_that_runs_at_the_end_is_in_doubt(self):
+        answers = self.stop("COMMIT")
+        self.assertEqual([["ERROR", "INDOUBT"], ["READY", "E"]], answers)
+
+    def test_statements_that_wait_at_the_end_are_answered_as_not_run(self):
+        answers = self.stop("WRITE k 1", "READ k", "READ l")
+        self.assertEqual(
+            [["ERROR", "INDOUBT"], ["READY", "I"]]
+            + [["ERROR", "RETRY"], ["READY", "I"]] * 2,
+            answers,
+        )
+        self.assertEqual(["WRITE k 1"], self.pool.opened[-1].sent)
+
+    def test_statement_of_a_transaction_that_runs_at_the_end_is_rolled_back(self):
+        caller = self.call()
+        upstream = self.begin(caller)
+        self.send(caller, "READ k")
+        self.stop_after(0.9)
+        self.proxy.stop()
+        lines = self.read(caller)
+        self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
+        self.assertEqual("READY E -", lines[1])
+        self.assertTrue(upstream.is_closed)
