Answer the statements that a stop cuts off

What callers saw, on the PostgreSQL side: sessions that were left after drain_timeout_s lost their connections without an error, whether a statement was under way or not.

Cause: the daemon waited for its callers and then ended the process.

Change: sessions that are left are closed with 57P01, which says "not run" or, for a statement under way, "outcome unknown"; callers have up to a second to read it.

--- a/pomelograde/daemon/composition.py
+++ b/pomelograde/daemon/composition.py
@@ -34,6 +34,7 @@
 )
 
 DRAIN_CHECK_INTERVAL_S = 0.05
+CLOSE_TIMEOUT_S = 1.0  # for callers to read why they are cut off
 
 
 @attrs.define(eq=False)
@@ -110,17 +111,18 @@
         Notes
         -----
         Callers are disconnected at their next transaction boundary; those that
-        are left after `drain_timeout_s` are cut off. The caller port stays open
-        meanwhile, so that new callers are told that the instance is stopping.
+        are left after `drain_timeout_s` are cut off with an error. The caller port
+        stays open meanwhile, so that new callers are told that the instance is
+        stopping.
         """
         self.context.log.write(events.Event.DAEMON_STOPPING)
         if "caller" not in self.ports:  # start() still waits for the configuration
             self.configuration.stop()
         leave_announced = self.membership.leave()
         self.gateway.drain()
-        deadline = self.context.now() + self.context.settings.drain_timeout_s
-        while self._has_callers() and self.context.now() < deadline:
-            await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
+        await self._wait_for_callers(self.context.settings.drain_timeout_s)
+        self.gateway.close_sessions()
+        await self._wait_for_callers(CLOSE_TIMEOUT_S)
         if "caller" in self.ports:
             await defer.maybeDeferred(self.ports["caller"].stopListening)
         await leave_announced
@@ -143,6 +145,12 @@
             f"{name}_port": port.getHost().port for name, port in self.ports.items()
         }
 
+    async def _wait_for_callers(self, timeout_s):
+        """Wait until all connections of callers have ended, or the time is over."""
+        deadline = self.context.now() + timeout_s
+        while self._has_callers() and self.context.now() < deadline:
+            await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
+
     def _has_callers(self):
         return bool(self.gateway.sessions or self.listener.lingering)
 
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -106,6 +106,13 @@
         for session in list(self.sessions):
             session.close_when_idle(retries.Failure(retries.ErrorKind.DRAINING))
 
+    def close_sessions(self):
+        """Close the sessions that are left, each with an error."""
+        for session in list(self.sessions):
+            self._close_session(
+                session, _ErrorKind.DRAINING, _ErrorKind.DRAINING_IN_FLIGHT
+            )
+
     def on_instances_changed(self):
         """Adapt pools and watching of all groups to the live instances."""
         for group in self.groups.values():
--- a/tests/daemon/test_drain.py
+++ b/tests/daemon/test_drain.py
@@ -108,3 +108,37 @@
         items = self.fleet.operate("GET", "/v1/limits", number=instance_number)["items"]
         limits = {item["name"]: item["status"] for item in items}
         return limits[fleets.ACCOUNT]["rate_per_s"]
+
+
+@pytest.mark.xdist_group("drain")
+class DrainTimeoutTests(testtools.TestCase):
+    """What a stop does to callers that are left at the end of its time limit.
+
+    Their connections were cut off without an error.
+    """
+
+    def setUp(self):
+        super().setUp()
+        fleet_context = fleets.run_fleet(1, drain_timeout_s=1.0)
+        self.fleet = fleet_context.__enter__()
+        self.addCleanup(fleet_context.__exit__, None, None, None)
+
+    def connect(self):
+        connection = psycopg.connect(self.fleet.dsn(0))
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_callers_that_are_left_get_an_error_that_says_what_has_run(self):
+        insert = "INSERT INTO readings (meter, kwh) VALUES ('cut-off', 1)"
+        idle, busy = self.connect(), self.connect()
+        idle.execute(insert)
+        busy.execute("SELECT 1")
+        for data_centre in fleets.DATA_CENTRES:
+            member = f"{fleets.SERVICE}-{data_centre}"
+            self.fleet.change_member(member, service_s=5.0)
+        self.fleet.daemons[0].send_signal(signal.SIGTERM)
+        error = self.assertRaises(psycopg.errors.AdminShutdown, busy.execute, insert)
+        self.assertEqual("outcome unknown", error.diag.message_detail)
+        error = self.assertRaises(psycopg.errors.AdminShutdown, idle.commit)
+        self.assertEqual("not run", error.diag.message_detail)
+        self.assertEqual(0, self.fleet.daemons[0].wait(20.0))
