Look up the account of a key at the start of each operation

Cause: the account was looked up when the session was opened, and kept. Later statements only asked whether some account has the key.

Change: the account is looked up by the key and the configuration in force when an operation begins. The next statement of a transaction that began under another account is answered with the new kind key_moved, and the transaction is rolled back, as a member runs it under the first account. Settings and prepared statements stay. A token that is granted too late goes back to the account that it was for.

--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -25,6 +25,7 @@
     UNKNOWN_DATABASE = "unknown_database"
     KEY_WITHDRAWN = "key_withdrawn"
     KEY_WITHDRAWN_IN_FLIGHT = "key_withdrawn_in_flight"
+    KEY_MOVED = "key_moved"
     SERVICE_DELETED = "service_deleted"
     SERVICE_DELETED_IN_FLIGHT = "service_deleted_in_flight"
     ROUTE_FORBIDDEN = "route_forbidden"
@@ -149,6 +150,12 @@
         "Check whether the statement took effect.",
         fatal=True,
     ),
+    ErrorKind.KEY_MOVED: ErrorResponse(
+        "40000",
+        _NOT_RUN,
+        "key belongs to another client account now; the transaction was rolled back",
+        "Run the whole transaction again.",
+    ),
     ErrorKind.SERVICE_DELETED: ErrorResponse(
         "57P04", _NOT_RUN, "database service has been deleted", fatal=True
     ),
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -283,11 +283,14 @@
         route = self.resolve(database, key, self.context.now())
         if isinstance(route, retries.Failure):
             return route
-        account = self.configuration.account_by_key.get(key, "")
-        task = sessions.SessionTask(self.context, self, caller, database, account, key)
+        task = sessions.SessionTask(self.context, self, caller, database, key)
         self.sessions.add(task)
         return task
 
+    def find_account(self, key):
+        """Return the client account that has a key now; empty without a known key."""
+        return self.configuration.account_by_key.get(key, "")
+
     def resolve(self, database, key, now):
         """Return the Route for a new operation, or a Failure."""
         if self.is_refusing:
@@ -297,7 +300,7 @@
             return failure
         route = self.configuration.routes[database]
         accounts = self.configuration.accounts
-        account = accounts.get(self.configuration.account_by_key.get(key))
+        account = accounts.get(self.find_account(key))
         if account is None or not account.allowed_regions:
             return route
         return attrs.evolve(route, account_regions=account.allowed_regions)
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -30,11 +30,14 @@
         `close_gracefully()`.
     database : str
         Database that the caller requested.
-    account, key : str
-        Client account, and the key that authenticated it; empty without a key.
+    key : str
+        Key that authenticates the caller; empty without one.
 
     Attributes
     ----------
+    account : str
+        Client account that had the key when the operation began; empty without a
+        known key.
     core : Session
         Decides which actions to perform.
     statement : Statement or None
@@ -51,18 +54,17 @@
         When the caller was told that the session has ended.
     """
 
-    def __init__(self, context, proxy, caller, database, account, key):
+    def __init__(self, context, proxy, caller, database, key):
         self.context = context
         self.proxy = proxy
         self.caller = caller
         self.database = database
-        self.account = account
+        self.account = ""
         self.key = key
         self.session_id = next(_SESSION_IDS)
         data_centre = context.settings.data_centre
-        self.core = statements.Session(account, data_centre, self)
-        if proxy.health is not None:
-            self.core.retry_budget = proxy.health.retry_budget(account, database)
+        self.core = statements.Session("", data_centre, self)
+        self._set_account(proxy.find_account(key))
         self.core.tries_other_members = context.settings.shares_members
         self.queued = collections.deque()
         self.statement = None
@@ -81,8 +83,16 @@
         return self.proxy.resolve(self.database, self.key, now)
 
     def check(self, now):
-        """Return the Failure that keeps statements from running, or None."""
-        return self.proxy.check(self.database, self.key, now)
+        """Return the Failure that keeps statements from running, or None.
+
+        Notes
+        -----
+        A transaction is open at a member under the account that it began with.
+        """
+        failure = self.proxy.check(self.database, self.key, now)
+        if failure is None and self.proxy.find_account(self.key) != self.account:
+            return retries.Failure(retries.ErrorKind.KEY_MOVED)
+        return failure
 
     def group(self, service):
         """Return the Group of a service, or None."""
@@ -97,6 +107,9 @@
             self.queued.append(statement)
             return
         now = self.context.now()
+        account = self.proxy.find_account(self.key)
+        if account != self.account and self.core.is_idle:
+            self._set_account(account)
         self.statement = statement
         self.started_at = now
         self.proxy.timed_sessions.add(self)
@@ -260,10 +273,18 @@
                 self.proxy.placing.on_own_answer(self, answer)
             self.perform(self.core.on_answer(answer, self.context.now()))
 
-    def _on_admission(self, failure, statement):
+    def _set_account(self, account):
+        """Run the next operations on behalf of a client account."""
+        self.account = self.core.account = account
+        if self.proxy.health is not None:
+            self.core.retry_budget = self.proxy.health.retry_budget(
+                account, self.database
+            )
+
+    def _on_admission(self, failure, statement, account):
         if self.closed or self.statement is not statement:
             if failure is None:
-                self.proxy.rates.refund(self.account)
+                self.proxy.rates.refund(account)
             return
         now = self.context.now()
         if failure is None:
@@ -295,7 +316,7 @@
     waiting = task.proxy.rates.admit(
         action.account, action.deadline, action.max_wait_s, action.priority
     )
-    waiting.addCallback(task._on_admission, task.statement)
+    waiting.addCallback(task._on_admission, task.statement, action.account)
 
 
 @_execute.register
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -5,7 +5,7 @@
 import types
 
 import testtools
-from twisted.internet import task, testing
+from twisted.internet import defer, task, testing
 
 from pomelograde.core import configuration, membership, placement, statements
 from pomelograde.net import metrics
@@ -261,3 +261,83 @@
         self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
         self.assertEqual("READY E -", lines[1])
         self.assertTrue(upstream.is_closed)
+
+
+class MovedKeyTests(SessionTestCase):
+    """What a session does once its key belongs to another client account.
+
+    Its statements went on under the account that had the key when it was opened.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.admitted = []
+        self.refunded = []
+        rates = self.proxy.rates
+        rates.try_admit = lambda account, now: self.admitted.append(account) or True
+        rates.refund = self.refunded.append
+        self.caller = self.call("key-2")
+
+    def move_key(self):
+        self.configure(red={"key-1"}, blue={"key-2", "key-3"})
+
+    def run_statement(self, text):
+        """Run a statement outside a transaction; returns its account and answer."""
+        self.send(self.caller, text)
+        upstream = self.pool.opened[-1]
+        upstream.answer(b"I")
+        return upstream.role, self.read(self.caller)
+
+    def test_next_operation_runs_under_the_new_account(self):
+        served = ["COMPLETE d", "READY I -"]
+        self.assertEqual(("red", served), self.run_statement("WRITE k 1"))
+        self.move_key()
+        self.assertEqual([], self.read(self.caller))
+        self.assertEqual(("blue", served), self.run_statement("WRITE k 2"))
+        self.assertEqual(["red", "blue"], self.admitted)
+
+    def test_key_that_moves_back_runs_under_its_first_account_again(self):
+        self.move_key()
+        self.assertEqual("blue", self.run_statement("READ k")[0])
+        self.configure(red={"key-1", "key-2"}, blue={"key-3"})
+        self.assertEqual("red", self.run_statement("READ k")[0])
+
+    def test_open_transaction_is_rolled_back_and_the_next_one_is_of_the_account(self):
+        for text in ("WRITE k 2", "READ k", "COMMIT"):
+            self.configure(red={"key-1", "key-2"}, blue={"key-3"})
+            upstream = self.begin(self.caller)
+            self.assertEqual("red", upstream.role)
+            self.move_key()
+            lines = self.send(self.caller, text)
+            self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
+            self.assertEqual("READY I -", lines[1])
+            self.assertEqual(["BEGIN", "WRITE k 1", "ROLLBACK"], upstream.sent)
+            self.assertEqual("blue", self.begin(self.caller).role)
+            self.send(self.caller, "ROLLBACK")
+
+    def test_transaction_without_a_statement_may_not_go_on_under_the_old_account(self):
+        self.send(self.caller, "BEGIN")
+        self.move_key()
+        lines = self.send(self.caller, "WRITE k 1")
+        self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
+        self.assertEqual([], self.pool.opened)
+
+    def test_session_keeps_its_settings_and_prepared_statements(self):
+        self.send(self.caller, "SET zone one", "PARSE s WRITE q1")
+        self.move_key()
+        role, lines = self.run_statement("EXECUTE s k 1")
+        self.assertEqual(("blue", "COMPLETE d"), (role, lines[0]))
+
+    def test_late_admission_is_refunded_to_the_account_that_it_was_for(self):
+        (session,) = self.proxy.sessions
+        waiting = defer.Deferred()
+        self.proxy.rates.try_admit = lambda account, now: False
+        self.proxy.rates.admit = lambda account, *_: waiting
+        self.send(self.caller, "READ k")
+        self.clock.advance(2.1)
+        session.sweep(self.clock.seconds(), 3.0)
+        self.move_key()
+        self.proxy.rates.try_admit = lambda account, now: True
+        self.run_statement("READ k")
+        waiting.callback(None)
+        self.assertEqual(["red"], self.refunded)
