--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -35,7 +35,8 @@
     Parameters
     ----------
     account : str
-        Client account; empty for a caller without a key.
+        Client account; empty for a caller without a key. The driver replaces it
+        between operations if the key has moved to another account.
     data_centre : str
         Data centre of this instance.
     router : object
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -23,8 +23,8 @@
 MIN_SUSPICION_S = 0.3  # a killed process restarts within about this time
 MAX_SUSPICION_S = 2.0  # longest time until a silent peer is used again
 MAX_USEFUL_MS = 3_600_000
-PROCESS_BITS = 31  # of a transaction's number, above the bits that count
-COUNT_BITS = 32
+PROCESS_BITS = 31  # random part of a transaction's number, by process
+COUNT_BITS = 32  # lower bits of the number, which count
 SUSPICION_RESET_S = 5.0  # without a failure, after which MIN_SUSPICION_S applies
 
 _KIND = retries.ErrorKind
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -6,9 +6,6 @@
 have expired, and promotes the replica that has received the most of the log.
 """
 
-import itertools
-import operator
-
 from twisted.internet import defer, task
 
 from pomelograde.core import configuration, placement, sessions, takeovers
@@ -602,9 +599,8 @@
         message = peer_messages.WitnessRequest(group.name, member.name)
         own = self.context.members.own.name
         others = [found for found in self.sync.fleet.registered if found.name != own]
-        is_near = [found.data_centre == member.data_centre for found in others]
-        near = list(itertools.compress(others, is_near))
-        far = list(itertools.compress(others, map(operator.not_, is_near)))
+        near = [found for found in others if found.data_centre == member.data_centre]
+        far = [found for found in others if found.data_centre != member.data_centre]
         answers = await defer.gatherResults(
             [
                 defer.ensureDeferred(self._request_witness(instance, message))
