Close the connections of the checks before a takeover

A primary that answered after all, and a leaving member, kept one for each attempt. It matters with synchronous replicas and in evacuations, since a member accepts few connections.

Both new tests fail on the code before (1 and 2 connections left open).

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -627,16 +627,15 @@
         if not self._count_synchronous(group.name):
             return True
         opened = await self._open_connections(group, group.primary)
-        connections = {
+        replicas = {
             name: found
             for name, found in opened.items()
             if found and name != group.primary
         }
         try:
-            states = await self._request_statuses(connections, "ask_status")
+            states = await self._request_statuses(replicas, "ask_status")
         finally:
-            for connection in connections.values():
-                connection.close()
+            _close_all(opened)
         candidates = [
             self._make_candidate(group, name, position, "")
             for name, (_, _, position) in states.items()
@@ -778,8 +777,7 @@
                 await self._sleep(POLL_INTERVAL_S)
             return False
         finally:
-            for connection in connections.values():
-                connection.close()
+            _close_all(opened)
 
     async def _wait_until_complete(self, group, replicas, primary_status, old_primary):
         """Return the status of the replicas that hold the old primary's whole log.
@@ -1023,6 +1021,12 @@
     return member is not None and member.data_centre in group.evacuated
 
 
+def _close_all(opened):
+    """Close the connections of `TakeoverTask._open_connections`."""
+    for connection in filter(None, opened.values()):
+        connection.close()
+
+
 def _positions(states):
     return {name: state[2] for name, state in states.items()}
 
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -359,6 +359,7 @@
         self.term = 1
         self.received = received
         self.paused_term = 0
+        self.connections = 0
 
     def ask_status(self, done):
         term = max(self.term, self.paused_term)
@@ -380,7 +381,7 @@
         self.ask_status(done)
 
     def close(self):
-        pass
+        self.connections -= 1
 
 
 class PromotionTests(testtools.TestCase):
@@ -483,6 +484,7 @@
         if member.name in self.unreached:
             raise pools.UpstreamOpenError("no answer in time")
         self.asked.append(member.name)
+        self.members[member.name].connections += 1
         return self.members[member.name]
 
     async def ask_witness(self, instance, message, timeout_s):
@@ -567,6 +569,27 @@
         self.group.set_evacuations({"y": 9.0})
         self.assertEqual(["c"], self.start_takeover())
 
+    def count_connections(self):
+        return [found.connections for found in self.members.values()]
+
+    def test_checks_before_a_takeover_leave_no_connection_open(self):
+        # The primary, which may answer after all, was asked and not released.
+        self.group.members["a"].role = placement.Role.PRIMARY
+        self.group.update_primary(0.0)
+        self.unreached = {"c"}
+        defer.ensureDeferred(self.task._run(self.group, takeovers.Reason.ABSENT))
+        self.assertIn("a", self.asked)
+        self.assertEqual([0, 0, 0], self.count_connections())
+
+    def test_search_for_a_near_replica_leaves_no_connection_open(self):
+        self.group.members["b"].leaving = True
+        self.group.members["a"].position = sessions.Position(1, 101)
+        self.group.members["a"].role = placement.Role.PRIMARY
+        self.group.update_primary(0.0)
+        defer.ensureDeferred(self.task._is_replica_near(self.group))
+        self.assertEqual(["a", "b", "c"], self.asked)
+        self.assertEqual([0, 0, 0], self.count_connections())
+
     def test_callers_do_not_wait_for_a_takeover_that_can_promote_nobody(self):
         self.unreached = {"c"}
         begun = []
