Copy only the envelopes of requests, and close connections by one function

Answers are not copied any more. The check of a successor closes its connections by the function of the other two checks.

No change of behaviour.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -731,8 +731,7 @@
             states = await self._wait_until_caught_up(replicas, states, target)
             return bool(_select_caught_up(group, states, target))
         finally:
-            for connection in connections.values():
-                connection.close()
+            _close_all(opened)
 
     async def _wait_until_caught_up(self, replicas, states, target):
         """Wait until a replica has received the log up to a position.
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -105,7 +105,7 @@
             and self.task.is_in_other_region(self.peer_name)
         ):
             self.encoder = peer_streams.StreamEncoder()
-        self.task.receive(attrs.evolve(envelope, connection=self), self)
+        self.task.receive(envelope, self)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Report the loss to the task."""
@@ -244,6 +244,7 @@
         handler = self.handlers.get(type(envelope.message))
         if handler is None:
             return
+        envelope = attrs.evolve(envelope, connection=connection)
         done = defer.maybeDeferred(handler, envelope.message, envelope)
         if envelope.request_id:
             done.addCallback(self._reply, envelope.request_id, connection)
