--- a/tests/net/compatibility/peers.capnp
+++ b/tests/net/compatibility/peers.capnp
@@ -44,6 +44,7 @@
   ageMs @7 :UInt32;
   beat @8 :UInt64;
   state @9 :UInt8;
+  build @10 :Text;
 }
 
 struct Heartbeat {
@@ -68,6 +69,9 @@
   reachable @0 :Bool;
   role @1 :Text;
   term @2 :UInt64;
+  logTerm @3 :UInt64;
+  logIndex @4 :UInt64;
+  hasPosition @5 :Bool;
 }
 
 struct ConfigurationNews {
@@ -116,6 +120,12 @@
 struct FloorRequest {
   group @0 :Text;
   loads @1 :List(LoadNews);
+  queries @2 :List(FloorQuery);
+}
+
+struct FloorQuery {
+  group @0 :Text;
+  loads @1 :List(LoadNews);
 }
 
 struct FloorAnswer {
@@ -124,6 +134,16 @@
   index @2 :UInt64;
   ageMs @3 :UInt32;
   loads @4 :List(LoadNews);
+  floors @5 :List(FloorNews);
+}
+
+struct FloorNews {
+  group @0 :Text;
+  known @1 :Bool;
+  term @2 :UInt64;
+  index @3 :UInt64;
+  ageMs @4 :UInt32;
+  loads @5 :List(LoadNews);
 }
 
 struct LoadNews {
