Tell the reader of takeovers in progress that it does not know

Cause: a takeover in progress holds the primary at each instance that knows of it, and only the reader of the store runs it again once its holder is gone. The store had lost the row, and the other instances told a reader only of takeovers that had ended. Now they tell it of all that are newer than its own. The reader runs the takeover again when its holder is known to be replaced, and the new row ends the hold.

The message lets operations at the primary finish for as long as a planned takeover does, since it may reach an instance that has begun the takeover itself a moment ago.

--- a/pomelograde/core/takeovers/__init__.py
+++ b/pomelograde/core/takeovers/__init__.py
@@ -12,6 +12,7 @@
 PrimaryHealth = _decide.PrimaryHealth
 Reason = _decide.Reason
 STORE_SETTLE_TIME_S = _decide.STORE_SETTLE_TIME_S
+PLANNED_GRACE_S = _takeover.PLANNED_GRACE_S
 PROMOTE_DEADLINE_S = _takeover.PROMOTE_DEADLINE_S
 Takeover = _takeover.Takeover
 choose_successor = _decide.choose_successor
@@ -19,6 +20,7 @@
 may_start = _takeover.may_start
 
 __all__ = [
+    "PLANNED_GRACE_S",
     "PROMOTE_DEADLINE_S",
     "STORE_SETTLE_TIME_S",
     "Candidate",
--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -9,6 +9,7 @@
 # Time after which another instance may start a takeover: the latest promotion
 # plus the time limit of the call that requests it.
 HOLDER_TIMEOUT_S = 6.0
+PLANNED_GRACE_S = 0.8  # lets operations at a working primary finish
 # Time for which no takeover starts after the store has returned from an older
 # copy. An instance whose registration was lost may hold a primary lease until
 # then, and one whose takeover was lost may have promoted a member.
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -580,7 +580,7 @@
         A takeover that ended between two reads is known before the store returns
         it. One for which two reads in a row return an older row is lost.
         """
-        lost = self._find_newer_ends(listed)
+        lost = [known for known in self._find_newer(listed) if known.is_done]
         previous, self.era = self.era, self.source.rows_era
         if previous is not None and self.era > previous:
             self.context.log.write(
@@ -595,8 +595,8 @@
                 defer.ensureDeferred(self._record_takeover_again(known))
         self.lost_takeovers = {known.row_version for known in lost}
 
-    def _find_newer_ends(self, listed):
-        """Return the known takeovers that have ended since those of a list.
+    def _find_newer(self, listed):
+        """Return the known takeovers that are newer than those of a list.
 
         Parameters
         ----------
@@ -607,7 +607,7 @@
         return [
             known
             for known in self.fleet.takeovers.values()
-            if known.is_done and revisions.get(known.service, 0) < known.row_version
+            if revisions.get(known.service, 0) < known.row_version
         ]
 
     async def _record_takeover_again(self, takeover):
@@ -690,16 +690,18 @@
         Notes
         -----
         After the store has returned from an older copy, an instance that has
-        started since knows only what the copy held.
+        started since knows only what the copy held. Only the reader can complete
+        a takeover whose holder is gone.
         """
         send = self.context.peers.send
         if 0 < answer.configuration_version < self.configuration.version:
             send(instance, self._make_offer())
         if not answer.instances:
             return
-        for known in self._find_newer_ends(answer.takeovers):
-            ended = peer_messages.HoldRequest([encode_takeover(known)], 0)
-            send(instance, ended)
+        grace_ms = int(takeovers.PLANNED_GRACE_S * 1000.0)
+        for known in self._find_newer(answer.takeovers):
+            request = peer_messages.HoldRequest([encode_takeover(known)], grace_ms)
+            send(instance, request)
 
     def _on_news_request(self, message, envelope):
         now = self.context.now()
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -14,7 +14,6 @@
 
 CHECK_INTERVAL_S = 0.1  # short against the time that detecting a failure takes
 CHECK_GAP_S = 0.5  # longer gaps mean that this process was suspended and missed answers
-PLANNED_GRACE_S = 0.8  # lets operations at a working primary finish
 FAILED_GRACE_S = 0.05  # for answers that are already in transit
 HOLD_TIMEOUT_S = 1.5  # the longest grace period and a round trip between regions
 LEASE_MARGIN_S = 0.2  # for clock drift and answers in transit
@@ -106,7 +105,7 @@
                 self.row_version_since[service] = (takeover.row_version, now)
             self.proxy.set_takeover(takeover)
             if takeover.blocks_primary and seen != self.row_version_since[service]:
-                self._start_draining(service, PLANNED_GRACE_S)
+                self._start_draining(service, takeovers.PLANNED_GRACE_S)
 
     def _check(self):
         now = self.context.now()
@@ -346,7 +345,7 @@
         the lease that it may hold on the primary has expired.
         """
         instances, _ = await self._fetch_takeovers()
-        grace_s = PLANNED_GRACE_S if planned else FAILED_GRACE_S
+        grace_s = takeovers.PLANNED_GRACE_S if planned else FAILED_GRACE_S
         own = self.context.members.own.name
         others = [instance for instance in instances if instance.name != own]
         message = _make_hold_request(takeover, grace_s)
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -345,6 +345,15 @@
             [], self.receive(make_answer(0, [self.own], [make_takeover(9)]))
         )
 
+    def test_reader_without_a_takeover_in_progress_is_told_of_it(self):
+        # A restored store may have lost it, and its holder may have been replaced.
+        begun = attrs.evolve(make_takeover(9), holder="gone/3", successor="")
+        self.sync.apply_takeover(begun)
+        (told,) = self.receive(make_answer(0, [self.own], [make_takeover(5)]))
+        self.assertEqual("gone/3", told.takeover[0].holder)
+        answer = make_answer(0, [self.own], [begun])
+        self.assertEqual([], self.receive(answer))
+
     def test_instance_with_an_older_configuration_gets_an_offer(self):
         self.apply_document(7, 10.0)
         (offer,) = self.receive(make_answer(0, configuration_version=5))
