Read the status rows of evacuations again after a return of the store

Operators saw the status row of an evacuation missing after the store had returned from an older copy, or left there although nothing was evacuated any more: by the copy, or by a reader that was replaced meanwhile. Cause: the task remembered what it had written itself, and took that for the content of the table. Now an instance reads the rows when it becomes the reader and when the store's era rises, and then writes what is missing and removes what is over.

Three tests of the task failed before: a row that is lost, one that comes back, one that an earlier reader left.

--- a/pomelograde/net/hosted/evacuations.py
+++ b/pomelograde/net/hosted/evacuations.py
@@ -34,8 +34,12 @@
     remaining : dict of str to tuple
         What was last logged of each data centre: names of its primaries, and
         the number of statements and of transactions there.
-    recorded : dict of str to tuple
-        Primaries of each data centre that this instance wrote to the store.
+    recorded : dict of str to tuple or None
+        Status rows in the store: the primaries that this instance wrote for each
+        data centre, or None for a row that it has only found.
+    recorded_era : int or None
+        Era of the store in which the status rows were read; None while another
+        instance is the reader.
     reported_at : float
         Time of the last report.
     """
@@ -47,6 +51,7 @@
         self.deadlines = {}
         self.remaining = {}
         self.recorded = {}
+        self.recorded_era = None
         self.reported_at = float("-inf")
         self.is_recording = False
         self.loop = None
@@ -93,21 +98,25 @@
                 data_centre=name,
                 revision=known.read.revision,
             )
+        self.reported_at = float("-inf")
         self._sweep()
 
     def _sweep(self):
-        if not self.deadlines and not self.recorded:
-            return
         now = self.context.now()
+        if self.deadlines:
+            self._end_work(now)
+        if now - self.reported_at >= REPORT_INTERVAL_S:
+            self.reported_at = now
+            self._report(now)
+            self._record_status()
+
+    def _end_work(self, now):
+        """End what is open in the evacuated data centres and may not go on."""
         for group in self.proxy.groups.values():
             for name, member in group.members.items():
                 if member.data_centre in self.deadlines:
                     self._empty_pool(group, name, now)
         self._end_transactions(now)
-        if now - self.reported_at >= REPORT_INTERVAL_S:
-            self.reported_at = now
-            self._report(now)
-            self._record_status()
 
     def _empty_pool(self, group, name, now):
         """Refuse the waiters for a member, and close its idle connections.
@@ -161,6 +170,8 @@
 
     def _report(self, now):
         """Log what is left in each evacuated data centre, if that has changed."""
+        if not self.deadlines:
+            return
         statements = collections.Counter()
         for group in self.proxy.groups.values():
             for member in group.members.values():
@@ -185,16 +196,41 @@
         Notes
         -----
         Only the reader does this. A row that it could not write is tried again.
+        The rows that an earlier reader has left, and those of a store that has
+        returned from an older copy, are read first.
         """
-        if self.is_recording or not self.sync.is_reader(self.context.now()):
+        if self.is_recording:
+            return
+        if not self.sync.is_reader(self.context.now()):
+            self.recorded_era = None
+            return
+        era = self.sync.source.era
+        if self.recorded_era != era:
+            if self.sync.store_available:
+                self.is_recording = True
+                defer.ensureDeferred(self._read_status(era))
             return
         wanted = {name: tuple(self._find_primaries(name)) for name in self.deadlines}
         for name in sorted(wanted.keys() | self.recorded.keys()):
-            if wanted.get(name) != self.recorded.get(name):
+            if name not in wanted or wanted[name] != self.recorded.get(name):
                 self.is_recording = True
                 defer.ensureDeferred(self._write_status(name, wanted.get(name)))
                 return
 
+    async def _read_status(self, era):
+        source = self.sync.source
+        try:
+            found = await source.fetch_recorded_evacuations()
+        except source.StoreUnavailableError as error:
+            self.context.log.write(
+                events.Event.EVACUATION_STATUS_NOT_WRITTEN, reason=str(error)
+            )
+            return
+        finally:
+            self.is_recording = False
+        self.recorded = dict.fromkeys(found)
+        self.recorded_era = era
+
     async def _write_status(self, name, primaries):
         try:
             await self.sync.source.record_evacuation(name, primaries)
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -135,6 +135,26 @@
         )
         return attrs.evolve(_latest_document(result), evacuations=evacuations)
 
+    async def fetch_recorded_evacuations(self):
+        """Return the data centres for which `record_evacuation` has left a row.
+
+        Returns
+        -------
+        frozenset of str
+            Names of data centres.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not return the rows.
+        """
+        result = await self.store_client.read_table(STATUS_TABLE)
+        return frozenset(
+            row.key.removeprefix(STATUS_EVACUATION_PREFIX)
+            for row in result.rows
+            if row.key.startswith(STATUS_EVACUATION_PREFIX)
+        )
+
     async def record_evacuation(self, data_centre, primaries):
         """Write which primaries an evacuated data centre has, for operators.
 
--- a/tests/net/hosted/test_evacuation_task.py
+++ b/tests/net/hosted/test_evacuation_task.py
@@ -43,12 +43,22 @@
 
     def __init__(self):
         self.recorded = []
+        self.rows = set()
+        self.era = 0
         self.is_away = False
 
     async def record_evacuation(self, data_centre, primaries):
         if self.is_away:
             raise self.StoreUnavailableError("away")
         self.recorded.append((data_centre, primaries))
+        self.rows.discard(data_centre)
+        if primaries is not None:
+            self.rows.add(data_centre)
+
+    async def fetch_recorded_evacuations(self):
+        if self.is_away:
+            raise self.StoreUnavailableError("away")
+        return frozenset(self.rows)
 
 
 class EvacuationTaskTests(testtools.TestCase):
@@ -82,11 +92,13 @@
         self.proxy = proxy.Proxy(context, freshness, None)
         self.proxy.relay.set_instances([OWN])
         self.known = placement.Evacuations()
+        self.is_reader = True
         self.source = Source()
         sync = types.SimpleNamespace(
             fleet=types.SimpleNamespace(evacuations=self.known),
             source=self.source,
-            is_reader=lambda now: True,
+            store_available=True,
+            is_reader=lambda now: self.is_reader,
         )
         self.task = evacuations.EvacuationTask(context, sync, self.proxy)
         self.read(1)
@@ -211,19 +223,47 @@
         self.proxy.set_members({"h": [placement.Member("q", "x")]})
         self.assertEqual({"x"}, self.proxy.groups["h"].evacuated)
 
+    def sweep_repeatedly(self):
+        for _ in range(5):
+            self.clock.advance(1.0)
+            self.task._sweep()
+
+    def test_status_that_a_restored_store_lacks_is_written_again(self):
+        self.read(2, "x")
+        self.sweep_repeatedly()
+        self.source.rows.clear()
+        self.source.era = 1
+        self.sweep_repeatedly()
+        self.assertEqual([("x", ("p",))] * 2, self.source.recorded)
+
+    def test_status_that_a_restored_store_brings_back_is_removed(self):
+        self.read(2, "x")
+        self.sweep_repeatedly()
+        self.read(3)
+        self.sweep_repeatedly()
+        self.source.rows.add("x")
+        self.source.era = 1
+        self.sweep_repeatedly()
+        self.assertEqual(set(), self.source.rows)
+
+    def test_status_that_an_earlier_reader_left_is_removed(self):
+        self.is_reader = False
+        self.source.rows.add("x")
+        self.sweep_repeatedly()
+        self.assertEqual([], self.source.recorded)
+        self.is_reader = True
+        self.sweep_repeatedly()
+        self.assertEqual([("x", None)], self.source.recorded)
+
     def test_status_is_written_once_per_change_and_again_after_a_failure(self):
         self.source.is_away = True
         self.read(2, "x")
         self.assertEqual([], self.source.recorded)
         self.source.is_away = False
-        for _ in range(5):
-            self.clock.advance(1.0)
-            self.task._sweep()
+        self.sweep_repeatedly()
         self.assertEqual([("x", ("p",))], self.source.recorded)
         self.read(3)
-        for _ in range(5):
-            self.clock.advance(1.0)
-            self.task._sweep()
+        self.sweep_repeatedly()
         self.assertEqual([("x", ("p",)), ("x", None)], self.source.recorded)
         names = [event for event, _ in self.logged]
         for event in (
