Decode each row of the store's tables in one place that never raises

Callers of a fleet were refused within 5 s and for as long as a row of another writer stood in the members' table: valid but for coldRemainingMs, an integer of 400 digits, or with an escape and a field nested about 990 deep.

The decoders listed the exceptions of a row by hand. float() of the integer raises OverflowError; json.dumps, called outside of the try to find single surrogates, raises RecursionError at a depth that depends on the stack of its caller (990 in a bare interpreter, found by trying 1 to 999).

platform/_rows.py decodes one row and turns whatever its content raises into an InvalidRow with a reason that holds no text of the content.

Odd values that were accepted are invalid now, as the protocol's page allows none of them: ports such as 1_0, " 80" or in other digits; hosts with a space or a line end; slots 0; a coldRemainingMs that is negative, boolean or text; names and services that no start message can hold; zones, regions and holders with control characters; an instance's row under another key than its name. An invalid row of a takeover no longer blocks all later ones of its service.

--- a/pomelograde/platform/settings.py
+++ b/pomelograde/platform/settings.py
@@ -2,12 +2,15 @@
 
 import json
 import os
+import re
 
 import result
 
 from pomelograde.daemon import hosted_settings
 
 PATH_VARIABLE = "POMELOGRADE_NODE_FILE"
+_HOST = re.compile(r"[A-Za-z0-9._-]{1,253}")
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 def find_path(environment=os.environ):
@@ -78,9 +81,17 @@
 
 
 def parse_address(address):
-    """Split ``HOST:PORT``; raises ValueError for any other text."""
-    host, colon, port = address.rpartition(":")
-    number = int(port)
-    if not colon or not host or not 0 < number < 65536:
-        raise ValueError(f"not an address: {address!r}")
-    return host, number
+    """Split ``HOST:PORT``; raises ValueError for any other value."""
+    if type(address) is not str:
+        raise ValueError("expected a string of the form HOST:PORT")
+    host, _, port = address.rpartition(":")
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        raise ValueError("expected HOST:PORT with a port from 1 to 65535")
+    return require_host(host), int(port)
+
+
+def require_host(value):
+    """Return a value that must be an IPv4 address or a host name."""
+    if type(value) is not str or not _HOST.fullmatch(value):
+        raise ValueError("expected an IPv4 address or a host name")
+    return value
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -9,7 +9,7 @@
 import attrs
 
 from pomelograde.core import checks, membership, placement, takeovers
-from pomelograde.platform import _json, manifest, registry, store
+from pomelograde.platform import _json, _rows, manifest, registry, settings, store
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -18,6 +18,7 @@
 EVACUATION_PREFIX = "evacuate/"  # followed by a data centre; the row is the request
 INSTANCES_TABLE = "instances"  # written by the instances themselves
 TAKEOVER_PREFIX = "takeover/"  # names of instances contain no slash
+MAX_PORT = (1 << 16) - 1
 
 
 @attrs.frozen
@@ -82,11 +83,14 @@
         instance has written since.
     rows_era : int
         Era of `rows`.
-    decoded : dict of Row to Instance, Takeover or None
+    decoded : dict of Row to Instance, Takeover or InvalidRow
         Content of the rows at that read. Few rows differ from one read to the
         next, and only these are decoded.
     evacuated : frozenset of str
         Data centres with a row in the operators' table when it was last read.
+    on_invalid_rows : callable or None
+        Called with the name of a table, the list of InvalidRow that a read of it
+        has skipped, and whether it was a read of the whole table.
     """
 
     HistoryLostError = store.HistoryLostError
@@ -99,6 +103,7 @@
         self.rows_era = 0
         self.decoded = {}
         self.evacuated = frozenset()
+        self.on_invalid_rows = None
 
     @property
     def era(self):
@@ -114,7 +119,7 @@
         """Return the current ConfigurationDocument."""
         result = await self.store_client.read_table(OPERATOR_TABLE)
         self.evacuated = frozenset()
-        return self._decode_operator_rows(result)
+        return self._decode_operator_rows(result, is_whole=True)
 
     async def wait_for_configuration(self, revision, wait_s):
         """Wait for a change after a revision; returns a ConfigurationDocument.
@@ -122,18 +127,35 @@
         Its text is empty if the configuration did not change within `wait_s`.
         """
         result = await self.store_client.follow_table(OPERATOR_TABLE, revision, wait_s)
-        return self._decode_operator_rows(result)
+        return self._decode_operator_rows(result, is_whole=False)
 
-    def _decode_operator_rows(self, result):
+    def _decode_operator_rows(self, result, is_whole):
         """Return the ConfigurationDocument of changed rows, with all evacuations."""
-        self.evacuated = _follow_evacuations(self.evacuated, result.rows)
+        decoded = [_rows.decode(row, _decode_operator_row) for row in result.rows]
+        entries, invalid = _rows.select_valid(decoded)
+        self._report_invalid(OPERATOR_TABLE, invalid, is_whole)
+        self.evacuated = _follow_evacuations(self.evacuated, entries)
         evacuations = placement.EvacuationsRead(
             self.evacuated,
             store.era_of(result.revision),
             result.revision,
             result.as_of,
         )
-        return attrs.evolve(_latest_document(result), evacuations=evacuations)
+        document = ConfigurationDocument(
+            "", 0, result.revision, result.as_of, evacuations
+        )
+        # The feed of changes may contain several versions of the same row.
+        versions = [entry for entry in entries if isinstance(entry, _ConfigurationRow)]
+        if versions:
+            latest = max(versions, key=lambda entry: entry.version)
+            document = attrs.evolve(
+                document, text=latest.text, row_version=latest.version
+            )
+        return document
+
+    def _report_invalid(self, table, invalid, is_whole):
+        if self.on_invalid_rows is not None:
+            self.on_invalid_rows(table, invalid, is_whole)
 
     async def record_evacuation(self, data_centre, primaries):
         """Write which primaries an evacuated data centre has, for operators.
@@ -163,8 +185,10 @@
     async def fetch_members(self):
         """Return the registered members as MemberRows."""
         result = await self.store_client.read_table(registry.MEMBERS_TABLE)
+        members, invalid = registry.parse_members(result.rows)
+        self._report_invalid(registry.MEMBERS_TABLE, invalid, is_whole=True)
         return MemberRows(
-            registry.parse_members(result.rows),
+            members,
             {row.key: row.version for row in result.rows},
             store.era_of(result.revision),
             result.as_of,
@@ -177,12 +201,14 @@
         self.rows_era = store.era_of(result.revision)
         known = self.decoded
         self.decoded = {
-            row: known[row] if row in known else _decode_row(row) for row in result.rows
+            row: known[row] if row in known else _rows.decode(row, _decode_row)
+            for row in result.rows
         }
-        decoded = self.decoded.values()
+        entries, invalid = _rows.select_valid(self.decoded.values())
+        self._report_invalid(INSTANCES_TABLE, invalid, is_whole=True)
         return (
-            [entry for entry in decoded if isinstance(entry, membership.Instance)],
-            [entry for entry in decoded if isinstance(entry, takeovers.Takeover)],
+            [entry for entry in entries if isinstance(entry, membership.Instance)],
+            [entry for entry in entries if isinstance(entry, takeovers.Takeover)],
         )
 
     async def begin_takeover(self, service, holder, row_revision):
@@ -255,17 +281,21 @@
         -----
         Versions of an earlier era mean nothing in the current one, where they
         may have been given out again: then the row as read in this era counts,
-        if it is not newer than the known one.
+        if it is not newer than the known one. An invalid row is replaced in any
+        case: it would block all further takeovers of the service.
         """
         if self.rows_era != self.era:
             return None
-        if store.era_of(known_revision) == self.era:
-            return store.version_of(known_revision)
         row = self.rows.get(key)
+        takeover = None if row is None else _rows.decode(row, _decode_row)
+        is_replaceable = isinstance(takeover, _rows.InvalidRow)
+        if store.era_of(known_revision) == self.era and not is_replaceable:
+            return store.version_of(known_revision)
         if row is None:
             return 0
-        takeover = _decode_takeover(row)
-        if takeover is not None and takeover.row_version > known_revision:
+        if isinstance(takeover, takeovers.Takeover) and (
+            takeover.row_version > known_revision
+        ):
             return None
         return row.version
 
@@ -317,37 +347,49 @@
             )
 
 
-def _latest_document(result):
-    """Return the latest configuration document among rows.
+@attrs.frozen
+class _ConfigurationRow:
+    """Content of the row with the configuration document."""
+
+    text: str
+    version: int
+
+
+@attrs.frozen
+class _EvacuationRow:
+    """Content of a row that requests an evacuation, or takes it back."""
+
+    data_centre: str
+    is_requested: bool
+    version: int
 
-    The feed of changes may contain several versions of the same row.
-    """
-    document = ConfigurationDocument("", 0, result.revision, result.as_of)
-    for row in result.rows:
-        newer = row.version > document.row_version
-        if row.key == CONFIGURATION_KEY and row.value is not None and newer:
-            text = row.value.decode("utf-8", "replace")
-            document = attrs.evolve(document, text=text, row_version=row.version)
-    return document
+
+def _decode_operator_row(row):
+    """Return the content of a row, or None for a row of another kind."""
+    if row.key == CONFIGURATION_KEY and row.value is not None:
+        return _ConfigurationRow(row.value.decode(), row.version)
+    if not row.key.startswith(EVACUATION_PREFIX):
+        return None
+    name = _json.require_name(row.key.removeprefix(EVACUATION_PREFIX))
+    if not name.strip():
+        raise ValueError("expected the name of a data centre")
+    return _EvacuationRow(name, row.value is not None, row.version)
 
 
-def _follow_evacuations(evacuated, rows):
+def _follow_evacuations(evacuated, entries):
     """Return the evacuated data centres after changes of rows.
 
     Notes
     -----
-    The feed of changes may contain several versions of the same row. A row whose
-    key names no data centre in printable text is skipped.
+    The feed of changes may contain several versions of the same row.
     """
     found = set(evacuated)
-    for row in sorted(rows, key=lambda row: row.version):
-        name = row.key.removeprefix(EVACUATION_PREFIX)
-        if name == row.key or not name.strip() or not name.isprintable():
-            continue
-        if row.value is None:
-            found.discard(name)
+    changes = [entry for entry in entries if isinstance(entry, _EvacuationRow)]
+    for change in sorted(changes, key=lambda change: change.version):
+        if change.is_requested:
+            found.add(change.data_centre)
         else:
-            found.add(name)
+            found.discard(change.data_centre)
     return frozenset(found)
 
 
@@ -362,7 +404,7 @@
 
 
 def _decode_row(row):
-    """Return the Instance or Takeover of a row, or None if it is malformed."""
+    """Return the Instance or Takeover of a row."""
     if row.key.startswith(TAKEOVER_PREFIX):
         return _decode_takeover(row)
     return _decode_instance(row)
@@ -370,41 +412,47 @@
 
 def _decode_instance(row):
     instance = _structure_row(row, membership.Instance)
-    if instance is None or not 0 < instance.peer_port < 1 << 16:
-        return None
+    fields = attrs.asdict(instance)
+    read = _json.read
+    if read(fields, "name", _json.require_name) != row.key:
+        raise ValueError("name: differs from the key")
+    read(fields, "data_centre", _json.require_name)
+    read(fields, "host", settings.require_host)
+    read(fields, "peer_port", _json.require_integer, MAX_PORT, 1)
+    for name in ("region", "build"):
+        if not fields[name].isprintable():
+            raise ValueError(f"{name}: expected printable characters")
     era = store.era_of(instance.incarnation)
-    if not 0 <= era <= store.MAX_ERA:
-        return None
+    read({"era": era}, "era", _json.require_integer, store.MAX_ERA)
     return attrs.evolve(instance, incarnation=store.make_revision(era, row.version))
 
 
 def _decode_takeover(row):
     fields = _structure_row(row, _TakeoverRow)
-    if fields is None or not 0 <= fields.era <= store.MAX_ERA:
-        return None
-    revision = store.make_revision(fields.era, row.version)
+    era = _json.read({"era": fields.era}, "era", _json.require_integer, store.MAX_ERA)
+    revision = store.make_revision(era, row.version)
     fence = revision if fields.fence is None else fields.fence
-    if not 0 <= fence <= revision:
-        return None
+    for name in ("holder", "successor"):
+        if not getattr(fields, name).isprintable():
+            raise ValueError(f"{name}: expected printable characters")
     return takeovers.Takeover(
-        service=row.key.removeprefix(TAKEOVER_PREFIX),
+        service=_json.require_name(row.key.removeprefix(TAKEOVER_PREFIX)),
         holder=fields.holder,
         successor=fields.successor,
-        fence=fence,
+        fence=_json.read({"fence": fence}, "fence", _json.require_integer, revision),
         row_version=revision,
     )
 
 
 def _structure_row(row, cls):
-    """Return the content of a row as an attrs class, or None if it is malformed.
+    """Return the content of a row as an attrs class; raises ValueError.
 
     Fields that the class does not have are ignored: later versions may add them.
     """
-    try:
-        fields = _json.parse_object(row.value)
-        row.key.encode()
-    except (ValueError, TypeError):
-        return None
+    fields = _json.parse_object(row.value)
     names = {field.name for field in attrs.fields(cls)}
     known = {name: value for name, value in fields.items() if name in names}
-    return checks.structure(known, cls).ok()
+    structured = checks.structure(known, cls)
+    if structured.is_err():
+        raise ValueError("; ".join(structured.err_value))
+    return structured.ok_value
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -33,7 +33,7 @@
 
 def parse_rows(*values):
     rows = [store.Row(f"i-{number}", value, 1) for number, value in enumerate(values)]
-    return registry.parse_members(rows)
+    return registry.parse_members(rows)[0]
 
 
 class ManifestTests(testtools.TestCase):
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -3,11 +3,15 @@
 import json
 
 import attrs
+import hypothesis
 import testtools
+from hypothesis import strategies
 from twisted.internet import defer
 
 from pomelograde.core import membership
-from pomelograde.platform import source, store
+from pomelograde.net import peer_messages
+from pomelograde.net.hosted import state_sync
+from pomelograde.platform import _rows, source, store
 
 INSTANCE = {
     "name": "a",
@@ -33,6 +37,11 @@
         return self.rows
 
 
+async def done(value):
+    """Return a value as a call to the store does."""
+    return value
+
+
 def run(coroutine):
     """Return the result of a coroutine that does not wait."""
     results = []
@@ -94,6 +103,66 @@
         client = source.PlatformSource(FakeStoreClient(*rows))
         self.assertEqual(([], []), run(client.fetch_instances()))
 
+    def read_invalid(self, *rows):
+        """Return what a read of the instances reports, as key and reason."""
+        client = source.PlatformSource(FakeStoreClient(*rows))
+        reported = []
+        client.on_invalid_rows = lambda *report: reported.append(report)
+        self.assertEqual(([], []), run(client.fetch_instances()))
+        ((table, invalid, is_whole),) = reported
+        self.assertEqual(("instances", True), (table, is_whole))
+        return {row.key: row.reason for row in invalid}
+
+    def test_invalid_rows_are_reported_without_their_content(self):
+        odd = {
+            "a": {**INSTANCE, "host": "s3cret x"},
+            "b": INSTANCE,
+            "c": {**INSTANCE, "name": "c", "peer_port": 99999},
+            "d": {**INSTANCE, "name": "d", "peer_port": 0},
+            "e": {**INSTANCE, "name": "e", "data_centre": "s3cret\n"},
+            "f": {**INSTANCE, "name": "f", "incarnation": 10**400},
+            "g": {**INSTANCE, "name": "g", "leaving": "s3cret"},
+            "h": {**INSTANCE, "name": "h", "region": "\x00"},
+            "i": {"s3cret": 1},
+            "takeover/": {"holder": "a/1"},
+            "takeover/a": {"holder": "s3cret\r\n"},
+            "takeover/b": {"holder": "a/1", "fence": 10**400},
+            "takeover/c": {"holder": "a/1", "fence": 1.5},
+            "takeover/d": {"holder": "a/1", "era": True},
+            "takeover/e": {"holder": ["s3cret"]},
+        }
+        rows = [
+            store.Row(key, json.dumps(value).encode(), 7) for key, value in odd.items()
+        ]
+        nested = b'{"a": "\\u0041", "b": ' + b"[" * 950 + b"]" * 950 + b"}"
+        rows += [store.Row(key, nested, 7) for key in ("z", "takeover/z")]
+        rows.append(_rows.InvalidRow("y", 0, "value: odd"))
+        reasons = self.read_invalid(*rows)
+        self.assertEqual({row.key for row in rows}, set(reasons))
+        self.assertNotIn("s3cret", str(reasons))
+        self.assertEqual("name: differs from the key", reasons["b"])
+
+    def begin_takeover(self, value, known_revision):
+        """Return the conditions under which a takeover is recorded over a row."""
+        client = FakeStoreClient(store.Row("takeover/g", value, 7))
+        commits = []
+        client.commit = lambda *call: commits.append(call) or done(9)
+        platform_source = source.PlatformSource(client)
+        run(platform_source.fetch_instances())
+        begun = run(platform_source.begin_takeover("g", "a/2", known_revision))
+        self.assertEqual(9, begun.fence)
+        ((_, conditions, _),) = commits
+        return conditions
+
+    def test_invalid_takeover_does_not_block_later_ones(self):
+        for value in (b"{}", b'{"holder": "a/2", "era": 9999}'):
+            for known in (0, 5):
+                self.assertEqual({"takeover/g": 7}, self.begin_takeover(value, known))
+
+    def test_valid_takeover_is_replaced_only_if_it_is_known(self):
+        conditions = self.begin_takeover(b'{"holder": "a/2"}', 5)
+        self.assertEqual({"takeover/g": 5}, conditions)
+
     def test_fields_of_later_versions_are_ignored(self):
         instance = membership.Instance("a", "x", 7, "h", 1)
         fields = {**attrs.asdict(instance), "added": 1}
@@ -161,3 +230,104 @@
         client = FakeStoreClient(*(store.Row(key, b"{}", 3) for key in keys))
         found = run(source.PlatformSource(client).fetch_configuration())
         self.assertEqual(frozenset(), found.evacuations.data_centres)
+
+    def test_odd_rows_cost_neither_the_configuration_nor_the_evacuations(self):
+        rows = [
+            store.Row("config", b"v1", 3),
+            store.Row("config", b"\xff\xfe", 4),
+            store.Row("evacuate/x", b"\xff", 5),
+            store.Row("evacuate/\n", b"{}", 6),
+            store.Row("evacuate/\x00", None, 6),
+            _rows.InvalidRow("", 0, "key: odd"),
+        ]
+        for number in range(2):
+            platform_source = source.PlatformSource(FakeStoreClient(*rows))
+            reported = []
+            platform_source.on_invalid_rows = lambda *report, found=reported: (
+                found.append(report)
+            )
+            if number:
+                found = run(platform_source.wait_for_configuration(3, 1.0))
+            else:
+                found = run(platform_source.fetch_configuration())
+            self.assertEqual(("v1", 3), (found.text, found.row_version))
+            self.assertEqual({"x"}, found.evacuations.data_centres)
+            ((table, invalid, is_whole),) = reported
+            self.assertEqual(("op", not number), (table, is_whole))
+            self.assertEqual(
+                ["config", "evacuate/\n", "evacuate/\x00", ""],
+                [row.key for row in invalid],
+            )
+
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.sampled_from([10**400, 1 << 64, 1 << 16, "\ud800", "a\r\n"])
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+TAKEOVER = {"holder": "a/2", "successor": "m", "fence": 3, "era": 0}
+FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+
+
+class ArbitraryRowTests(testtools.TestCase):
+    def assert_sound(self, key, value):
+        client = source.PlatformSource(FakeStoreClient(store.Row(key, value, 7)))
+        reported = []
+        client.on_invalid_rows = lambda table, invalid, _: reported.extend(invalid)
+        instances, listed = run(client.fetch_instances())
+        self.assertEqual(1, len(instances) + len(listed) + len(reported))
+        news = [peer_messages.write_instance(found) for found in instances]
+        ended = [state_sync.encode_takeover(found) for found in listed]
+        answer = peer_messages.NewsAnswer(0, "", 0, 0, [], 0, 0, news, ended)
+        envelope = peer_messages.Envelope("a", 1, 1, True, answer)
+        received = peer_messages.decode(peer_messages.encode(envelope)).message
+        self.assertEqual(
+            (instances, listed),
+            (
+                [peer_messages.read_instance(found) for found in received.instances],
+                [state_sync.decode_takeover(found) for found in received.takeovers],
+            ),
+        )
+
+    @FUZZ
+    @hypothesis.given(name=strategies.sampled_from(sorted(INSTANCE)), value=VALUES)
+    def test_instance_with_an_arbitrary_value(self, name, value):
+        self.assert_sound("a", json.dumps({**INSTANCE, name: value}).encode())
+
+    @FUZZ
+    @hypothesis.given(name=strategies.sampled_from(sorted(TAKEOVER)), value=VALUES)
+    def test_takeover_with_an_arbitrary_value(self, name, value):
+        row = json.dumps({**TAKEOVER, name: value}).encode()
+        self.assert_sound("takeover/g", row)
+
+    @FUZZ
+    @hypothesis.given(
+        key=strategies.sampled_from(["a", "takeover/g"]), value=strategies.binary()
+    )
+    def test_arbitrary_bytes(self, key, value):
+        self.assert_sound(key, value)
+
+    @FUZZ
+    @hypothesis.given(key=strategies.text())
+    def test_arbitrary_key(self, key):
+        for prefix in ("", "takeover/"):
+            value = {**INSTANCE, **TAKEOVER, "name": key}
+            self.assert_sound(prefix + key, json.dumps(value).encode())
+
+    @FUZZ
+    @hypothesis.given(key=strategies.text(), value=strategies.binary())
+    def test_arbitrary_rows_of_the_operator(self, key, value):
+        rows = [store.Row(key, value, 7), store.Row("evacuate/" + key, value, 8)]
+        client = source.PlatformSource(FakeStoreClient(*rows))
+        found = run(client.fetch_configuration())
+        for name in found.evacuations.data_centres:
+            self.assertTrue(name.isprintable())
+            name.encode()
