Skip single rows of the store's answers that cannot be read

A row whose key is no text, whose value is no base64 or whose version is out of range made the whole answer malformed. In the feed of the configuration the next poll asked for the same changes again, so that the store counted as unavailable for as long as the row stood, and keys ended after 5 s. Other answers raised what nobody caught: nowMs as an integer of 400 digits, a page without rows that says that there are more, an era in bytes that are no UTF-8.

Key, value and version of a row are what a writer has given to the store, or belong to this row alone: it becomes an InvalidRow, and the feed goes on after the answer's own version. The answer's own fields, and pages that do not advance, are faults of the store, and the call fails as before.

--- a/pomelograde/platform/store.py
+++ b/pomelograde/platform/store.py
@@ -7,19 +7,22 @@
 """
 
 import base64
+import re
 
 import attrs
 
-from pomelograde.platform import _json, http
+from pomelograde.platform import _json, _rows, http
 
 MAX_CLOCK_DRIFT = 0.001  # relative drift between the store's clock and ours
 STATUS_OK = 200
 STATUS_CONDITION_FAILED = 412
 STATUS_HISTORY_LOST = 410
-ERA_HEADER = "Store-Era"
+ERA_HEADER = b"Store-Era"
 VERSION_BITS = 40  # eras and versions of 13 and 40 bits fit into a JSON number
 VERSION_MASK = (1 << VERSION_BITS) - 1
 MAX_ERA = (1 << 13) - 1
+MAX_CLOCK_MS = 1 << 63
+_ERA = re.compile(rb"[0-9]{1,4}")
 
 StoreUnavailableError = http.UnavailableError
 
@@ -72,8 +75,8 @@
 
     Attributes
     ----------
-    rows : list of Row
-        The rows.
+    rows : list of Row or InvalidRow
+        The rows; an InvalidRow stands for one that can't be read.
     revision : int
         Latest revision of the store at the time of the read.
     as_of : float
@@ -149,7 +152,10 @@
             if not page.has_more:
                 revision = make_revision(self.era, page.version)
                 return ReadResult(rows, revision, first_as_of)
-            start = rows[-1].key + "\0"
+            last = page.rows[-1].key if page.rows else ""
+            if last < start or not last:
+                raise StoreUnavailableError("malformed answer: pages don't advance")
+            start = last + "\0"
 
     async def follow_table(self, table, revision, wait_s):
         """Wait until a table changes, and return the changed rows.
@@ -268,7 +274,7 @@
         answer = await self.http_client.call(
             name, method, path, query, body, wait_s=wait_s
         )
-        self._record_era(answer.headers.getRawHeaders(ERA_HEADER, [""])[0])
+        self._record_era(answer.headers.getRawHeaders(ERA_HEADER, [b""])[0])
         return answer.status, answer.body
 
     def _record_era(self, text):
@@ -281,7 +287,7 @@
         """
         if not text:
             return
-        era = int(text) if text.isdecimal() else -1
+        era = int(text) if _ERA.fullmatch(text) else -1
         if not 0 <= era <= MAX_ERA:
             raise StoreUnavailableError(f"answer of the invalid era {text[:40]!r}")
         if era < self.era:
@@ -326,7 +332,7 @@
 
     Attributes
     ----------
-    rows : list of Row
+    rows : list of Row or InvalidRow
         The rows.
     version : int
         Latest version in the store.
@@ -348,11 +354,15 @@
     Raises
     ------
     StoreUnavailableError
-        If a field is missing or has another type.
+        If a field of the answer is missing or has another type. A row that
+        can't be read does not make an answer invalid.
     """
     try:
+        rows = body["rows"]
+        if type(rows) is not list:
+            raise TypeError(f"expected a list of rows, got {_json.describe(rows)}")
         return _Page(
-            [_decode_row(row) for row in body["rows"]],
+            [_decode_row(row) for row in rows],
             _json.require_integer(body["ver"], VERSION_MASK),
             _require_time(body["nowMs"]),
             bool(body.get("hasMore")),
@@ -361,16 +371,42 @@
         raise StoreUnavailableError(f"malformed answer: {error!r}") from error
 
 
-def _decode_row(row):
-    value = None
-    if not row.get("tombstone"):
-        value = base64.b64decode(row["value"])
-    if type(row["key"]) is not str:
-        raise TypeError(f"expected a text as key, got {row['key']!r}")
-    return Row(row["key"], value, _json.require_integer(row["ver"], VERSION_MASK))
+def _decode_row(fields):
+    """Return the Row of an answer, or an InvalidRow.
+
+    Notes
+    -----
+    The key and the content are what a writer has given to the store. An invalid
+    one costs that row, although the store should have refused it.
+    """
+    key, version = "", 0
+    try:
+        if type(fields) is not dict:
+            raise ValueError(f"expected an object, got {_json.describe(fields)}")
+        key = _json.read(fields, "key", _require_encodable)
+        version = _json.read(fields, "ver", _json.require_integer, VERSION_MASK)
+        if fields.get("tombstone"):
+            return Row(key, None, version)
+        value = _json.read(fields, "value", _require_base64)
+    except ValueError as error:
+        return _rows.InvalidRow(key, version, str(error))
+    return Row(key, value, version)
+
+
+def _require_encodable(value):
+    if type(value) is not str:
+        raise ValueError(f"expected a string, got {_json.describe(value)}")
+    value.encode()
+    return value
+
+
+def _require_base64(value):
+    if type(value) is not str:
+        raise ValueError(f"expected a string, got {_json.describe(value)}")
+    return base64.b64decode(value, validate=True)
 
 
 def _require_time(value):
-    if type(value) not in (int, float):
-        raise TypeError(f"expected a time, got {value!r}")
+    if type(value) not in (int, float) or not abs(value) <= MAX_CLOCK_MS:
+        raise TypeError(f"expected a time, got {_json.describe(value)}")
     return value
