Follow each table of the store whatever happens to the others

At the start, a fault in one of two reads discarded the other one and ended the process; a consumer of one change that raised kept the later ones from being told.

Each read is attempted by itself now. StoreUnavailableError and unexpected exceptions are logged and leave what the others returned in use, also at the start, which is retried. Members and instances are dated separately. Primary leases are still extended only by a read of both, or by another instance's state: a takeover may have begun that only the instances' table shows. An exception of a consumer is logged and does not stop the rest.

--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -11,8 +11,10 @@
 """
 
 import attrs
+import result
 import xxhash
 from twisted.internet import defer
+from twisted.python import failure
 
 from pomelograde.core import configuration, membership, placement, takeovers
 from pomelograde.net import events, peer_messages, peers, timers
@@ -108,8 +110,8 @@
         Revision of the store up to which the configuration is known.
     stored_version : int
         Version of the configuration that the store held when it was last read.
-    lists_as_of : float
-        When the members and instances in `fleet` were read from the store.
+    members_as_of, instances_as_of : float
+        When the members and the instances in `fleet` were read from the store.
     era : int or None
         Era of the store in which the instances were last read from it.
     restored_members : RestoredMembers
@@ -158,7 +160,8 @@
         self.is_fetching = False
         self.poll_revision = 0
         self.stored_version = 0
-        self.lists_as_of = float("-inf")
+        self.members_as_of = float("-inf")
+        self.instances_as_of = float("-inf")
         self.era = None
         self.restored_members = placement.RestoredMembers(
             context.settings.member_heartbeat_s
@@ -190,13 +193,12 @@
         The state may come from another instance meanwhile, in answer to its offer.
         """
         while not self.is_stopped:
-            try:
-                if self._is_stale() or self._has_old_lists():
-                    await self._read_all()
-                await self._register()
-                break
-            except self.source.StoreUnavailableError as error:
-                self._set_store_available(False, str(error))
+            is_old = self._is_stale() or self._has_old_lists()
+            if not is_old or await self._read_all():
+                registered = await self._attempt(self._register)
+                if registered.is_ok():
+                    break
+                self._record_outcomes(registered)
             await self._sleep(STARTUP_RETRY_INTERVAL_S)
         self.loop = timers.start_loop(
             self.context, SYNC_INTERVAL_S, self._sync_once, now=False
@@ -209,20 +211,69 @@
             self.loop.stop()
 
     async def _read_all(self):
-        reading = defer.gatherResults(
+        """Read configuration and members, and apply what could be read.
+
+        Returns
+        -------
+        bool
+            Whether both could be read.
+        """
+        document, rows = await defer.gatherResults(
             [
-                defer.ensureDeferred(self.source.fetch_configuration()),
-                defer.ensureDeferred(self.source.fetch_members()),
-            ],
-            consumeErrors=True,
+                defer.ensureDeferred(self._attempt(self.source.fetch_configuration)),
+                defer.ensureDeferred(self._attempt(self.source.fetch_members)),
+            ]
         )
+        self._record_outcomes(document, rows)
+        if document.is_ok():
+            self._run(self._apply_document, document.ok_value)
+        if rows.is_ok():
+            self._run(self._apply_member_rows, rows.ok_value)
+        return document.is_ok() and rows.is_ok()
+
+    async def _attempt(self, call, *arguments):
+        """Return the Result of a call to the store.
+
+        Returns
+        -------
+        Result of object or str
+            What the call returned, or why the store is not available; empty for
+            another exception, which is logged here.
+
+        Notes
+        -----
+        Each table is read by itself, so that whatever fails in one of them
+        leaves the others followed.
+        """
+        try:
+            return result.Ok(await call(*arguments))
+        except self.source.HistoryLostError:
+            raise
+        except self.source.StoreUnavailableError as error:
+            return result.Err(str(error) or type(error).__name__)
+        except Exception:
+            timers.log_fault(self.context.log, call, failure.Failure())
+            return result.Err("")
+
+    def _record_outcomes(self, *outcomes):
+        """Record whether the store was available to calls, given by their results."""
+        reasons = [outcome.err_value for outcome in outcomes if outcome.is_err()]
+        reason = next(filter(None, reasons), "")
+        if reason:
+            self._set_store_available(False, reason)
+        elif len(reasons) < len(outcomes):
+            self._set_store_available(True)
+
+    def _run(self, function, *arguments):
+        """Call a function that uses what was read; an exception is logged."""
         try:
-            document, rows = await reading
-        except defer.FirstError as error:
-            error.subFailure.raiseException()
-        self._set_store_available(True)
-        self._apply_document(document)
-        self._apply_member_rows(rows)
+            function(*arguments)
+        except Exception:
+            timers.log_fault(self.context.log, function, failure.Failure())
+
+    def _notify(self, callback, *arguments):
+        if callback is not None:
+            self._run(callback, *arguments)
 
     async def leave(self):
         """Remove the registration of this instance, which must be idle."""
@@ -390,26 +441,24 @@
             defer.ensureDeferred(self._fetch_members_and_instances())
 
     async def _poll_configuration(self):
-        answered = False
+        age_s = self.context.now() - self.freshness.configuration_at
+        wait_s = LONG_POLL_S if age_s < STALE_AFTER_S else 0.0
         try:
-            age_s = self.context.now() - self.freshness.configuration_at
-            wait_s = LONG_POLL_S if age_s < STALE_AFTER_S else 0.0
-            document = await self.source.wait_for_configuration(
-                self.poll_revision, wait_s
+            polled = await self._attempt(
+                self.source.wait_for_configuration, self.poll_revision, wait_s
             )
-            answered = True
         except self.source.HistoryLostError:
             await self._read_configuration_again()
-        except self.source.StoreUnavailableError as error:
-            self._set_store_available(False, str(error))
+            return
         finally:
             self.is_polling = False
-        if answered:
-            self._set_store_available(True)
-            self._apply_document(document)
-            now = self.context.now()
-            if self.is_reader(now):
-                self._read_store(now)
+        self._record_outcomes(polled)
+        if polled.is_err():
+            return
+        self._run(self._apply_document, polled.ok_value)
+        now = self.context.now()
+        if self.is_reader(now):
+            self._read_store(now)
 
     async def _read_configuration_again(self):
         """Read the whole configuration, and the lists without delay.
@@ -418,30 +467,38 @@
         -----
         The store has discarded its history, or has returned from an older copy.
         """
-        try:
-            document = await self.source.fetch_configuration()
-        except self.source.StoreUnavailableError as error:
-            self._set_store_available(False, str(error))
-            return
-        self._apply_document(document)
-        self.members_asked_at = float("-inf")
-        self._set_store_available(True)
-        self._read_store(self.context.now())
+        read = await self._attempt(self.source.fetch_configuration)
+        if read.is_ok():
+            self._run(self._apply_document, read.ok_value)
+            self.members_asked_at = float("-inf")
+        self._record_outcomes(read)
+        if read.is_ok():
+            self._read_store(self.context.now())
 
     async def _fetch_members_and_instances(self):
+        """Read the members, then instances with takeovers, and apply both.
+
+        Notes
+        -----
+        Only both together extend primary leases: a takeover may have begun that
+        only the instances' table shows.
+        """
+        asked_at = self.context.now()
         try:
-            rows = await self.source.fetch_members()
-            instances, listed = await self.source.fetch_instances()
-        except self.source.StoreUnavailableError as error:
-            self._set_store_available(False, str(error))
-            return
+            rows = await self._attempt(self.source.fetch_members)
+            listed = await self._attempt(self.source.fetch_instances)
         finally:
             self.is_fetching = False
-        self._set_store_available(True)
-        if rows.as_of >= self.lists_as_of:
-            self._apply_instances(instances, listed)
-            self._apply_member_rows(rows)
-        self._check_era(listed)
+        self._record_outcomes(rows, listed)
+        if listed.is_ok():
+            as_of = rows.ok_value.as_of if rows.is_ok() else asked_at
+            self._run(self._apply_listed, *listed.ok_value, as_of)
+        if rows.is_ok():
+            self._run(self._apply_member_rows, rows.ok_value, listed.is_ok())
+        if listed.is_ok():
+            self._run(self._check_era, listed.ok_value[1])
+        if rows.is_err() or listed.is_err():
+            return
         if self.is_offer_due and not self._is_stale():
             delay_s = OFFER_SPREAD_S * self.context.random.random()
             self.context.reactor.callLater(delay_s, self._offer_state)
@@ -639,8 +696,8 @@
             self.apply_takeover(decode_takeover(encoded))
         self._apply_evacuations(self._decode_evacuations(answer, asked_at))
         as_of = asked_at - answer.upstreams_age_ms / 1000.0
-        if as_of >= self.lists_as_of:
-            self.lists_as_of = as_of
+        if as_of >= self.instances_as_of:
+            self.instances_as_of = as_of
             if answer.instances:
                 self._apply_instances(
                     [
@@ -649,10 +706,12 @@
                     ],
                     [],
                 )
+        if as_of >= self.freshness.members_at:
+            self._record_members_read(as_of)
+        if as_of >= self.members_as_of:
+            self.members_as_of = as_of
             if answer.upstreams:
-                self._apply_members(_decode_members(answer.upstreams), as_of)
-            else:
-                self._record_members_read(as_of)
+                self._apply_members(_decode_members(answer.upstreams))
         if answer.configuration_version >= self.configuration.version:
             self.freshness.record_configuration_read(
                 asked_at - answer.configuration_age_ms / 1000.0
@@ -660,7 +719,7 @@
         self._send_missing(instance, answer)
         if not self._is_stale():
             self.is_offer_due = False
-        self._notify_refreshed()
+        self._notify(self.on_refreshed)
 
     def _decode_evacuations(self, answer, asked_at):
         """Return the EvacuationsRead of an answer, or None if it holds none."""
@@ -681,8 +740,8 @@
         if read is None:
             return
         now = self.context.now()
-        if self.fleet.evacuations.apply(read, now) and self.on_evacuations is not None:
-            self.on_evacuations()
+        if self.fleet.evacuations.apply(read, now):
+            self._notify(self.on_evacuations)
 
     def _send_missing(self, instance, answer):
         """Tell an instance what is newer here than in its answer.
@@ -783,7 +842,7 @@
                 version=self.configuration.version,
                 stored_version=self.stored_version,
             )
-        self._notify_refreshed()
+        self._notify(self.on_refreshed)
 
     def _apply_configuration_text(self, text, row_version):
         """Apply a configuration unless it is older than the one in force.
@@ -810,26 +869,27 @@
             version=new.version,
             row_version=row_version,
         )
-        if self.on_configuration is not None:
-            self.on_configuration(new)
+        self._notify(self.on_configuration, new)
         return new.version
 
-    def _apply_member_rows(self, rows):
+    def _apply_member_rows(self, rows, extends_leases=True):
         """Apply the members' rows as the store returned them."""
+        if rows.as_of < self.members_as_of:
+            return
         now = self.context.now()
-        self.lists_as_of = max(self.lists_as_of, rows.as_of)
+        self.members_as_of = rows.as_of
         members = self.restored_members.select(rows, self.fleet.members, now)
-        self._apply_members(members, rows.as_of)
+        if extends_leases:
+            self._record_members_read(rows.as_of)
+        self._apply_members(members)
 
-    def _apply_members(self, members, as_of):
-        self._record_members_read(as_of)
+    def _apply_members(self, members):
         digest = _digest(_encode_members(members))
         if digest != self.fleet.members_digest:
             self.fleet.members = members
             self.fleet.members_digest = digest
-            if self.on_members is not None:
-                self.on_members(members)
-        self._notify_refreshed()
+            self._notify(self.on_members, members)
+        self._notify(self.on_refreshed)
 
     def apply_takeover(self, takeover):
         """Record a takeover, unless the same or a newer row is known."""
@@ -838,8 +898,14 @@
             return
         self.fleet.takeovers[takeover.service] = takeover
         self._update_instances_digest()
-        if self.on_takeovers is not None:
-            self.on_takeovers(self.fleet.takeovers)
+        self._notify(self.on_takeovers, self.fleet.takeovers)
+
+    def _apply_listed(self, instances, listed, as_of):
+        """Apply instances and takeovers as the store returned them."""
+        if as_of < self.instances_as_of:
+            return
+        self.instances_as_of = as_of
+        self._apply_instances(instances, listed)
 
     def _apply_instances(self, instances, new_takeovers):
         for takeover in new_takeovers:
@@ -859,18 +925,13 @@
             self.context.members.merge(membership.Record(found))
         self.context.log.write(events.Event.INSTANCES_CHANGED, names=names)
         self._check_registration()
-        if self.on_instances is not None:
-            self.on_instances(registered)
+        self._notify(self.on_instances, registered)
 
     def _update_instances_digest(self):
         fleet = self.fleet
         items = [*fleet.instances, *sorted(fleet.takeovers.items())]
         fleet.instances_digest = _digest(items)
 
-    def _notify_refreshed(self):
-        if self.on_refreshed is not None:
-            self.on_refreshed()
-
     def _set_store_available(self, available, reason=""):
         # Calls that fail because of the shutdown say nothing about the store.
         if self.is_stopped or available == self.store_available:
--- a/pomelograde/net/timers.py
+++ b/pomelograde/net/timers.py
@@ -101,12 +101,27 @@
             self.timer = reactor.callLater(delay_s, self._call)
 
     def _on_error(self, reason):
-        self.context.log.write(
-            events.Event.INTERNAL_FAULT,
-            where=getattr(self.function, "__qualname__", ""),
-            error=reason.type.__name__,
-            place=format_location(reason),
-        )
+        log_fault(self.context.log, self.function, reason)
+
+
+def log_fault(log, function, reason):
+    """Log a failure of a function; its message is left out, as for all faults.
+
+    Parameters
+    ----------
+    log : Log
+        Event log.
+    function : callable
+        What failed.
+    reason : Failure
+        The failure.
+    """
+    log.write(
+        events.Event.INTERNAL_FAULT,
+        where=getattr(function, "__qualname__", ""),
+        error=reason.type.__name__,
+        place=format_location(reason),
+    )
 
 
 def format_location(reason):
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -6,12 +6,15 @@
 import attrs
 import testtools
 from twisted.internet import defer, task
+from twisted.python import failure
 
 from pomelograde.core import configuration, membership, placement, takeovers
 from pomelograde.net import events, peer_messages
 from pomelograde.net.hosted import state_sync
 from pomelograde.platform import source
 
+MEMBERS = {"g": [placement.Member(name="m", data_centre="x", host="h", port=1)]}
+
 
 class Source:
     """Stub of the store; the test answers its calls."""
@@ -374,3 +377,96 @@
         self.sync.apply_takeover(make_takeover(9))
         self.assertEqual([], self.read_lists([make_takeover(5)]))
         self.assertEqual([], self.read_lists([make_takeover(9)]))
+
+    def make_faults(self):
+        """Return an exception of each kind with which a read may fail."""
+        return OverflowError(), self.source.StoreUnavailableError("status 503")
+
+    def fetch(self, members=None, instances=None):
+        """Read the lists; each is an answer or an exception."""
+        defer.ensureDeferred(self.sync._fetch_members_and_instances())
+        self.source.calls[-1].callback(members)
+        self.source.calls[-1].callback(instances)
+
+    def read_members(self, at):
+        return source.MemberRows(MEMBERS, {"m": 1}, 0, at)
+
+    def test_fault_among_the_members_leaves_instances_and_takeovers_followed(self):
+        for revision, fault in enumerate(self.make_faults(), start=5):
+            others = [make_instance(f"a{revision}"), self.own]
+            self.fetch(failure.Failure(fault), (others, [make_takeover(revision)]))
+            self.assertEqual(others, self.sync.fleet.registered)
+            self.assertEqual(revision, self.sync.fleet.takeovers["g"].row_version)
+        self.assertEqual(1, self.logged.count(events.Event.INTERNAL_FAULT))
+        self.assertFalse(self.sync.is_fetching)
+
+    def test_fault_among_the_instances_leaves_the_members_followed(self):
+        for fault in self.make_faults():
+            self.sync._apply_members({})
+            self.fetch(self.read_members(200.0), failure.Failure(fault))
+            self.assertEqual(MEMBERS, self.sync.fleet.members)
+        self.assertEqual(1, self.logged.count(events.Event.INTERNAL_FAULT))
+
+    def test_only_members_and_takeovers_together_extend_primary_leases(self):
+        before = self.sync.freshness.members_at
+        for fault in self.make_faults():
+            self.fetch(failure.Failure(fault), ([self.own], []))
+            self.fetch(self.read_members(200.0), failure.Failure(fault))
+            self.assertEqual(before, self.sync.freshness.members_at)
+        self.fetch(self.read_members(201.0), ([self.own], []))
+        self.assertEqual(201.0, self.sync.freshness.members_at)
+
+    def test_leases_are_extended_by_others_while_one_table_fails_here(self):
+        self.fetch(self.read_members(100.0), failure.Failure(self.make_faults()[1]))
+        self.receive(make_answer(500))
+        self.assertAlmostEqual(99.5, self.sync.freshness.members_at, 2)
+        self.assertEqual(MEMBERS, self.sync.fleet.members)
+
+    def test_fault_of_a_poll_is_logged_and_the_next_one_succeeds(self):
+        self.fail_calls()
+        self.source.calls.clear()
+        defer.ensureDeferred(self.sync._poll_configuration())
+        self.source.calls[-1].errback(OverflowError())
+        self.assertIn(events.Event.INTERNAL_FAULT, self.logged)
+        self.assertFalse(self.sync.is_polling)
+        defer.ensureDeferred(self.sync._poll_configuration())
+        document = source.ConfigurationDocument("7", 7, 9, 100.0)
+        self.source.calls[-1].callback(document)
+        self.assertEqual((7, 9), (self.sync.configuration.version, 9))
+
+    def test_fault_at_the_start_is_retried_and_leaves_the_other_table_in_use(self):
+        configuration_call, members_call = self.source.calls
+        configuration_call.errback(OverflowError())
+        members_call.callback(self.read_members(100.0))
+        self.assertEqual(MEMBERS, self.sync.fleet.members)
+        self.clock.advance(state_sync.STARTUP_RETRY_INTERVAL_S)
+        self.source.register = self.source.call
+        configuration_call, members_call = self.source.calls[2:]
+        document = source.ConfigurationDocument("7", 7, 9, 100.2)
+        configuration_call.callback(document)
+        members_call.callback(self.read_members(100.2))
+        self.source.calls[-1].errback(OverflowError())
+        self.assertEqual(7, self.sync.configuration.version)
+        self.clock.advance(state_sync.STARTUP_RETRY_INTERVAL_S)
+        self.source.calls[-1].callback(self.own)
+        self.source.calls[-1].callback(([self.own], []))
+        self.assertTrue(self.sync.loop.running)
+        self.assertEqual(2, self.logged.count(events.Event.INTERNAL_FAULT))
+
+    def test_fault_of_one_consumer_leaves_the_others_told(self):
+        def fail(*_):
+            raise OverflowError
+
+        refreshed = []
+        self.sync.on_evacuations = self.sync.on_configuration = fail
+        self.sync.on_members = self.sync.on_instances = self.sync.on_takeovers = fail
+        self.sync.on_refreshed = lambda: refreshed.append(1)
+        read = placement.EvacuationsRead(frozenset({"x"}), 0, 9, 100.0)
+        document = source.ConfigurationDocument("7", 7, 9, 100.0, read)
+        self.sync._apply_document(document)
+        self.assertEqual(7, self.sync.configuration.version)
+        self.assertEqual(100.0, self.sync.freshness.configuration_at)
+        self.fetch(self.read_members(100.0), ([self.own], [make_takeover(9)]))
+        self.assertEqual([1, 1], refreshed)
+        self.assertEqual(MEMBERS, self.sync.fleet.members)
+        self.assertEqual(5, self.logged.count(events.Event.INTERNAL_FAULT))
