Report odd values of resources as invalid, whatever they are

A resource is read from the platform's table and from peers' messages by checks.structure. A whole number of 400 digits raised OverflowError there, outside of the errors that it turns into messages, so one resource's row ended the whole read of the configuration, again with each poll; an operator who sent it got a status of 500.

Numbers are limited to 64 bits where they are converted, since neither a BIGINT of the members nor a message holds more. Three further values were accepted and failed later: text with a single surrogate (no message can carry it), member names with control characters, and hosts that are no IP address, which peers and pools would look up by name.

--- a/pomelograde/core/checks.py
+++ b/pomelograde/core/checks.py
@@ -1,5 +1,6 @@
 """Validated conversion of JSON values to attrs classes."""
 
+import ipaddress
 import math
 import re
 import typing
@@ -9,6 +10,7 @@
 import cattrs.gen
 import result
 
+INTEGER_LIMIT = 2**63  # what a BIGINT column and the messages can hold
 CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 TYPE_NAMES = {
     bool: "a boolean",
@@ -23,12 +25,16 @@
 
 def _strict_hook(expected, name):
     def structure(value, _):
-        if expected is float and type(value) is int:
-            return float(value)
+        if type(value) is int and expected in (int, float):
+            if not -INTEGER_LIMIT <= value < INTEGER_LIMIT:
+                raise ValueError(f"expected {name}, got one that is out of range")
+            return expected(value)
         if type(value) is not expected:
             raise ValueError(f"expected {name}, got {TYPE_NAMES[type(value)]}")
         if expected is float and not math.isfinite(value):
             raise ValueError(f"expected {name}, got one that is not finite")
+        if expected is str and not _is_encodable(value):
+            raise ValueError(f"expected {name}, got one with a single surrogate")
         return value
 
     return structure
@@ -117,6 +123,14 @@
     return CONVERTER.unstructure(value)
 
 
+def _is_encodable(text):
+    try:
+        text.encode("utf-8")
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _describe(error, expected):
     if isinstance(error, KeyError):
         return "required field is missing"
@@ -162,6 +176,21 @@
         raise ValueError("must not be empty")
 
 
+def label(instance, attribute, value):
+    """Validate a name: not empty, of printable characters."""
+    not_empty(instance, attribute, value)
+    if not value.isprintable():
+        raise ValueError(f"must have printable characters only, got {value!r}")
+
+
+def ip_address(instance, attribute, value):
+    """Validate that a string is an IP address, in digits."""
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise ValueError(f"must be an IP address, got {value!r}") from None
+
+
 def sha256_or_empty(instance, attribute, value):
     """Validate that a string is a SHA-256 hash in hexadecimal, or empty."""
     if value and not re.fullmatch("[0-9a-fA-F]{64}", value):
--- a/pomelograde/core/resources/_kinds.py
+++ b/pomelograde/core/resources/_kinds.py
@@ -28,10 +28,10 @@
         Whether the member is being removed and gets no new work.
     """
 
-    name: str = attrs.field(validator=checks.not_empty)
-    host: str = attrs.field(validator=checks.not_empty)
+    name: str = attrs.field(validator=checks.label)
+    host: str = attrs.field(validator=checks.ip_address)
     port: int = attrs.field(validator=checks.port)
-    data_centre: str = attrs.field(validator=checks.not_empty)
+    data_centre: str = attrs.field(validator=checks.label)
     slots: int = attrs.field(default=3, validator=checks.positive)
     connection_limit: int = attrs.field(default=20, validator=checks.positive)
     leaving: bool = False
