Read the platform's rows one by one, so that an odd one costs itself only

What callers saw: one row of another writer in the platform's table, with a number of 400 digits, a missing or mistyped field or an unknown shape, ended each read of the table that contained it. Instances that ran followed no change any more, operators got a status of 500 for every change, and no instance started: nothing listened 20 s after the start. An entry of the list of instances with a missing field, or without one, stopped the reading of that list for good, so that new instances were not found. A row with a revision out of range was taken for the configuration's revision; all later changes were ignored and heartbeats, which carry it in 64 bits, could not be encoded.

Cause: PlatformClient built rows from whatever an answer held, and parsed each answer as a whole, so that one row nested too deeply or with 5,000 digits made all of them unreadable; each reader then took fields by name.

Now there is one boundary. PlatformClient divides an answer that can't be parsed into its items, checks every row and every entry of the list, leaves out those that can't be used and reports them (ROW_REJECTED, at a bounded rate). Without a readable revision row the changes beside it are still in force, within 1,024 revisions, and changes by operators are refused until it is repaired; formerly its revision was taken as it was. A list of instances with an entry that can't be read confirms nothing in an outage of the platform, since that instance may have committed changes.

--- a/pomelograde/core/membership/__init__.py
+++ b/pomelograde/core/membership/__init__.py
@@ -33,6 +33,7 @@
 StaleReads = _store_reads.StaleReads
 State = _instances.State
 choose_paths = _reachability.choose_paths
+find_fault = _instances.find_fault
 rendezvous = _instances.rendezvous
 
 __all__ = [
@@ -60,5 +61,6 @@
     "StaleReads",
     "State",
     "choose_paths",
+    "find_fault",
     "rendezvous",
 ]
--- a/pomelograde/core/membership/_instances.py
+++ b/pomelograde/core/membership/_instances.py
@@ -2,6 +2,7 @@
 
 import enum
 import functools
+import ipaddress
 
 import attrs
 import xxhash
@@ -44,6 +45,41 @@
     build: str = attrs.field(default="", eq=False, repr=False)
 
 
+MAX_PORT = 65535
+
+
+def find_fault(instance):
+    """Return why no connection can be opened to an instance, or None.
+
+    Parameters
+    ----------
+    instance : Instance
+        Instance that somebody else has described; its fields may be of any type.
+    """
+    for field in ("name", "data_centre", "region"):
+        value = getattr(instance, field)
+        if not isinstance(value, str) or not value or not value.isprintable():
+            return f"has no printable {field}"
+    if not _is_ip_address(instance.host):
+        return "has a host that is no IP address"
+    port = instance.peer_port
+    if type(port) is not int or not 0 < port <= MAX_PORT:
+        return f"has a peer port that is not from 1 to {MAX_PORT}"
+    if type(instance.leaving) is not bool:
+        return "does not say whether it leaves"
+    return None
+
+
+def _is_ip_address(host):
+    if not isinstance(host, str) or not host.isprintable():
+        return False
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 class State(enum.IntEnum):
     """State of an instance as seen by this one."""
 
--- a/pomelograde/core/resources/__init__.py
+++ b/pomelograde/core/resources/__init__.py
@@ -32,6 +32,7 @@
 check_change = _references.check_change
 compare_resources = _review.compare_resources
 dump = _kinds.dump
+is_valid_name = _references.is_valid_name
 review_resources = _review.review_resources
 validate = _kinds.validate
 
@@ -55,6 +56,7 @@
     "check_change",
     "compare_resources",
     "dump",
+    "is_valid_name",
     "review_resources",
     "validate",
 ]
--- a/pomelograde/core/resources/_references.py
+++ b/pomelograde/core/resources/_references.py
@@ -29,7 +29,7 @@
     if spec is None:
         return _check_unreferenced(configuration, kind, name)
     errors = []
-    if not NAME_PATTERN.fullmatch(name) or name in RESERVED_NAMES:
+    if not is_valid_name(name):
         errors.append(
             "must be 1 to 63 lower-case letters, digits, '.', '_' or '-', not "
             f"{' or '.join(sorted(RESERVED_NAMES))} @ $.name"
@@ -37,6 +37,11 @@
     return errors + check_references(spec, configuration, name)
 
 
+def is_valid_name(name):
+    """Return whether a resource may have a name."""
+    return bool(NAME_PATTERN.fullmatch(name)) and name not in RESERVED_NAMES
+
+
 @functools.singledispatch
 def check_references(spec, configuration, name):
     """Return error messages on the references and cross-field rules of a spec."""
--- a/pomelograde/daemon/composition.py
+++ b/pomelograde/daemon/composition.py
@@ -26,6 +26,7 @@
     peer_tls,
     peers,
     platform,
+    rejections,
     text_log,
     upstream,
 )
@@ -214,6 +215,7 @@
         settings.platform.url,
         settings.platform.timeout_s,
         addresses.bind_host,
+        _make_rejection_log(shared_context),
     )
     shared_context.platform = platform_client
     configuration_task = configuration.ConfigurationTask(
@@ -253,6 +255,12 @@
     )
 
 
+def _make_rejection_log(shared_context):
+    """Return the function that logs rows of the platform which can't be read."""
+    log = rejections.RejectionLog(shared_context, events.Event.ROW_REJECTED)
+    return lambda key, reason: log.write(reason, key=key)
+
+
 def _make_tls_contexts(shared_context):
     tls_settings = shared_context.settings.tls
     if not tls_settings.certificate_file:
--- a/pomelograde/net/_propagation.py
+++ b/pomelograde/net/_propagation.py
@@ -35,7 +35,7 @@
         Other instances that may commit changes: those in the platform's list
         and those discovered since, without instances that are leaving.
     registry_known : bool
-        Whether the platform's list has been read at least once.
+        Whether the platform's list has been read, all of its entries the last time.
     polled_peers : set of str
         Names of peers with a request in flight.
     """
@@ -274,17 +274,12 @@
         if answer.is_err():
             return
         own = self.context.members.own.name
-        self.registry_known = True
+        # An entry that can't be read may be an instance that commits changes.
+        self.registry_known = answer.ok_value.is_complete
         self.registered = {
-            entry["name"]: membership.Instance(
-                name=entry["name"],
-                data_centre=entry["data_centre"],
-                incarnation=0,
-                host=entry["host"],
-                peer_port=entry["peer_port"],
-            )
-            for entry in answer.ok_value
-            if entry["name"] != own and not entry["leaving"]
+            instance.name: instance
+            for instance in answer.ok_value.instances
+            if instance.name != own and not instance.leaving
         }
         self._update_registered()
         self.configuration.freshness.retain(self.registered)
--- a/pomelograde/net/_rows.py
+++ b/pomelograde/net/_rows.py
@@ -6,11 +6,12 @@
 import result
 
 from pomelograde.core import resources
-from pomelograde.net import peer_messages, platform
+from pomelograde.net import _json_items, peer_messages, platform
 
 PREFIX = "config/"
 REVISION_KEY = "config/revision"
 RECENT_CHANGES = 64  # number of change ids kept in the revision row
+MAX_INFERRED_CHANGES = 1024  # in a read of the table without its revision row
 
 
 @attrs.frozen
@@ -46,14 +47,36 @@
         }
 
 
-def read_revision_row(rows):
-    """Return the `RevisionRow` among rows of the table, or None."""
-    for row in rows:
-        if row.key == REVISION_KEY and row.value is not None:
-            recent = dict(row.value.get("recent", []))
-            horizon = row.value.get("horizon", 0)
-            return RevisionRow(row.value["revision"], horizon, recent, row.version)
-    return None
+def find_revision_row(rows):
+    """Return the row of the table that every change is conditional on, or None."""
+    return next((row for row in rows if row.key == REVISION_KEY), None)
+
+
+def read_revision_row(row):
+    """Return the Result of a `RevisionRow`, or why a row of the table is none."""
+    value = row.value
+    if not isinstance(value, dict):
+        return result.Err("the revision row is no object")
+    revision, horizon = value.get("revision"), value.get("horizon", 0)
+    recent = value.get("recent", [])
+    if not _is_revision(revision) or not _is_revision(horizon) or horizon > revision:
+        return result.Err("the revision row has no valid revision and horizon")
+    if not isinstance(recent, list) or not all(map(_is_recent_change, recent)):
+        return result.Err("the revision row has no valid list of changes")
+    return result.Ok(RevisionRow(revision, horizon, dict(recent), row.version))
+
+
+def _is_recent_change(pair):
+    return (
+        isinstance(pair, list)
+        and len(pair) == 2
+        and isinstance(pair[0], str)
+        and _is_revision(pair[1])
+    )
+
+
+def _is_revision(value):
+    return type(value) is int and 0 <= value < _json_items.INTEGER_LIMIT
 
 
 def make_write(change, change_id):
@@ -67,33 +90,75 @@
     return platform.Write(f"{PREFIX}{change.kind}/{change.name}", value)
 
 
-def read_batch(rows, after, on_rejected):
-    """Return the batch of changes in rows of the table, or None.
+def read_batch(read, after, on_rejected):
+    """Return the batch of changes in a read of the table, or None if there are none.
 
     Parameters
     ----------
-    rows : list of Row
+    read : TableRead
         All rows below `PREFIX` written after a given table version.
     after : int
         Configuration revision at that table version.
     on_rejected : callable
         Called with key and reason for each row that fails validation.
+
+    Notes
+    -----
+    Each change is written together with the revision row. If that row can't be
+    read, the changes among the other rows are in force nevertheless.
     """
-    head = read_revision_row(rows)
-    if head is None:
+    head_row = find_revision_row(read.rows)
+    others = [row for row in read.rows if row.key != REVISION_KEY]
+    if head_row is None and after and read.is_complete:
+        for row in others:
+            on_rejected(row.key, "is not written together with the revision row")
+        return None
+    if head_row is None and not others:
         return None
+    head = result.Err("can't be read")
+    if head_row is not None:
+        head = read_revision_row(head_row)
+    horizon = head.ok_value.horizon if head.is_ok() else 0
     changes = []
-    for row in rows:
-        if row.key == REVISION_KEY:
-            continue
+    for row in others:
         kind, _, name = row.key.removeprefix(PREFIX).partition("/")
-        value = row.value or {"spec": None, "revision": head.horizon}
+        value = {"spec": None, "revision": horizon} if row.value is None else row.value
         change = _read_change(kind, name, value)
         if change.is_err():
             on_rejected(row.key, change.err_value)
         else:
             changes.append(change.ok_value)
-    return resources.Batch(after, head.revision, changes, head.horizon)
+    if head.is_ok():
+        limit = revision = head.ok_value.revision
+    else:
+        on_rejected(REVISION_KEY, head.err_value)
+        limit = after + MAX_INFERRED_CHANGES if after else _json_items.INTEGER_LIMIT
+    changes = _reject_later(changes, limit, on_rejected)
+    if head.is_err():
+        revision = max([after, *(change.revision for change in changes)])
+    return resources.Batch(after, revision, changes, horizon)
+
+
+def find_deletions(rows, horizon):
+    """Return the keys of the deletion records up to a revision."""
+    return [
+        row.key
+        for row in rows
+        if row.key != REVISION_KEY
+        and isinstance(row.value, dict)
+        and row.value.get("spec", row) is None
+        and _is_revision(row.value.get("revision"))
+        and row.value["revision"] <= horizon
+    ]
+
+
+def _reject_later(changes, revision, on_rejected):
+    """Return the changes up to a revision."""
+    for change in changes:
+        if change.revision > revision:
+            reason = f"revision {change.revision} is above {revision}"
+            on_rejected(f"{change.kind}/{change.name}", reason)
+    return [change for change in changes if change.revision <= revision]
 
 
 def encode_news(batch, **extra_fields):
@@ -130,9 +195,16 @@
 def _read_change(kind, name, value):
     if kind not in resources.KINDS:
         return result.Err(f"unknown kind {kind!r}")
-    change = resources.Resource(
-        kind, name, None, value["revision"], value.get("operator", "")
-    )
+    if not resources.is_valid_name(name):
+        return result.Err("invalid name")
+    if not isinstance(value, dict) or "spec" not in value:
+        return result.Err("expected an object with a spec")
+    revision, operator = value.get("revision"), value.get("operator", "")
+    if not _is_revision(revision):
+        return result.Err("no valid revision")
+    if not isinstance(operator, str):
+        return result.Err("the operator is no text")
+    change = resources.Resource(kind, name, None, revision, operator)
     if value["spec"] is None:
         return result.Ok(change)
     checked = resources.validate(kind, value["spec"])
--- a/pomelograde/net/_snapshots.py
+++ b/pomelograde/net/_snapshots.py
@@ -1,6 +1,7 @@
 """Snapshots of the configuration in the platform's object store."""
 
 import attrs
+import result
 
 from pomelograde.core import resources
 from pomelograde.net import _rows, platform
@@ -30,18 +31,49 @@
 
 
 async def load(client, on_rejected):
-    """Read the snapshot; returns a Result of `Snapshot` or None."""
+    """Read the snapshot; returns a Result of `Snapshot` or None.
+
+    Notes
+    -----
+    One that can't be used counts for none; then the whole table is read.
+    """
     answer = await client.get_object(OBJECT_NAME)
     if answer.is_err() or answer.ok_value is None:
         return answer
-    value = answer.ok_value
-    rows = [platform.Row(**row) for row in value["rows"]]
-    batch = _rows.read_batch(rows, 0, on_rejected)
-    revision_row = _rows.read_revision_row(rows)
-    return answer.map(lambda _: Snapshot(batch, revision_row, value["table_version"]))
+    snapshot = _decode(answer.ok_value, on_rejected)
+    if snapshot.is_err():
+        on_rejected(OBJECT_NAME, snapshot.err_value)
+    return result.Ok(snapshot.ok())
+
+
+def _decode(value, on_rejected):
+    """Return the Result of the `Snapshot` of a stored value, or why it has none."""
+    if not isinstance(value, dict) or not isinstance(value.get("rows"), list):
+        return result.Err("has no list of rows")
+    table_version = value.get("table_version")
+    if type(table_version) is not int or table_version < 0:
+        return result.Err("has no valid table version")
+    rows = []
+    for item in value["rows"]:
+        row = platform.decode_row(item)
+        if row.is_err():
+            return row
+        rows.append(row.ok_value)
+    revision_row = _read_revision_row(rows)
+    if revision_row.is_err():
+        return revision_row
+    batch = _rows.read_batch(platform.TableRead(table_version, rows), 0, on_rejected)
+    return result.Ok(Snapshot(batch, revision_row.ok_value, table_version))
+
+
+def _read_revision_row(rows):
+    row = _rows.find_revision_row(rows)
+    if row is None:
+        return result.Err("has no revision row")
+    return _rows.read_revision_row(row)
 
 
-async def store(client, on_rejected):
+async def store(client):
     """Store a snapshot of the current table; returns its revision or None.
 
     Notes
@@ -54,38 +86,30 @@
     answer = await client.rows(_rows.PREFIX)
     if answer.is_err():
         return None
-    table_version, rows = answer.ok_value
-    batch = _rows.read_batch(rows, 0, on_rejected)
-    if batch is None:
+    rows = answer.ok_value.rows
+    revision_row = _read_revision_row(rows)
+    if revision_row.is_err():
         return None
     value = {
-        "table_version": table_version,
+        "table_version": answer.ok_value.version,
         "rows": [attrs.asdict(row) for row in rows],
     }
     stored = await client.put_object(OBJECT_NAME, value)
     if stored.is_err():
         return None
-    await _drop_deletion_records(client, rows)
-    return batch.revision
+    await _drop_deletion_records(client, rows, revision_row.ok_value)
+    return revision_row.ok_value.revision
 
 
-async def _drop_deletion_records(client, rows):
+async def _drop_deletion_records(client, rows, revision_row):
     """Delete the deletion records older than the last `RETAINED_REVISIONS`.
 
     An instance that is further behind replaces its configuration by a whole
     state. Nothing is deleted if a change was committed after the rows were
     read; the next snapshot tries again.
     """
-    revision_row = _rows.read_revision_row(rows)
     horizon = revision_row.revision - RETAINED_REVISIONS
-    obsolete = [
-        row
-        for row in rows
-        if row.key != _rows.REVISION_KEY
-        and row.value is not None
-        and row.value["spec"] is None
-        and row.value["revision"] <= horizon
-    ]
+    obsolete = _rows.find_deletions(rows, horizon)
     if not obsolete:
         return
     value = {
@@ -96,5 +120,5 @@
     await client.commit(
         [platform.Condition(_rows.REVISION_KEY, revision_row.version)],
         [platform.Write(_rows.REVISION_KEY, value)]
-        + [platform.Write(row.key, None) for row in obsolete],
+        + [platform.Write(key, None) for key in obsolete],
     )
--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -141,9 +141,11 @@
         answer = await self.client.rows(limits.TABLE_PREFIX, self.table_version)
         if answer.is_err():
             return False
-        version, rows = answer.ok_value
-        self.table_version = max(self.table_version, version)
-        table_rows = [limits.TableRow(row.key, row.value, row.version) for row in rows]
+        read = answer.ok_value
+        self.table_version = max(self.table_version, read.version)
+        table_rows = [
+            limits.TableRow(row.key, row.value, row.version) for row in read.rows
+        ]
         self.lease.on_read_back(table_rows, self.clock())
         return True
 
--- a/pomelograde/net/configuration.py
+++ b/pomelograde/net/configuration.py
@@ -4,6 +4,7 @@
 import uuid
 
 import attrs
+import result
 from twisted.internet import defer, task
 
 from pomelograde.core import resources
@@ -13,6 +14,8 @@
     _rows,
     _snapshots,
     events,
+    platform,
+    rejections,
     timers,
 )
 
@@ -65,8 +68,9 @@
     table_version, table_revision : int
         Version of the platform's table that was last read, and the revision
         of the configuration at that version.
-    revision_row : RevisionRow
-        Revision row at `table_version`.
+    revision_row : RevisionRow or None
+        Revision row at `table_version`; None if it is invalid, so that no change
+        can be committed.
     snapshot_revision : int
         Revision of the last snapshot that was loaded or stored here.
     listeners : list of callable
@@ -80,6 +84,9 @@
         self.context = context
         self.client = client
         self.log = resources.ConfigurationLog()
+        self.rejections = rejections.RejectionLog(
+            context, events.Event.CONFIGURATION_REJECTED
+        )
         self.freshness = resources.FreshnessTracker()
         self.committer = _commits.Committer(
             context, client, self.log, self.read_revision_row
@@ -150,22 +157,35 @@
         self._record_availability(answer)
         if answer.is_err():
             return answer
-        version, rows = answer.ok_value
-        batch = _rows.read_batch(rows, after, self.on_rejected)
+        read = answer.ok_value
+        if read.version < after_version:
+            # What was taken for the table's version isn't, so rows may be missing.
+            self.table_version = self.table_revision = 0
+            return result.Err(platform.Unavailable("table is older than before"))
+        batch = _rows.read_batch(read, after, self.on_rejected)
         if batch is not None:
             self.apply_batch(batch, whole=after_version == 0)
-        if version > self.table_version:
-            self.table_version = version
-        if batch is not None and batch.revision >= self.table_revision:
-            self.table_revision = batch.revision
-            self.revision_row = _rows.read_revision_row(rows)
+            if batch.revision >= self.table_revision:
+                self.table_revision = batch.revision
+                self._update_revision_row(read.rows, after_version == 0)
+        if read.version > self.table_version:
+            self.table_version = read.version
         self.freshness.on_platform_answer(asked_at)
         self.committer.on_confirmed()
         return answer
 
+    def _update_revision_row(self, rows, whole):
+        row = _rows.find_revision_row(rows)
+        if row is not None:
+            self.revision_row = _rows.read_revision_row(row).ok()
+        elif whole:
+            self.revision_row = None
+
     async def read_revision_row(self):
         """Fetch the latest configuration; returns a Result of `RevisionRow`."""
         answer = await self.refresh()
+        if answer.is_ok() and self.revision_row is None:
+            return result.Err(platform.Unavailable("invalid revision row"))
         return answer.map(lambda _: self.revision_row)
 
     async def write(self, kind, name, spec, expected=None, change_id="", operator=""):
@@ -275,7 +295,7 @@
     async def _store_snapshot(self):
         self.snapshot_running = True
         try:
-            stored = await _snapshots.store(self.client, self.on_rejected)
+            stored = await _snapshots.store(self.client)
         finally:
             self.snapshot_running = False
         if stored is not None:
@@ -302,9 +322,7 @@
 
     def on_rejected(self, key, reason):
         """Log a stored resource that fails validation."""
-        self.context.log.write(
-            events.Event.CONFIGURATION_REJECTED, resource=key, reason=reason
-        )
+        self.rejections.write(reason, resource=key)
 
     def _record_availability(self, answer):
         available = answer.is_ok()
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -234,7 +234,7 @@
         if answer.is_err():
             return
         version = 0
-        for row in answer.ok_value[1]:
+        for row in answer.ok_value.rows:
             if row.key == key and row.value is not None:
                 version = row.version
                 if row.value["term"] >= term:
@@ -253,7 +253,7 @@
         answer = await client.rows(key)
         if answer.is_err():
             return
-        for row in answer.ok_value[1]:
+        for row in answer.ok_value.rows:
             if row.key == key and row.value is not None:
                 self.update_primary(row.value["term"], row.value["primary"])
 
--- a/pomelograde/net/membership.py
+++ b/pomelograde/net/membership.py
@@ -3,10 +3,10 @@
 import functools
 
 import attrs
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from pomelograde.core import membership
-from pomelograde.net import events, peer_messages, peers
+from pomelograde.net import events, peer_messages, peers, timers
 
 INSTANCE_LIST_INTERVAL_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
@@ -46,20 +46,21 @@
         self.configuration = configuration
         self.detector = membership.FailureDetector(context.members)
         self.listeners = []
-        self.instance_list_loop = task.LoopingCall(self._start_instance_list_read)
+        self.instance_list_loop = None
         self.timer = None
         self.records_sent_at = {}
         context.peers.handlers[peer_messages.Heartbeat] = self._on_heartbeat
 
     def start(self):
         """Start to send heartbeats and to read the platform's list of instances."""
-        self.instance_list_loop.clock = self.context.reactor
-        self.instance_list_loop.start(INSTANCE_LIST_INTERVAL_S)
+        self.instance_list_loop = timers.start_loop(
+            self.context, INSTANCE_LIST_INTERVAL_S, self._start_instance_list_read
+        )
         self._on_heartbeat_due()
 
     def stop(self):
         """Stop the heartbeats and the reads of the list."""
-        if self.instance_list_loop.running:
+        if self.instance_list_loop is not None:
             self.instance_list_loop.stop()
         timer, self.timer = self.timer, None
         if timer is not None and timer.active():
@@ -162,18 +163,9 @@
         answer = await self.client.instances()
         if answer.is_err():
             return
-        members = self.context.members
-        for entry in answer.ok_value:
-            if entry["leaving"]:
-                continue
-            seed = membership.Instance(
-                name=entry["name"],
-                data_centre=entry["data_centre"],
-                incarnation=0,
-                host=entry["host"],
-                peer_port=entry["peer_port"],
-            )
-            members.add_seed(seed)
+        for instance in answer.ok_value.instances:
+            if not instance.leaving:
+                self.context.members.add_seed(instance)
 
 
 def _to_news(record):
