Decode the configuration of other instances at one boundary

A message ConfigurationNews carries JSON. What it held was taken apart by name: text that is no JSON raised ValueError, a list TypeError, 3,000 nested lists RecursionError, a change without a name KeyError (each tried on the code before). The error ended the poll of that peer and was dropped without a log line where all peers are polled, or was reported as INTERNAL_FAULT without the sender. An age of -1,000,000 s was accepted: it puts the last confirmation into the future, so that withdrawn keys would be accepted for that long while the platform is away.

decode_news now returns a Result: an error for a message that can't be used, which is logged with its sender (MESSAGE_REJECTED, at a bounded rate) and dropped, and the changes without those that can't be used. Ages are not negative, and a message without them confirms nothing.

test_rows.py decodes 600 derandomized messages.

--- a/pomelograde/net/_propagation.py
+++ b/pomelograde/net/_propagation.py
@@ -16,7 +16,6 @@
 INSTANCES_PER_POLLER = 64
 ROLLOUT_TIMEOUT_S = 60.0
 ROLLOUT_CHECK_INTERVAL_S = 0.25
-UNKNOWN_AGE_MS = 2**31  # stands for an infinite age in messages
 
 
 class Propagation:
@@ -196,7 +195,9 @@
         else:
             if not isinstance(news, peer_messages.ConfigurationNews):
                 return
-            answer = self._apply_news(news, asked_at)
+            answer = self._apply_news(news, asked_at, instance.name)
+            if answer is None:
+                return
         finally:
             self.polled_peers.discard(instance.name)
         revision = self.configuration.current.revision
@@ -216,12 +217,23 @@
             instance, request, PEER_REQUEST_TIMEOUT_S
         )
 
-    def _apply_news(self, news, asked_at):
-        batch, body = _rows.decode_news(news, self.configuration.on_rejected)
+    def _apply_news(self, news, asked_at, sender):
+        """Apply a peer's changes; returns its `PeerAnswer`, or None."""
+        decoded = self._decode(news, sender)
+        if decoded is None:
+            return None
+        batch = decoded.batch
         self.configuration.apply_batch(batch, whole=batch.after == 0)
-        age_ms = body["confirmed_age_ms"]
-        age_s = float("inf") if age_ms >= UNKNOWN_AGE_MS else age_ms / 1000.0
-        return resources.PeerAnswer(asked_at, batch.revision, age_s, body["unresolved"])
+        return resources.PeerAnswer(
+            asked_at, batch.revision, decoded.confirmed_age_s, decoded.unresolved
+        )
+
+    def _decode(self, message, sender):
+        """Return the `News` of a message; None, with an event, if it is invalid."""
+        decoded = _rows.decode_news(message, self.configuration.on_rejected)
+        if decoded.is_err():
+            self.context.peers.reject(message, sender, decoded.err_value)
+        return decoded.ok()
 
     def _confirm_by_all_peers(self):
         revision = self.configuration.current.revision
@@ -229,8 +241,10 @@
             self.configuration.freshness.confirm_by_all_peers(self.registered, revision)
 
     def _on_news(self, message, envelope):
-        batch, _ = _rows.decode_news(message, self.configuration.on_rejected)
-        outcome = self.configuration.apply_batch(batch)
+        decoded = self._decode(message, envelope.sender)
+        if decoded is None:
+            return
+        outcome = self.configuration.apply_batch(decoded.batch)
         if isinstance(outcome, resources.Gap):
             sender = self.context.members.instances.get(envelope.sender)
             if sender is not None:
@@ -242,7 +256,7 @@
         if batch.is_err():
             batch = log.changes_since(0)
         age_s = self.configuration.freshness.age(self.context.now())
-        age_ms = min(UNKNOWN_AGE_MS, age_s * 1000.0)
+        age_ms = min(_rows.UNKNOWN_AGE_MS, age_s * 1000.0)
         return _rows.encode_news(
             batch.ok_value,
             confirmed_age_ms=int(age_ms),
--- a/pomelograde/net/_rows.py
+++ b/pomelograde/net/_rows.py
@@ -12,6 +12,7 @@
 REVISION_KEY = "config/revision"
 RECENT_CHANGES = 64  # number of change ids kept in the revision row
 MAX_INFERRED_CHANGES = 1024  # in a read of the table without its revision row
+UNKNOWN_AGE_MS = 2**31  # stands for an infinite age in messages
 
 
 @attrs.frozen
@@ -47,6 +48,26 @@
         }
 
 
+@attrs.frozen
+class News:
+    """A batch from another instance.
+
+    Attributes
+    ----------
+    batch : Batch
+        The changes.
+    confirmed_age_s : float
+        Time since the sender's revision was confirmed as the latest; infinite if
+        the message doesn't tell it.
+    unresolved : bool
+        Whether the sender has commits whose outcome it doesn't know.
+    """
+
+    batch: resources.Batch
+    confirmed_age_s: float = float("inf")
+    unresolved: bool = True
+
+
 def find_revision_row(rows):
     """Return the row of the table that every change is conditional on, or None."""
     return next((row for row in rows if row.key == REVISION_KEY), None)
@@ -179,17 +200,56 @@
 
 
 def decode_news(message, on_rejected):
-    """Return the batch of a peer message and the body with all fields."""
-    body = json.loads(message.rows)
+    """Return the Result of the `News` of a peer message, or why it is invalid.
+
+    Parameters
+    ----------
+    message : ConfigurationNews
+        The message.
+    on_rejected : callable
+        Called with resource and reason for each change that fails validation.
+    """
+    parsed = _json_items.loads(message.rows.encode("utf-8"))
+    if parsed.is_err():
+        return parsed
+    body = parsed.ok_value
+    if not isinstance(body, dict):
+        return result.Err("is no object")
+    after, horizon, items = (body.get(n) for n in ("after", "horizon", "changes"))
+    if not all(map(_is_revision, (after, horizon, message.revision))):
+        return result.Err("has no valid revisions")
+    if not isinstance(items, list):
+        return result.Err("has no list of changes")
+    age_ms = body.get("confirmed_age_ms", UNKNOWN_AGE_MS)
+    if not _is_revision(age_ms):
+        return result.Err("has no valid age")
     changes = []
-    for item in body["changes"]:
-        change = _read_change(item["kind"], item["name"], item)
-        if change.is_err():
-            on_rejected(f"{item['kind']}/{item['name']}", change.err_value)
-        else:
+    for item in items:
+        change = _read_item(item)
+        if change.is_ok():
             changes.append(change.ok_value)
-    batch = resources.Batch(body["after"], message.revision, changes, body["horizon"])
-    return batch, body
+        else:
+            on_rejected(*change.err_value)
+    changes = _reject_later(changes, message.revision, on_rejected)
+    batch = resources.Batch(after, message.revision, changes, horizon)
+    age_s = float("inf") if age_ms >= UNKNOWN_AGE_MS else age_ms / 1000.0
+    return result.Ok(News(batch, age_s, body.get("unresolved") is not False))
+
+
+def _read_item(item):
+    """Return the Result of the change of an item of a message, or name and reason."""
+    if isinstance(item, _json_items.Unparsable):
+        return result.Err(("", item.reason))
+    if not isinstance(item, dict):
+        return result.Err(("", "is no object"))
+    kind, name = item.get("kind"), item.get("name")
+    if not isinstance(kind, str) or not isinstance(name, str):
+        return result.Err(("", "has no kind and name"))
+    fault = _json_items.find_fault(item)
+    if fault is not None:
+        return result.Err((f"{kind}/{name}", fault))
+    change = _read_change(kind, name, item)
+    return change.map_err(lambda reason: (f"{kind}/{name}", reason))
 
 
 def _read_change(kind, name, value):
--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -8,7 +8,7 @@
 from twisted.internet import error as net_error
 from twisted.protocols import basic
 
-from pomelograde.net import events, peer_messages, peer_streams
+from pomelograde.net import events, peer_messages, peer_streams, rejections
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -159,6 +159,9 @@
         self.connecting = {}
         self.pending_replies = {}
         self.request_ids = itertools.count(1)
+        self.rejections = rejections.RejectionLog(
+            context, events.Event.MESSAGE_REJECTED
+        )
 
     def buildProtocol(self, addr):  # noqa: N802
         """Return the protocol of an accepted connection."""
@@ -261,6 +264,21 @@
         if self.on_lost is not None and connection.peer_name:
             self.on_lost(connection)
 
+    def reject(self, message, sender, reason):
+        """Log a message that can't be used.
+
+        Parameters
+        ----------
+        message : object or None
+            One of the message classes; None if it can't be decoded.
+        sender : str
+            Name of the sender; empty if it isn't known.
+        reason : str
+            What is wrong with it.
+        """
+        kind = "" if message is None else type(message).__name__
+        self.rejections.write(reason, sender=sender, message=kind)
+
     def is_in_other_region(self, name):
         """Return whether a known instance is in another region than this one."""
         members = self.context.members
--- a/tests/net/test_rows.py
+++ b/tests/net/test_rows.py
@@ -1,5 +1,7 @@
 """Tests of the decoding of configuration rows and news of other writers."""
 
+import json
+
 import attrs
 import hypothesis
 import testtools
@@ -12,6 +14,13 @@
 SPEC = {"rate_per_s": 5.0, "burst": 5.0}
 VALUE = {"revision": 7, "change_id": "x", "operator": "ann", "spec": SPEC}
 HEAD = {"revision": 8, "horizon": 2, "recent": [["x", 7]]}
+NEWS = {
+    "after": 4,
+    "horizon": 2,
+    "changes": [dict(VALUE, kind="accounts", name="desk")],
+    "confirmed_age_ms": 250,
+    "unresolved": False,
+}
 GOOD = resources.Resource(
     "accounts", "desk", resources.ClientAccount(5.0, 5.0), 7, "ann"
 )
@@ -105,3 +114,67 @@
         self.assertEqual(
             message, peer_messages.decode(peer_messages.encode(envelope)).message
         )
+
+
+class NewsTests(testtools.TestCase):
+    def decode(self, body, revision=8):
+        self.rejected = []
+        text = body if isinstance(body, str) else json.dumps(body)
+        return _rows.decode_news(
+            peer_messages.ConfigurationNews(revision, text),
+            lambda name, reason: self.rejected.append(name),
+        )
+
+    def test_news_are_decoded(self):
+        expected = _rows.News(resources.Batch(4, 8, [GOOD], 2), 0.25, False)
+        self.assertEqual(expected, self.decode(NEWS).ok_value)
+
+    def test_news_without_an_age_confirm_nothing(self):
+        body = {name: NEWS[name] for name in ("after", "horizon", "changes")}
+        decoded = self.decode(body).ok_value
+        self.assertEqual((float("inf"), True), attrs.astuple(decoded)[1:])
+
+    def test_odd_news_are_an_error(self):
+        deep = "[" * odd_values.DEPTH + "]" * odd_values.DEPTH
+        for body in (
+            "",
+            "[]",
+            "5",
+            deep,
+            dict(NEWS, after=-1),
+            dict(NEWS, after="4"),
+            dict(NEWS, horizon=None),
+            dict(NEWS, changes={}),
+            dict(NEWS, confirmed_age_ms=-(10**9)),
+            dict(NEWS, confirmed_age_ms="1"),
+            dict(NEWS, confirmed_age_ms=float("nan")),
+        ):
+            self.assertTrue(self.decode(body).is_err(), body)
+        self.assertTrue(self.decode(NEWS, 2**64 - 1).is_err())
+
+    def test_odd_change_costs_itself_only(self):
+        for item in (
+            None,
+            [],
+            {},
+            {"kind": "accounts", "name": ["a"], "revision": 7, "spec": None},
+            {"kind": "accounts", "name": "odd", "revision": 7},
+            {"kind": "accounts", "name": "odd", "revision": 99, "spec": None},
+            {"kind": "later", "name": "odd", "revision": 7, "spec": None},
+        ):
+            body = dict(NEWS, changes=[item, *NEWS["changes"]])
+            self.assertEqual([GOOD], self.decode(body).ok_value.batch.changes)
+            self.assertEqual(1, len(self.rejected))
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(odd_values.mutations(NEWS), st.integers(0, 2**64 - 1))
+    def test_any_news_are_decoded_or_an_error(self, body, revision):
+        decoded = self.decode(body, revision)
+        if decoded.is_ok():
+            self.assertTrue(decoded.ok_value.confirmed_age_s >= 0.0)
+            resources.ConfigurationLog().apply_batch(decoded.ok_value.batch)
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(st.text(max_size=60) | st.text('[]{}",:\\1a', max_size=40))
+    def test_any_text_is_decoded_or_an_error(self, text):
+        self.assertTrue(self.decode(text).is_err())
