Keep an error in one reader of the PostgreSQL side from stopping the others

Listeners, services, groups and overdue statements are now each called by faults.run, which logs INTERNAL_FAULT and goes on. The loops are those of net/timers, which go on after an error, and the next heartbeat is scheduled before the present one.

--- a/pomelograde/net/_propagation.py
+++ b/pomelograde/net/_propagation.py
@@ -4,7 +4,7 @@
 from twisted.internet import error as net_error
 
 from pomelograde.core import membership, resources
-from pomelograde.net import _rows, events, peer_messages, peers, timers
+from pomelograde.net import _rows, events, faults, peer_messages, peers, timers
 
 PEER_POLL_INTERVAL_S = 0.5
 PEER_REQUEST_TIMEOUT_S = 0.5
@@ -115,7 +115,7 @@
             after_ms=round((self.context.now() - started_at) * 1000.0, 1),
         )
         for listener in list(self.configuration.in_force_listeners):
-            listener(change)
+            faults.run(self.context, listener, change)
 
     def _is_in_force(self, revision):
         return all(known >= revision for known in self.revisions().values())
--- a/pomelograde/net/configuration.py
+++ b/pomelograde/net/configuration.py
@@ -14,6 +14,7 @@
     _rows,
     _snapshots,
     events,
+    faults,
     platform,
     rejections,
     timers,
@@ -260,7 +261,7 @@
             self._log_change(change)
         changed = Changed(applied.old, applied.new, applied.changes)
         for listener in list(self.listeners):
-            listener(changed)
+            faults.run(self.context, listener, changed)
 
     def _log_change(self, change):
         self.context.log.write(
--- a/pomelograde/net/faults.py
+++ b/pomelograde/net/faults.py
@@ -1,6 +1,7 @@
 """Logs failures that the event loop reports as unhandled."""
 
 from twisted import logger
+from twisted.python import failure
 
 from pomelograde.net import events, timers
 
@@ -21,17 +22,62 @@
 
     def __call__(self, event):
         """Process one event of Twisted's log."""
-        failure = event.get("log_failure")
-        if failure is None:
+        reason = event.get("log_failure")
+        if reason is None:
             return
         self.log.write(
             events.Event.INTERNAL_FAULT,
             where=event.get("log_namespace", ""),
-            error=failure.type.__name__,
-            place=timers.format_location(failure),
+            error=reason.type.__name__,
+            place=timers.format_location(reason),
         )
 
 
+def run(context, function, *arguments):
+    """Call a function; an exception is logged and goes no further.
+
+    Parameters
+    ----------
+    context : InstanceContext or HostedContext
+        State and services shared by all tasks of the daemon.
+    function : callable
+        Function whose failure must not keep others from being called.
+    *arguments : object
+        Its arguments.
+
+    Returns
+    -------
+    bool
+        Whether it has returned.
+    """
+    try:
+        function(*arguments)
+    except Exception:
+        log_failure(context.log, failure.Failure(), function)
+        return False
+    return True
+
+
+def log_failure(log, reason, function):
+    """Log the failure of a function as an event.
+
+    Parameters
+    ----------
+    log : Log
+        Event log.
+    reason : Failure
+        The failure.
+    function : callable
+        Function that failed.
+    """
+    log.write(
+        events.Event.INTERNAL_FAULT,
+        where=getattr(function, "__qualname__", ""),
+        error=reason.type.__name__,
+        place=timers.format_location(reason),
+    )
+
+
 def install(log):
     """Start to log unhandled failures as events."""
     logger.globalLogBeginner.beginLoggingTo(
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -1,9 +1,7 @@
 """Open sessions and database groups, kept in line with the configuration."""
 
-from twisted.internet import task
-
 from pomelograde.core import retries, routing
-from pomelograde.net import events, groups
+from pomelograde.net import events, faults, groups, timers
 
 DEADLINE_CHECK_INTERVAL_S = 0.05
 _ErrorKind = retries.ErrorKind
@@ -45,20 +43,21 @@
         self.exchanges = set()
         self.draining = False
         self.was_fresh = True
-        self.deadline_loop = task.LoopingCall(self._check_deadlines)
+        self.deadline_loop = None
 
     def start(self):
         """Apply the configuration and subscribe to its changes."""
         self.configuration.listeners.append(self._on_changed)
         self._update_services(self.configuration.current)
         self.admission.start()
-        self.deadline_loop.clock = self.context.reactor
-        self.deadline_loop.start(DEADLINE_CHECK_INTERVAL_S)
+        self.deadline_loop = timers.start_loop(
+            self.context, DEADLINE_CHECK_INTERVAL_S, self._check_deadlines
+        )
 
     def stop(self):
         """Stop admission, deadline checks and all groups."""
         self.admission.stop()
-        if self.deadline_loop.running:
+        if self.deadline_loop is not None:
             self.deadline_loop.stop()
         for group in self.groups.values():
             group.stop()
@@ -116,7 +115,7 @@
     def on_instances_changed(self):
         """Adapt pools and watching of all groups to the live instances."""
         for group in self.groups.values():
-            group.resize()
+            faults.run(self.context, group.resize)
 
     def on_group_message(self, message, envelope):
         """Handle a peer's message about a group; returns the reply or None."""
@@ -132,16 +131,19 @@
     def _update_services(self, configuration):
         wanted = configuration.of_kind("services")
         for name in [name for name in self.groups if name not in wanted]:
-            self._close_service_sessions(name)
-            self.groups.pop(name).stop()
+            faults.run(self.context, self._close_service_sessions, name)
+            faults.run(self.context, self.groups.pop(name).stop)
         for name, resource in wanted.items():
-            group = self.groups.get(name)
-            if group is None:
-                group = groups.GroupTask(self.context, name, resource.spec)
-                self.groups[name] = group
-                group.start()
-            elif group.spec != resource.spec:
-                group.update(resource.spec)
+            faults.run(self.context, self._update_service, name, resource.spec)
+
+    def _update_service(self, name, spec):
+        group = self.groups.get(name)
+        if group is None:
+            group = groups.GroupTask(self.context, name, spec)
+            self.groups[name] = group
+            group.start()
+        elif group.spec != spec:
+            group.update(spec)
 
     def _close_service_sessions(self, name):
         for session in list(self.sessions):
@@ -184,7 +186,7 @@
         overdue = [found for found in self.exchanges if found.deadline <= now]
         for exchange in overdue:
             if not exchange.done:
-                exchange.expire()
+                faults.run(self.context, exchange.expire)
 
     def _log_freshness(self, now):
         fresh = self.is_fresh(now)
--- a/pomelograde/net/group_watch.py
+++ b/pomelograde/net/group_watch.py
@@ -2,10 +2,17 @@
 
 import functools
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from pomelograde.core import failover, sessions
-from pomelograde.net import events, member_connections, peer_messages, peers, upstream
+from pomelograde.net import (
+    events,
+    member_connections,
+    peer_messages,
+    peers,
+    timers,
+    upstream,
+)
 
 PROBE_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.05
@@ -66,10 +73,7 @@
             (PROBE_INTERVAL_S, self._probe_all),
             (TICK_INTERVAL_S, self._tick),
         ):
-            loop = task.LoopingCall(function)
-            loop.clock = self.context.reactor
-            loop.start(interval_s)
-            self.loops.append(loop)
+            self.loops.append(timers.start_loop(self.context, interval_s, function))
 
     def stop(self):
         """Stop the loops and close the connections to the members."""
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -3,18 +3,20 @@
 import functools
 
 import attrs
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from pomelograde.core import failover, placement, pooling, routing, sessions
 from pomelograde.net import (
     acknowledgements,
     events,
+    faults,
     floors,
     group_watch,
     member_connections,
     peer_messages,
     platform,
     pools,
+    timers,
     upstream,
 )
 
@@ -83,19 +85,20 @@
         self.watch = group_watch.WatchTask(context, self)
         self.floor_task = floors.FloorTask(context, self)
         self.acknowledgements = acknowledgements.AcknowledgementTask(context, self)
-        self.expiry_loop = task.LoopingCall(self._expire)
+        self.expiry_loop = None
         self.update(spec)
 
     def start(self):
         """Start watching the members and load the stored primary."""
         self.watch.start()
         defer.ensureDeferred(self.load_primary())
-        self.expiry_loop.clock = self.context.reactor
-        self.expiry_loop.start(EXPIRY_INTERVAL_S)
+        self.expiry_loop = timers.start_loop(
+            self.context, EXPIRY_INTERVAL_S, self._expire
+        )
 
     def stop(self):
         """Stop watching and close all connections that are not in use."""
-        if self.expiry_loop.running:
+        if self.expiry_loop is not None:
             self.expiry_loop.stop()
         self.watch.stop()
         for pool in self.pools.values():
@@ -279,7 +282,8 @@
             primary=view.primary,
         )
         for listener in self.listeners:
-            listener(PrimaryChanged(self.name, view.term, view.primary))
+            changed = PrimaryChanged(self.name, view.term, view.primary)
+            faults.run(self.context, listener, changed)
         self.abandon_unreachable()
         self.acknowledgements.on_primary_changed()
         if view.primary is not None:
--- a/pomelograde/net/membership.py
+++ b/pomelograde/net/membership.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from pomelograde.core import membership
-from pomelograde.net import events, peer_messages, peers, timers
+from pomelograde.net import events, faults, peer_messages, peers, timers
 
 INSTANCE_LIST_INTERVAL_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
@@ -109,17 +109,17 @@
             _execute(action, self)
         if any(isinstance(action, membership.Changed) for action in actions):
             for listener in self.listeners:
-                listener()
+                faults.run(self.context, listener)
 
     def send(self, instance, records):
         """Send a heartbeat that carries the given records."""
         self.context.peers.send(instance, self._heartbeat(records))
 
     def _on_heartbeat_due(self):
-        self.execute(self.detector.tick(self.context.now()))
         self.timer = self.context.reactor.callLater(
             self.detector.interval_s(), self._on_heartbeat_due
         )
+        self.execute(self.detector.tick(self.context.now()))
 
     async def _announce(self, instance, records):
         heartbeat = self._heartbeat(records)
