Keep a transaction failed after a statement that may not run in it

What callers saw: after a key had moved to another client account, the next statement of an open transaction was answered with ABORTED and the state I. Of statements that a client had sent behind it, the reads and writes ran outside of the transaction and the COMMIT was refused: a write could be committed although the client had been told that nothing is kept.

Cause: a refusal by the check of database and key removed the transaction from the session. All other failures keep it as failed until ROLLBACK. The other errors of that check end the session.

Change: the transaction is rolled back and stays as failed, as after each other failure, so that only ROLLBACK is accepted.

Both tests fail on the code before ("READY I -" for "READY E -", and one answer in place of four). The existing one asserted the state I; it now asserts the state E and that ROLLBACK ends it.

--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -321,9 +321,7 @@
             return []
         if now - transaction.idle_since < transaction_idle_s:
             return []
-        connection, transaction.connection = transaction.connection, None
-        transaction.failed = True
-        return [_actions.Abandon(connection, in_transaction=True)]
+        return self._fail_transaction()
 
     def uses_primary(self, service):
         """Return whether the session uses a connection to the service's primary."""
@@ -449,13 +447,14 @@
 
         Notes
         -----
-        Only the BEGIN of a transaction counts against the rate.
+        Only the BEGIN of a transaction counts against the rate. The transaction of
+        a statement that is refused stays open and failed, so that the statements
+        that a caller has sent after it do not run on their own.
         """
         transaction = self.transaction
         failure = self.router.check(now)
         if failure is not None:
-            actions = self._end_transaction()
-            return [*actions, *self._refuse(failure)]
+            return [*self._fail_transaction(), *self._refuse(failure)]
         self._set_in_flight(statement, prepared, writes, transaction.route, now)
         self.in_flight.admitted = self.in_flight.in_transaction = True
         if transaction.connection is None:
@@ -914,6 +913,15 @@
             self.transaction.failed = True
         return [*actions, *self._refuse(failure)]
 
+    def _fail_transaction(self):
+        """Roll back the open transaction, which then accepts only ROLLBACK."""
+        transaction = self.transaction
+        connection, transaction.connection = transaction.connection, None
+        transaction.failed = True
+        if connection is None:
+            return []
+        return [_actions.Abandon(connection, in_transaction=True)]
+
     def _end_transaction(self):
         """Roll back the open transaction, if there is one."""
         transaction, self.transaction = self.transaction, None
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -310,8 +310,9 @@
             self.move_key()
             lines = self.send(self.caller, text)
             self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
-            self.assertEqual("READY I -", lines[1])
+            self.assertEqual("READY E -", lines[1])
             self.assertEqual(["BEGIN", "WRITE k 1", "ROLLBACK"], upstream.sent)
+            self.assertEqual("READY I -", self.send(self.caller, "ROLLBACK")[-1])
             self.assertEqual("blue", self.begin(self.caller).role)
             self.send(self.caller, "ROLLBACK")
 
@@ -322,6 +323,15 @@
         self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
         self.assertEqual([], self.pool.opened)
 
+    def test_statements_after_a_refused_one_do_not_run_outside_the_transaction(self):
+        self.begin(self.caller)
+        self.move_key()
+        lines = self.send(self.caller, "WRITE k 2", "WRITE k 3", "COMMIT", "READ k")
+        self.assertEqual(["READY E -"] * 4, lines[1::2])
+        errors = [line.split(" ")[1] for line in lines[::2]]
+        self.assertEqual(["ABORTED", "MALFORMED", "MALFORMED", "MALFORMED"], errors)
+        self.assertEqual(1, len(self.pool.opened))
+
     def test_session_keeps_its_settings_and_prepared_statements(self):
         self.send(self.caller, "SET zone one", "PARSE s WRITE q1")
         self.move_key()
