Answer the statements that wait behind one that ends the session

What callers saw: a client that had sent several statements at once got the answer to one, and then the end of the connection, up to 1.8 s after it had sent the others. It was so with a stopping instance (RETRY), a database that had been removed (NODATABASE) and a key that had been withdrawn (DENIED).

Cause: an error that ends the session closed the connection at once. Only the last step of a stop answered what waited.

Change: what waits is answered with the same error, before the connection is closed. All errors that end a session on a hosting platform say that the statement was not run, which holds for what waits.

The two tests fail on the code before: the last two of three answers were missing.

--- a/pomelograde/core/statements/_actions.py
+++ b/pomelograde/core/statements/_actions.py
@@ -185,7 +185,9 @@
 
 @attrs.frozen
 class Close:
-    """End the session."""
+    """Answer the statements that wait with an error, and end the session."""
+
+    failure: object
 
 
 @attrs.frozen
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -932,7 +932,7 @@
     def _refuse(self, failure):
         actions = [_actions.RespondError(failure, self.status)]
         if _errors.ERROR_RESPONSES[failure.kind].fatal:
-            actions.append(_actions.Close())
+            actions.append(_actions.Close(failure))
         return actions
 
     def _record_retry(self, reason, member=""):
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -173,10 +173,16 @@
         queued, self.queued = self.queued, collections.deque()
         self.ended_at = self.context.now()  # The answers tell, not an announcement.
         self.perform(self.core.on_stopped())
-        for _ in queued:
+        self.queued = queued
+        self.refuse_queued(failure)
+        self.close()
+
+    def refuse_queued(self, failure):
+        """Answer the statements that are queued with an error."""
+        while self.queued:
+            self.queued.popleft()
             self.caller.refuse(failure, self.core.status)
             self.proxy.record_refusal(self, failure)
-        self.close()
 
     def sweep(self, now, transaction_idle_s):
         """Apply the time limits of the operation and of the end of the session."""
@@ -419,6 +425,7 @@
 
 @_execute.register
 def _(action: statements.Close, task):
+    task.refuse_queued(action.failure)
     task.close()
 
 
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -263,6 +263,42 @@
         self.assertTrue(upstream.is_closed)
 
 
+class FatalErrorTests(SessionTestCase):
+    """Statements behind one that ends the session had no answer."""
+
+    def wait(self, *texts):
+        """Send statements; the first waits for its member. Returns the caller."""
+        caller = self.call()
+        self.send(caller, *texts)
+        return caller
+
+    def answers(self, caller):
+        return [line.split(" ")[:2] for line in self.read(caller)]
+
+    def test_statements_behind_a_withdrawn_key_are_answered(self):
+        caller = self.wait("READ k", "READ l", "READ m")
+        self.configure(red={"key-2"})
+        self.pool.opened[-1].answer(b"I")
+        self.assertEqual(
+            [["COMPLETE", "d"], ["READY", "I"]]
+            + [["ERROR", "DENIED"], ["READY", "I"]] * 2,
+            self.answers(caller),
+        )
+        self.assertTrue(caller.transport.disconnecting)
+
+    def test_statements_behind_one_that_a_stop_refuses_are_answered(self):
+        caller = self.wait("READ k", "READ l", "READ m")
+        self.proxy.begin_stop()
+        self.clock.advance(GRACE_S * 0.4)
+        self.pool.opened[-1].answer(b"I")
+        self.assertEqual(
+            [["COMPLETE", "d"], ["READY", "I"]]
+            + [["ERROR", "RETRY"], ["READY", "I"]] * 2,
+            self.answers(caller),
+        )
+        self.assertTrue(caller.transport.disconnecting)
+
+
 class MovedKeyTests(SessionTestCase):
     """What a session does once its key belongs to another client account.
 
