--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -263,6 +263,42 @@
         self.assertTrue(upstream.is_closed)
 
 
+class FatalErrorTests(SessionTestCase):
+    """Statements behind one that ends the session had no answer."""
+
+    def wait(self, *texts):
+        """Send statements; the first waits for its member. Returns the caller."""
+        caller = self.call()
+        self.send(caller, *texts)
+        return caller
+
+    def answers(self, caller):
+        return [line.split(" ")[:2] for line in self.read(caller)]
+
+    def test_statements_behind_a_withdrawn_key_are_answered(self):
+        caller = self.wait("READ k", "READ l", "READ m")
+        self.configure(red={"key-2"})
+        self.pool.opened[-1].answer(b"I")
+        self.assertEqual(
+            [["COMPLETE", "d"], ["READY", "I"]]
+            + [["ERROR", "DENIED"], ["READY", "I"]] * 2,
+            self.answers(caller),
+        )
+        self.assertTrue(caller.transport.disconnecting)
+
+    def test_statements_behind_one_that_a_stop_refuses_are_answered(self):
+        caller = self.wait("READ k", "READ l", "READ m")
+        self.proxy.begin_stop()
+        self.clock.advance(GRACE_S * 0.4)
+        self.pool.opened[-1].answer(b"I")
+        self.assertEqual(
+            [["COMPLETE", "d"], ["READY", "I"]]
+            + [["ERROR", "RETRY"], ["READY", "I"]] * 2,
+            self.answers(caller),
+        )
+        self.assertTrue(caller.transport.disconnecting)
+
+
 class MovedKeyTests(SessionTestCase):
     """What a session does once its key belongs to another client account.
 
@@ -310,8 +346,9 @@
             self.move_key()
             lines = self.send(self.caller, text)
             self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
-            self.assertEqual("READY I -", lines[1])
+            self.assertEqual("READY E -", lines[1])
             self.assertEqual(["BEGIN", "WRITE k 1", "ROLLBACK"], upstream.sent)
+            self.assertEqual("READY I -", self.send(self.caller, "ROLLBACK")[-1])
             self.assertEqual("blue", self.begin(self.caller).role)
             self.send(self.caller, "ROLLBACK")
 
@@ -322,6 +359,15 @@
         self.assertTrue(lines[0].startswith("ERROR ABORTED "), lines)
         self.assertEqual([], self.pool.opened)
 
+    def test_statements_after_a_refused_one_do_not_run_outside_the_transaction(self):
+        self.begin(self.caller)
+        self.move_key()
+        lines = self.send(self.caller, "WRITE k 2", "WRITE k 3", "COMMIT", "READ k")
+        self.assertEqual(["READY E -"] * 4, lines[1::2])
+        errors = [line.split(" ")[1] for line in lines[::2]]
+        self.assertEqual(["ABORTED", "MALFORMED", "MALFORMED", "MALFORMED"], errors)
+        self.assertEqual(1, len(self.pool.opened))
+
     def test_session_keeps_its_settings_and_prepared_statements(self):
         self.send(self.caller, "SET zone one", "PARSE s WRITE q1")
         self.move_key()
