Log sessions that end with statements unanswered, and count them at a stop

A session that ended wrote no line.

SESSION_CUT_OFF names the statement, whether a member had it, how many waited behind it, and who ended the session. DAEMON_STOPPED counts the sessions that the end of the stop closed, their statements that got an error, the requests of other instances without an answer, and the callers whose answers were not sent in full.

--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -63,6 +63,8 @@
         Ends what is open in evacuated data centres.
     readiness : Readiness
         Readiness probe of the load balancer.
+    callers : CallerFactory
+        Accepts the connections of callers.
     ports : list of IListeningPort
         Listening ports.
     """
@@ -73,6 +75,7 @@
     takeovers: takeovers.TakeoverTask
     evacuations: evacuations.EvacuationTask
     readiness: readiness.Readiness
+    callers: callers.CallerFactory
     ports: list = attrs.field(factory=list)
 
     async def start(self):
@@ -108,12 +111,7 @@
         self.proxy.start()
         self.takeovers.start()
         self.evacuations.start()
-        factory = callers.CallerFactory(
-            self.context.reactor,
-            self.proxy.open_session,
-            self.proxy.record_session_refusal,
-        )
-        self._listen(instance_settings.caller_port, factory)
+        self._listen(instance_settings.caller_port, self.callers)
         self.readiness.has_started = True
         self.context.log.write(
             events.Event.DAEMON_READY,
@@ -150,7 +148,13 @@
         self.context.peers.stop()
         for port in self.ports:
             await defer.maybeDeferred(port.stopListening)
-        self.context.log.write(events.Event.DAEMON_STOPPED)
+        self.context.log.write(
+            events.Event.DAEMON_STOPPED,
+            sessions=self.proxy.stopped_sessions,
+            statements=self.proxy.stopped_statements,
+            relayed=len(self.proxy.relay.pending),
+            unsent=len(self.callers.closing),
+        )
 
     def _render_metrics(self):
         """Return the Page with all metrics.
@@ -254,6 +258,9 @@
     evacuation_task = evacuations.EvacuationTask(shared_context, sync, session_proxy)
     sync.on_evacuations = evacuation_task.update
     readiness_check = readiness.Readiness(shared_context, freshness)
+    caller_factory = callers.CallerFactory(
+        reactor, session_proxy.open_session, session_proxy.record_session_refusal
+    )
     return HostedDaemon(
         shared_context,
         sync,
@@ -261,6 +268,7 @@
         takeover_task,
         evacuation_task,
         readiness_check,
+        caller_factory,
     )
 
 
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -78,6 +78,9 @@
         Judges the members by their answers; None if they aren't judged.
     placing : Placing or None
         Expected times at the members, by which reads are placed if it is set.
+    stopped_sessions, stopped_statements : int
+        Sessions that were left at the end of a stop, and those of their statements
+        that were answered with an error then.
     startup_timer : IDelayedCall or None
         Raises the connection limits once members have dropped the connections
         of earlier processes.
@@ -102,6 +105,8 @@
         self.health = None
         self.placing = None
         self.loops = []
+        self.stopped_sessions = 0
+        self.stopped_statements = 0
         if context.settings.shares_members:
             pools.RoomGauges(context.metrics, self.pools)
         self.relay = relay.Relay(context, self)
@@ -151,7 +156,8 @@
             self.startup_timer.cancel()
         self.rates.stop()
         for task in list(self.sessions):
-            task.stop(retries.Failure(_KIND.DRAINING))
+            self.stopped_sessions += 1
+            self.stopped_statements += task.stop(retries.Failure(_KIND.DRAINING))
         for pool in self.pools.values():
             pool.close()
 
@@ -425,6 +431,22 @@
             **rate,
         )
 
+    def record_cut_off(self, task, reason):
+        """Log the end of a session that has statements without an answer."""
+        statement = task.statement
+        in_flight = task.core.in_flight
+        self.context.log.write(
+            events.Event.SESSION_CUT_OFF,
+            session=task.session_id,
+            account=task.account,
+            database=task.database,
+            reason=reason,
+            id="" if statement is None else statement.request_id.decode("latin-1"),
+            was_sent=in_flight is not None and in_flight.attempts > 0,
+            in_transaction=task.core.transaction is not None,
+            queued=len(task.queued),
+        )
+
     def record_refusal(self, task, failure):
         """Count a statement that was answered with an error."""
         metrics = self.context.metrics
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -125,22 +125,36 @@
         failure = retries.Failure(retries.ErrorKind.MALFORMED_FRAME)
         self.proxy.record_refusal(self, failure)
         self.caller.refuse(failure, self.core.status)
-        self.close()
+        self.close("error")
 
-    def on_closed(self):
-        """Release all resources after the caller has disconnected."""
+    def on_closed(self, reason="caller"):
+        """Release all resources after the caller has disconnected.
+
+        Parameters
+        ----------
+        reason : str
+            Why the session ended, for the log.
+        """
         if self.closed:
             return
         self.closed = True
+        if self.statement is not None or self.queued:
+            self.proxy.record_cut_off(self, reason)
         self.proxy.sessions.discard(self)
         self.proxy.timed_sessions.discard(self)
         self.perform(self.core.on_closed())
 
-    def close(self):
-        """End the session."""
+    def close(self, reason):
+        """End the session.
+
+        Parameters
+        ----------
+        reason : str
+            Why it ends, for the log.
+        """
         if not self.closed:
             self.caller.close_gracefully()
-            self.on_closed()
+            self.on_closed(reason)
 
     def end(self, failure):
         """End the idle session without cutting off a request that is on its way.
@@ -169,14 +183,21 @@
         ----------
         failure : Failure
             Answer to the statements that are queued.
+
+        Returns
+        -------
+        int
+            Number of statements that were answered.
         """
         queued, self.queued = self.queued, collections.deque()
+        count = len(queued) + (self.statement is not None)
         self.ended_at = self.context.now()  # The answers tell, not an announcement.
         self.perform(self.core.on_stopped())
         for _ in queued:
             self.caller.refuse(failure, self.core.status)
             self.proxy.record_refusal(self, failure)
-        self.close()
+        self.close("stop")
+        return count
 
     def sweep(self, now, transaction_idle_s):
         """Apply the time limits of the operation and of the end of the session."""
@@ -184,7 +205,7 @@
             self.proxy.timed_sessions.discard(self)
             return
         if self.ended_at is not None and now - self.ended_at >= END_LINGER_S:
-            self.close()
+            self.close("time")
             return
         actions = self.core.expire(now, transaction_idle_s)
         if actions:
@@ -419,7 +440,7 @@
 
 @_execute.register
 def _(action: statements.Close, task):
-    task.close()
+    task.close("error")
 
 
 @_execute.register
--- a/pomelograde/platform/callers.py
+++ b/pomelograde/platform/callers.py
@@ -23,6 +23,8 @@
         a Failure.
     on_refused : callable
         Called with the Failure when a session is refused.
+    closing : set of CallerProtocol
+        Connections that this instance closes, but that have data to send yet.
 
     Attributes
     ----------
@@ -37,10 +39,11 @@
         state of the session.
     """
 
-    def __init__(self, reactor, open_session, on_refused):
+    def __init__(self, reactor, open_session, on_refused, closing):
         self.reactor = reactor
         self.open_session = open_session
         self.on_refused = on_refused
+        self.closing = closing
         self.reader = _line_protocol.LineReader()
         self.session = None
         self.start_timer = None
@@ -72,6 +75,7 @@
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Tell the session that the caller has disconnected."""
         self._cancel_start_timer()
+        self.closing.discard(self)
         session, self.session = self.session, None
         if session is not None:
             session.on_closed()
@@ -115,6 +119,7 @@
 
     def close_gracefully(self):
         """Close the connection after all pending data has been sent."""
+        self.closing.add(self)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -184,6 +189,11 @@
         Reactor.
     open_session, on_refused : callable
         As for `CallerProtocol`.
+
+    Attributes
+    ----------
+    closing : set of CallerProtocol
+        As for `CallerProtocol`.
     """
 
     noisy = False
@@ -192,7 +202,10 @@
         self.reactor = reactor
         self.open_session = open_session
         self.on_refused = on_refused
+        self.closing = set()
 
     def buildProtocol(self, addr):  # noqa: N802
         """Return the protocol of a new connection."""
-        return CallerProtocol(self.reactor, self.open_session, self.on_refused)
+        return CallerProtocol(
+            self.reactor, self.open_session, self.on_refused, self.closing
+        )
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -442,8 +442,10 @@
         self.assertTrue(end[0].startswith("ERROR RETRY "), end)
         self.assertEqual("closed", end[1])
         self.assertEqual(0, instance.child.wait(timeout=8.0))
-        names = [record["name"] for record in instance.read_log()]
-        self.assertEqual("DAEMON_STOPPED", names[-1])
+        last = instance.read_log()[-1]
+        self.assertEqual("DAEMON_STOPPED", last["name"])
+        left = [last[part] for part in ("sessions", "statements", "relayed", "unsent")]
+        self.assertEqual([0, 0, 0, 0], left)
 
     def start_another(self, number):
         """Start an instance that a test may stop."""
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task, testing
 
 from pomelograde.core import configuration, membership, placement, statements
-from pomelograde.net import metrics
+from pomelograde.net import events, metrics
 from pomelograde.net.hosted import proxy
 from pomelograde.platform import callers
 
@@ -87,6 +87,8 @@
         super().setUp()
         self.clock = task.Clock()
         self.clock.advance(100.0)
+        self.closing = set()
+        self.logged = []
         context = types.SimpleNamespace(
             reactor=self.clock,
             now=self.clock.seconds,
@@ -94,7 +96,9 @@
             members=types.SimpleNamespace(own=OWN),
             peers=types.SimpleNamespace(handlers={}),
             metrics=metrics.Metrics(),
-            log=types.SimpleNamespace(write=lambda event, **fields: None),
+            log=types.SimpleNamespace(
+                write=lambda event, **fields: self.logged.append((event, fields))
+            ),
             settings=types.SimpleNamespace(
                 rate_excess=0.1,
                 rate_slack=20.0,
@@ -134,7 +138,10 @@
     def call(self, key="key-1"):
         """Open a caller's session; returns its protocol."""
         caller = callers.CallerProtocol(
-            self.clock, self.proxy.open_session, self.proxy.record_session_refusal
+            self.clock,
+            self.proxy.open_session,
+            self.proxy.record_session_refusal,
+            self.closing,
         )
         caller.makeConnection(Transport())
         caller.dataReceived(f"START cases {key}\r\n".encode())
@@ -263,6 +270,48 @@
         self.assertTrue(upstream.is_closed)
 
 
+class CutOffTests(SessionTestCase):
+    """What is known of statements that had no answer when their session ended.
+
+    A session that ended wrote no line, so that its reason could not be seen.
+    """
+
+    def cut_off(self):
+        """Return the fields of the only line about a session that was cut off."""
+        (fields,) = (
+            fields
+            for event, fields in self.logged
+            if event is events.Event.SESSION_CUT_OFF
+        )
+        return fields
+
+    def test_statement_without_an_answer_is_logged_with_the_reason(self):
+        caller = self.call()
+        self.send(caller, "WRITE k 1", "READ k")
+        caller.connectionLost()
+        fields = self.cut_off()
+        self.assertEqual(("caller", "q0"), (fields["reason"], fields["id"]))
+        self.assertEqual((True, 1), (fields["was_sent"], fields["queued"]))
+
+    def test_session_without_a_statement_writes_no_line(self):
+        caller = self.call()
+        self.begin(caller)
+        caller.connectionLost()
+        names = [event.name for event, _ in self.logged]
+        self.assertNotIn("SESSION_CUT_OFF", names)
+
+    def test_sessions_and_statements_that_a_stop_ends_are_counted(self):
+        self.send(self.call(), "WRITE k 1", "READ k")
+        self.call()
+        self.proxy.stop()
+        self.assertEqual(2, self.proxy.stopped_sessions)
+        self.assertEqual(2, self.proxy.stopped_statements)
+        self.assertEqual(2, len(self.closing))
+        for caller in list(self.closing):
+            caller.connectionLost()
+        self.assertEqual(set(), self.closing)
+
+
 class MovedKeyTests(SessionTestCase):
     """What a session does once its key belongs to another client account.
 
