Send nothing new to a member that left longer ago than the bound

Cause: the member with the longest log is promoted although it leaves, since the commits that only it has would be lost otherwise, and was then used until the next takeover, however late that came. Now each instance knows until when a leaving member may get new statements: four fifths of the bound after the last read that did not show the announcement. The sending instance and the owner of the connection both decide by it. Open transactions may go on.

Three tests failed before.

--- a/pomelograde/core/placement/__init__.py
+++ b/pomelograde/core/placement/__init__.py
@@ -36,6 +36,7 @@
 RoundTrips = _locality.RoundTrips
 Shares = _locality.Shares
 intersect_regions = _homes.intersect_regions
+USE_FRACTION = _evacuations.USE_FRACTION
 is_placeable = _homes.is_placeable
 rank_replicas = _ranking.rank_replicas
 covers = _ranking.covers
@@ -58,6 +59,7 @@
     "Requirement",
     "RestoredMembers",
     "Role",
+    "USE_FRACTION",
     "RoundTrips",
     "Shares",
     "intersect_regions",
--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -75,6 +75,9 @@
         Monotonic time at which its connections showed that it has ended.
     paced_until : float
         Monotonic time until which its rate as a cold member is used up.
+    leaving_until : float
+        Monotonic time until which it may get new statements; infinite unless it
+        has announced its shutdown.
     """
 
     host: str = ""
@@ -90,6 +93,7 @@
     cold_until: float = float("-inf")
     restart_presumed_at: float = float("-inf")
     paced_until: float = float("-inf")
+    leaving_until: float = float("inf")
 
     def cold_cost(self, now):
         """Return the factor on the cost of a read; falls to 1 as the time runs out."""
@@ -180,7 +184,7 @@
         self.cold_start_s = 0.0
         self.evacuation_deadlines = {}
 
-    def update(self, members, now):
+    def update(self, members, now, leaving_until=float("inf")):
         """Set the registered members.
 
         Parameters
@@ -190,6 +194,9 @@
             still the same is kept.
         now : float
             Monotonic seconds.
+        leaving_until : float
+            Monotonic time until which members may get new statements that have
+            announced their shutdown since the last update.
 
         Returns
         -------
@@ -199,9 +206,14 @@
         registered = {}
         for member in members:
             current = self.members.get(member.name)
+            if member.leaving:
+                member.leaving_until = leaving_until
+                if current is not None and current.leaving:
+                    member.leaving_until = current.leaving_until
             if current is not None and current.address == member.address:
                 current.role = member.role
                 current.leaving = member.leaving
+                current.leaving_until = member.leaving_until
                 current.slots = member.slots
                 current.region = member.region
                 current.is_cold = member.is_cold
@@ -357,7 +369,7 @@
         ):
             return None
         member = self.members.get(self.primary)
-        if member is None:
+        if member is None or now >= member.leaving_until:
             return None
         if member.data_centre in self.evacuated:
             # Until another member has taken over, or the time limit is near.
--- a/pomelograde/daemon/hosted_settings.py
+++ b/pomelograde/daemon/hosted_settings.py
@@ -60,6 +60,9 @@
         instances divide them by need.
     evacuation_s : float
         Time after which nothing is sent to an evacuated data centre any more.
+    drain_s : float
+        Time after which nothing new is sent to a member that has announced its
+        shutdown.
     cold_excess, cold_slack : float
         Factor on the rate of a cold member, and statements in addition to it,
         that it may get within one second.
@@ -88,6 +91,7 @@
     checks_members: bool = False
     shares_members: bool = False
     evacuation_s: float = 5.0
+    drain_s: float = float("inf")
     cold_excess: float = 1.0
     cold_slack: float = 0.0
     data_centre_ms_per_kb: float = 5.0
@@ -115,6 +119,7 @@
     "rate_slack": checks.not_negative,
     "member_heartbeat_s": checks.positive,
     "evacuation_s": checks.positive,
+    "drain_s": checks.positive,
     "cold_excess": checks.positive,
     "cold_slack": checks.not_negative,
     "data_centre_ms_per_kb": checks.not_negative,
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -181,8 +181,18 @@
         self.cold_starts.update()
         self._resize_pools()
 
-    def set_members(self, members):
-        """Update the registered members, given by service."""
+    def set_members(self, members, unchanged_at):
+        """Update the registered members.
+
+        Parameters
+        ----------
+        members : dict of str to list of Member
+            Registered members by service.
+        unchanged_at : float
+            Monotonic time of the last read that returned other members.
+        """
+        drain_s = self.context.settings.drain_s
+        leaving_until = unchanged_at + placement.USE_FRACTION * drain_s
         for service in [name for name in self.groups if name not in members]:
             self.groups[service].update([], self.context.now())
         regions = self.context.settings.regions
@@ -200,7 +210,7 @@
                 if service in self.takeovers:
                     self.set_takeover(self.takeovers[service])
             self.cold_starts.configure(group)
-            if group.update(registered, self.context.now()):
+            if group.update(registered, self.context.now(), leaving_until):
                 self._log_primary(group)
         self.renew_primary_leases()
         replaced = self._update_pools()
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -96,8 +96,10 @@
         Copy of the store's state.
     configuration : FleetConfiguration
         Configuration in force; its version never decreases.
-    on_configuration, on_members, on_instances, on_takeovers : callable or None
+    on_configuration, on_instances, on_takeovers : callable or None
         Called with the new value after a change.
+    on_members : callable or None
+        The same; also called with the time of the last read before the change.
     on_evacuations : callable or None
         Called without arguments after a change of the evacuations.
     store_available : bool or None
@@ -709,9 +711,9 @@
         if as_of >= self.freshness.members_at:
             self._record_members_read(as_of)
         if as_of >= self.members_as_of:
-            self.members_as_of = as_of
+            before, self.members_as_of = self.members_as_of, as_of
             if answer.upstreams:
-                self._apply_members(_decode_members(answer.upstreams))
+                self._apply_members(_decode_members(answer.upstreams), before)
         if answer.configuration_version >= self.configuration.version:
             self.freshness.record_configuration_read(
                 asked_at - answer.configuration_age_ms / 1000.0
@@ -879,18 +881,18 @@
         if rows.as_of < self.members_as_of:
             return
         now = self.context.now()
-        self.members_as_of = rows.as_of
+        before, self.members_as_of = self.members_as_of, rows.as_of
         members = self.restored_members.select(rows, self.fleet.members, now)
         if extends_leases:
             self._record_members_read(rows.as_of)
-        self._apply_members(members)
+        self._apply_members(members, before)
 
-    def _apply_members(self, members):
+    def _apply_members(self, members, before):
         digest = _digest(_encode_members(members))
         if digest != self.fleet.members_digest:
             self.fleet.members = members
             self.fleet.members_digest = digest
-            self._notify(self.on_members, members)
+            self._notify(self.on_members, members, before)
         self._notify(self.on_refreshed)
 
     def apply_takeover(self, takeover):
--- a/pomelograde/platform/settings.py
+++ b/pomelograde/platform/settings.py
@@ -70,6 +70,7 @@
                 checks_members="health" in contracts,
                 shares_members="pool" in contracts,
                 evacuation_s=bounds.get("evacuateMs", 5000) / 1000.0,
+                drain_s=bounds.get("drainMs", float("inf")) / 1000.0,
                 cold_excess=float(bounds.get("coldExcess", 1.0)),
                 cold_slack=float(bounds.get("coldSlack", 0.0)),
                 data_centre_ms_per_kb=float(options.get("zoneMsPerKb", 5.0)),
--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -267,6 +267,7 @@
         "bounds": {
             "revokeMs": 5000,
             "graceS": 6,
+            "drainMs": 7000,
             "quotaWindowS": 5,
             "quotaExcess": 0.1,
             "quotaSlack": 20,
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -28,6 +28,25 @@
         self.assertIsNone(self.group.usable_primary(50.0))
         self.assertNotIn("p", self.rank(now=50.0))
 
+    def update(self, role, leaving, until):
+        """Set the member "c", and until when it is used if it has begun to leave."""
+        found = member("c", role=role, leaving=leaving)
+        self.group.update([found, member("a")], 10.0, leaving_until=until)
+
+    def test_leaving_primary_gets_no_statement_once_its_time_is_over(self):
+        primary = placement.Role.PRIMARY
+        self.update(primary, leaving=True, until=20.0)
+        self.assertEqual("c", self.group.usable_primary(19.9).name)
+        self.assertIsNone(self.group.usable_primary(20.0))
+        self.update(primary, leaving=False, until=30.0)
+        self.assertEqual("c", self.group.usable_primary(40.0).name)
+
+    def test_promotion_of_a_leaving_member_does_not_extend_its_time(self):
+        self.update(placement.Role.REPLICA, leaving=True, until=20.0)
+        self.update(placement.Role.PRIMARY, leaving=True, until=30.0)
+        self.assertEqual("c", self.group.usable_primary(19.9).name)
+        self.assertIsNone(self.group.usable_primary(20.0))
+
     def test_local_replica_comes_before_remote_replicas_and_the_primary(self):
         self.assertEqual(["a", "b", "p"], self.rank())
         self.assertEqual(["b", "p"], self.rank(tried=["a"]))
--- a/tests/net/hosted/test_evacuation_task.py
+++ b/tests/net/hosted/test_evacuation_task.py
@@ -84,6 +84,7 @@
                 rate_slack=20.0,
                 host="127.0.0.1",
                 evacuation_s=5.0,
+                drain_s=7.0,
                 regions={},
                 shares_members=False,
             ),
@@ -109,7 +110,8 @@
                     placement.Member("r", "x"),
                     placement.Member("s", "y"),
                 ]
-            }
+            },
+            self.clock.seconds(),
         )
 
     def read(self, revision, *names):
@@ -220,7 +222,9 @@
 
     def test_new_service_is_evacuated_too(self):
         self.read(2, "x")
-        self.proxy.set_members({"h": [placement.Member("q", "x")]})
+        self.proxy.set_members(
+            {"h": [placement.Member("q", "x")]}, self.clock.seconds()
+        )
         self.assertEqual({"x"}, self.proxy.groups["h"].evacuated)
 
     def sweep_repeatedly(self):
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -411,7 +411,7 @@
 
     def test_fault_among_the_instances_leaves_the_members_followed(self):
         for fault in self.make_faults():
-            self.sync._apply_members({})
+            self.sync._apply_members({}, 100.0)
             self.fetch(self.read_members(200.0), failure.Failure(fault))
             self.assertEqual(MEMBERS, self.sync.fleet.members)
         self.assertEqual(1, self.logged.count(events.Event.INTERNAL_FAULT))
@@ -462,6 +462,15 @@
         self.assertTrue(self.sync.loop.running)
         self.assertEqual(2, self.logged.count(events.Event.INTERNAL_FAULT))
 
+    def test_change_of_the_members_is_told_with_the_time_of_the_read_before(self):
+        changes = []
+        self.sync.on_members = lambda members, before: changes.append(before)
+        for as_of in (100.0, 101.0):
+            self.fetch(self.read_members(as_of), ([self.own], []))
+        changed = attrs.evolve(self.read_members(102.0), members={})
+        self.fetch(changed, ([self.own], []))
+        self.assertEqual([float("-inf"), 101.0], changes)
+
     def test_fault_of_one_consumer_leaves_the_others_told(self):
         def fail(*_):
             raise OverflowError
