Keep the highest term of a takeover to that takeover

Two takeovers of different services that ran at once shared one number, the highest term of the members. The old primary of the first was told to step down for a term of the other service; one that is too low has no effect, so that it stays a primary until it hears of the new one.

The number is now a result of the search for candidates. Found by reading; test_old_primary_steps_down_for_the_terms_of_its_own_service failed before (6 expected, 2 sent).

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -63,8 +63,6 @@
         When each service's failing primary was last replaced, or tried to be.
     retry_at : dict of str to float
         Earliest time of the next takeover of a service after a failed one.
-    highest_term : int
-        Highest term that the members of the last takeover's group reported.
     """
 
     def __init__(self, context, sync, proxy, promoter):
@@ -79,7 +77,6 @@
         self.row_version_since = {}
         self.failing_at = {}
         self.retry_at = {}
-        self.highest_term = 0
         self.loop = None
         handlers = context.peers.handlers
         handlers[peer_messages.HoldRequest] = self._on_hold_request
@@ -398,7 +395,7 @@
         connections = {name: found for name, found in opened.items() if found}
         promoted = None
         try:
-            candidates, primary_position = await self._find_candidates(
+            candidates, primary_position, term = await self._find_candidates(
                 group, connections, old_primary, reason
             )
             requirement = self._make_requirement(group, old_primary, primary_position)
@@ -439,7 +436,7 @@
             if old_primary in connections and not group.is_closed(
                 old_primary, self.context.now()
             ):
-                connections[old_primary].step_down(self.highest_term + 1, _ignore)
+                connections[old_primary].step_down(term + 1, _ignore)
             await self._wait_until_primary(group, chosen.name, connections)
             return chosen.name
         finally:
@@ -653,6 +650,8 @@
             The replicas that have answered.
         primary_position : Position or None
             None if the old primary has not answered.
+        highest_term : int
+            Highest term that the members have reported.
 
         Notes
         -----
@@ -666,7 +665,7 @@
         if old_primary in states:
             primary_position = states[old_primary][2]
         terms = [term for _, term, _ in states.values()]
-        self.highest_term = max([group.term, *terms])
+        highest_term = max([group.term, *terms])
         replicas = {
             name: found for name, found in connections.items() if name != old_primary
         }
@@ -675,7 +674,7 @@
                 group, replicas, states.get(old_primary), old_primary
             )
         elif reason is takeovers.Reason.FAILING and old_primary not in states:
-            return [], None
+            return [], None, highest_term
         elif reason.is_planned and old_primary in states:
             target = states[old_primary][2]
             states = await self._wait_until_caught_up(replicas, states, target)
@@ -683,15 +682,13 @@
                 # The old primary stays, so nothing has to be lost.
                 states = _select_caught_up(group, states, target)
         else:
-            states = await self._request_statuses(
-                replicas, "pause", self.highest_term + 1
-            )
+            states = await self._request_statuses(replicas, "pause", highest_term + 1)
         candidates = [
             self._make_candidate(group, name, position, old_primary)
             for name, (_, _, position) in states.items()
             if name != old_primary and name in group.members
         ]
-        return candidates, primary_position
+        return candidates, primary_position, highest_term
 
     def _make_candidate(self, group, name, position, old_primary):
         """Return the Candidate for a registered member."""
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -190,7 +190,7 @@
         )
         for _ in range(40):
             self.task.context.reactor.advance(0.05)
-        candidates, _ = finding.result
+        candidates, _, _ = finding.result
         return [candidate.name for candidate in candidates]
 
     def test_evacuated_primary_is_replaced_only_by_one_with_its_whole_log(self):
@@ -217,7 +217,7 @@
             return {}
 
         async def find_candidates(*_):
-            return [chosen], None
+            return [chosen], None, 1
 
         async def is_in_force(takeover):
             self.evacuate("y", until=104.0)
@@ -356,6 +356,7 @@
 
     def __init__(self, received):
         self.is_primary = False
+        self.step_down_term = None
         self.term = 1
         self.received = received
         self.paused_term = 0
@@ -377,6 +378,7 @@
         self.ask_status(done)
 
     def step_down(self, term, done):
+        self.step_down_term = term
         self.is_primary = False
         self.ask_status(done)
 
@@ -432,12 +434,17 @@
         self.members[name].paused_term = 0
         return True
 
-    def run_takeover(self):
-        takeover = takeovers.Takeover("g", "reader/1", "", 7, 7)
+    def begin_promotion(self, group, old_primary):
+        """Start a takeover; returns the list that its outcome is added to."""
+        takeover = takeovers.Takeover(group.name, "reader/1", "", 7, 7)
         reason = takeovers.Reason.ABSENT
         found = []
-        promoting = self.task._promote(self.group, takeover, None, reason, 0.0)
+        promoting = self.task._promote(group, takeover, old_primary, reason, 0.0)
         defer.ensureDeferred(promoting).addCallback(found.append)
+        return found
+
+    def run_takeover(self):
+        found = self.begin_promotion(self.group, None)
         self.clock.advance(1.0)
         return found[0]
 
@@ -454,6 +461,24 @@
         self.assertEqual("c", self.run_takeover())
         self.assertEqual([], self.find_paused())
 
+    def test_old_primary_steps_down_for_the_terms_of_its_own_service(self):
+        old = self.members["a"]
+        for member in self.members.values():
+            member.term = 5
+        other = placement.Group("h")
+        other.update([placement.Member("d", "x")], 0.0)
+        self.members["d"] = FakeMember(104)
+
+        async def promote(service, name, fence):
+            if service == "g":
+                self.begin_promotion(other, None)
+            return await self.promote(service, name, fence)
+
+        self.task.promoter.promote = promote
+        self.begin_promotion(self.group, "a")
+        self.clock.advance(1.0)
+        self.assertEqual(6, old.step_down_term)
+
     def test_replicas_receive_after_a_refused_promotion(self):
         self.promotes = False
         self.assertIsNone(self.run_takeover())
