Count members as read only once the takeovers are known too

An instance that starts read the members first, then registered, then read the takeovers. Another instance that pulled the state from it in between got members of an age of milliseconds without any takeover, and extended its lease on a primary that a takeover already held; the holder waits for that lease only from the takeover's beginning.

Now the members count as read when the takeovers have been read after them. Found by reading; the new test failed before (an age of 1 s was told in place of an unknown one). 51 tests of real instances pass.

--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -199,6 +199,7 @@
             if not is_old or await self._read_all():
                 registered = await self._attempt(self._register)
                 if registered.is_ok():
+                    self.freshness.record_members_read(self.members_as_of)
                     break
                 self._record_outcomes(registered)
             await self._sleep(STARTUP_RETRY_INTERVAL_S)
@@ -219,6 +220,10 @@
         -------
         bool
             Whether both could be read.
+
+        Notes
+        -----
+        The members count as read once the takeovers are known as well.
         """
         document, rows = await defer.gatherResults(
             [
@@ -230,7 +235,7 @@
         if document.is_ok():
             self._run(self._apply_document, document.ok_value)
         if rows.is_ok():
-            self._run(self._apply_member_rows, rows.ok_value)
+            self._run(self._apply_member_rows, rows.ok_value, False)
         return document.is_ok() and rows.is_ok()
 
     async def _attempt(self, call, *arguments):
@@ -561,7 +566,7 @@
         return self.context.now() - self.freshness.configuration_at > STALE_AFTER_S
 
     def _has_old_lists(self):
-        return self.context.now() - self.freshness.members_at > STALE_AFTER_S
+        return self.context.now() - self.members_as_of > STALE_AFTER_S
 
     async def _request_state(self, instance):
         """Request the state from an instance.
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -136,6 +136,21 @@
         self.source.calls[-1].callback(([self.own, other], []))
         self.assertIsNotNone(self.sync.loop)
 
+    def test_members_are_not_recent_before_the_takeovers_were_read(self):
+        # Another instance would use a primary that a takeover holds.
+        self.source.register = self.source.call
+        document, members = self.source.calls
+        document.callback(source.ConfigurationDocument("7", 7, 9, 99.0))
+        members.callback(self.read_members(99.0))
+        registering = self.source.calls[-1]
+        request = peer_messages.NewsRequest(0, 0, 0)
+        answer = self.peers.receive(request, "other")
+        self.assertEqual(state_sync.UNKNOWN_AGE_MS, answer.upstreams_age_ms)
+        registering.callback(self.own)
+        self.source.calls[-1].callback(([self.own], []))
+        answer = self.peers.receive(request, "other")
+        self.assertEqual(1001, answer.upstreams_age_ms)
+
     def read_evacuations(self, revision, *names, as_of=99.0):
         read = placement.EvacuationsRead(frozenset(names), 1, revision, as_of)
         self.sync._apply_evacuations(read)
