Ping no member that an evacuation has closed

What callers saw: nothing; the operator did. A member of an evacuated data centre got new connections long after the time limit of 5 s, whenever an instance with the contract "pool" had lost another member by a ping.

Cause: MemberPaths.ping opened a connection, or asked for a position over an idle one, without asking what evacuations allow. A loss by ping makes an instance ping all members that it has not heard from, and an evacuated one is always among them; one that was unreachable when its data centre was evacuated was pinged at intervals for good.

The ping now asks as all other senders do, and such a member is forgotten instead, so that nothing reports it as cut off. It is known anew once something is sent to it again.

--- a/pomelograde/core/membership/_reachability.py
+++ b/pomelograde/core/membership/_reachability.py
@@ -223,9 +223,13 @@
         """Set the registered peers, by name with data centre; forgets all others."""
         self.places = places
         for name in [name for name in self.peers if name not in places]:
-            del self.peers[name]
-            self.doubtful.discard(name)
-            self.pinged.discard(name)
+            self.forget(name)
+
+    def forget(self, name):
+        """Forget what is known about a peer, which is not pinged any more."""
+        self.peers.pop(name, None)
+        self.doubtful.discard(name)
+        self.pinged.discard(name)
 
     def is_usable(self, name, now):
         """Return whether statements may be sent to a peer."""
--- a/pomelograde/net/hosted/paths.py
+++ b/pomelograde/net/hosted/paths.py
@@ -362,10 +362,16 @@
         Notes
         -----
         While it is unreachable, only a new connection shows that it is reached.
+        One that evacuations have closed is forgotten instead, until something is
+        sent to it again.
         """
-        pool = self.paths.proxy.pools.get(name)
+        proxy = self.paths.proxy
+        pool = proxy.pools.get(name)
         if pool is None:
             return
+        if not proxy.may_send(pool.service, name, True):
+            self.reach.forget(name)
+            return
         role = next((found.role for found in pool.idle), None)
         if role is not None and not self.reach.is_unreachable(name):
             connection = pool.try_acquire(role, needs_room=False)
--- a/tests/net/hosted/test_evacuations.py
+++ b/tests/net/hosted/test_evacuations.py
@@ -17,7 +17,7 @@
 REFUSED_WITHIN_S = 0.25 * 2.0
 
 
-class EvacuationTests(test_fleet.FleetTests):
+class EvacuationTestCase(test_fleet.FleetTests):
     """Each test has instances of its own, with callers on all of them."""
 
     @classmethod
@@ -104,6 +104,8 @@
             self.assertTrue(call[3].startswith("ERROR RETRY"), call)
             self.assertTrue(call[1] < REFUSED_WITHIN_S, call)
 
+
+class EvacuationTests(EvacuationTestCase):
     def test_primary_moves_and_loses_no_acknowledged_write(self):
         writer = self.call(0)
         self.evacuate("catania-a")
@@ -240,3 +242,25 @@
         time.sleep(3.0)
         self.assert_served(since, "WRITE k v")
         self.assert_served(since, "READ k")
+
+
+class PathTests(EvacuationTestCase):
+    contracts = ("pool",)
+
+    def test_silence_of_other_members_does_not_ping_an_evacuated_one(self):
+        self.evacuate("catania-a")
+        self.assert_moved("catania-a")
+        time.sleep(BOUND_S)
+        before = self.fleet.show_member("i-catania-a")["reached_at"]
+        host_process = self.fleet.running.children[0]
+        host_process.send_signal(signal.SIGSTOP)
+        self.addCleanup(host_process.send_signal, signal.SIGCONT)
+        time.sleep(1.0)
+        host_process.send_signal(signal.SIGCONT)
+        time.sleep(2.0)
+        found = [r["member"] for n in range(3) for r in self.find_cut_off(n)]
+        self.assertIn("i-agrigento-a", found)
+        self.assertEqual(before, self.fleet.show_member("i-catania-a")["reached_at"])
+
+    def find_cut_off(self, number):
+        return self.find_records("MEMBER_CUT_OFF", number)
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -487,17 +487,24 @@
     def setUp(self):
         super().setUp()
         self.openings = []
+        self.opened_names = []
         self.member = placement.Member("q", "b-x")
-        self.pool = pools.MemberPool(self.context, self.member, self.open, 3)
-        self.pool.on_unreachable = self.relay.on_member_unreachable
-        self.proxy.pools["q"] = self.pool
+        self.pool = self.make_pool(self.member)
         self.proxy.groups = {}
         self.proxy.configuration = types.SimpleNamespace(accounts={"account": None})
         self.proxy.release = self.pool.release
         self.paths.set_members(self.proxy.pools)
 
+    def make_pool(self, member):
+        pool = pools.MemberPool(self.context, member, self.open, 3)
+        pool.service = "g"
+        pool.on_unreachable = self.relay.on_member_unreachable
+        self.proxy.pools[member.name] = pool
+        return pool
+
     async def open(self, spec, role):
         self.paths.in_use.add(spec.name)
+        self.opened_names.append(spec.name)
         self.openings.append(defer.Deferred())
         return await self.openings[-1]
 
@@ -568,6 +575,30 @@
         self.assertEqual([], read)
         self.assertIsNone(self.relay.check_path("q"))
 
+    def test_evacuated_member_is_not_pinged_because_another_is_silent(self):
+        self.make_pool(placement.Member("r", "b-x"))
+        self.paths.set_members(self.proxy.pools)
+        closed = {"r"}
+        self.proxy.may_send = lambda service, name, transaction: name not in closed
+        self.wait()
+        self.pass_time(1.0)
+        self.assertIsNotNone(self.relay.check_path("q"))
+        self.assertEqual({"q"}, set(self.opened_names))
+        self.assertIsNone(self.relay.check_path("r"))
+        closed.clear()
+        self.openings[-1].callback(SilentConnection(self.clock.now))
+        self.wait()
+        self.pass_time(1.0)
+        self.assertIn("r", self.opened_names)
+
+    def test_silent_member_is_not_pinged_any_more_once_it_is_evacuated(self):
+        self.wait()
+        self.pass_time(1.0)
+        pings = len(self.opened_names)
+        self.proxy.may_send = lambda service, name, transaction: False
+        self.pass_time(5.0)
+        self.assertEqual(pings, len(self.opened_names))
+
     def test_failed_connect_beside_answers_is_only_a_reason_to_ping(self):
         self.wait()
         connection = SilentConnection(self.clock.now)
