Start no takeover on a check that another one has overtaken

What callers saw: a primary that had just been promoted was held again at once, for up to 1.6 s, and possibly replaced a second time: more than one promotion for one evacuation.

Cause: an instance first checks whether a takeover is needed (asks replicas or witnesses), and then starts it. Meanwhile another instance, which also takes itself for the reader, may run one from start to end. The state after the check allowed a takeover, as the other had ended, and the row that the start was conditional on was that of the state after the check: so the new primary was replaced for the reason of the old one.

The start now needs the row that was known before the check; otherwise the service is judged anew.

The new test failed before (a takeover was begun).

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -198,6 +198,7 @@
         """Run a takeover and log its outcome."""
         service = group.name
         started_at = self.context.now()
+        decided_on = self.sync.fleet.takeovers.get(service)
         outcome = "failed"
         try:
             if reason is takeovers.Reason.SILENT:
@@ -216,6 +217,10 @@
                 # Otherwise callers would wait for a takeover that can't end.
                 is_confirmed = await self._knows_logs(group)
                 outcome = "replica does not answer"
+            if is_confirmed and self.sync.fleet.takeovers.get(service) != decided_on:
+                # The reason was that of a primary which may be replaced by now.
+                is_confirmed = False
+                outcome = "somebody else began"
             if is_confirmed:
                 outcome = await self._take_over(group, reason)
         except (
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -325,7 +325,7 @@
     def test_primary_that_answers_a_witness_is_not_replaced(self):
         self.assertIs(False, self.confirm(False, True, 0.5))
 
-    def test_takeover_started_elsewhere_during_the_check_is_not_restarted(self):
+    def learn_during_the_check(self, takeover):
         asked = defer.Deferred()
 
         async def confirm(group):
@@ -335,9 +335,16 @@
         self.task._confirm_silence = confirm
         running = self.task._run(self.group, takeovers.Reason.SILENT)
         done = defer.ensureDeferred(running)
-        self.learn(takeovers.Takeover("g", "other/1", "", 7, 7))
+        self.learn(takeover)
         asked.callback(None)
         self.assertTrue(done.called)
+
+    def test_takeover_started_elsewhere_during_the_check_is_not_restarted(self):
+        self.learn_during_the_check(takeovers.Takeover("g", "other/1", "", 7, 7))
+        self.assertEqual([], self.source.begun)
+
+    def test_takeover_that_ended_elsewhere_during_the_check_is_not_repeated(self):
+        self.learn_during_the_check(takeovers.Takeover("g", "", "r", 7, 8))
         self.assertEqual([], self.source.begun)
 
 
