Keep the member that was promoted last through a takeover

What callers saw: after a takeover that promoted nobody, and a return of the store from an older copy, writes were sent to the former primary, here in an evacuated data centre, and refused there as read-only for about 0.5 s. During any takeover, instances that had not read the members again took the former primary for the one that was held, and reported no success of statements that the primary was still finishing.

Cause: the record of a takeover in progress named no successor, so each instance forgot the member that had been promoted last. The primary was then whoever the rows of the members named: before they were read again, and in the store's copy, the former one. The end of a takeover without a promotion was to name the successor before it, but that was forgotten by then, and an empty name was written.

The row of a takeover in progress now holds the successor of the one before.

The two new tests failed with the old content of row and record: the held primary was p in place of r, the successor at the end '' in place of r, and that of the row '' in place of p.

--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -27,7 +27,8 @@
         Instance that performs the takeover, as ``name/incarnation``; empty
         once it has ended.
     successor : str
-        Member that is the primary after the takeover; empty while in progress.
+        Member that was promoted last, which is the primary after the takeover;
+        empty if none is known. While it is in progress, that of the one before.
     fence : int
         Fencing token: revision of the row that started the takeover. It
         increases with each takeover.
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -269,7 +269,10 @@
             age_s=round(self.context.now() - self.sync.freshness.members_at, 3),
         )
         takeover = await source.begin_takeover(
-            service, _format_holder(self.context.members.own), row_version
+            service,
+            _format_holder(self.context.members.own),
+            row_version,
+            "" if known is None else known.successor,
         )
         if takeover is None:
             # Read the store again without delay, to learn of that takeover.
@@ -280,7 +283,7 @@
         await self._release_old_primary(takeover, reason.is_planned, begun_at)
         successor = await self._promote(group, takeover, old_primary, reason, begun_at)
         # Without a promotion, the member that was promoted last stays the successor.
-        await self._record_end(takeover, successor or group.successor)
+        await self._record_end(takeover, successor or takeover.successor)
         return "promoted" if successor else "no candidate"
 
     async def _record_end(self, takeover, successor):
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -185,7 +185,7 @@
             [entry for entry in decoded if isinstance(entry, takeovers.Takeover)],
         )
 
-    async def begin_takeover(self, service, holder, row_revision):
+    async def begin_takeover(self, service, holder, row_revision, successor):
         """Record the start of a takeover, which replaces a primary.
 
         Parameters
@@ -194,17 +194,19 @@
             Database service of the primary, and instance that replaces it.
         row_revision : int
             Revision of the service's last known takeover; 0 if there is none.
+        successor : str
+            Member that was promoted last; empty if none is known.
 
         Returns
         -------
         Takeover or None
             None if the row has changed meanwhile.
         """
-        fields = {"holder": holder}
+        fields = {"holder": holder, "successor": successor}
         revision = await self._write_takeover(service, row_revision, fields)
         if revision is None:
             return None
-        return takeovers.Takeover(service, holder, "", revision, revision)
+        return takeovers.Takeover(service, holder, successor, revision, revision)
 
     async def end_takeover(self, takeover, successor):
         """Record the end of a takeover.
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -34,7 +34,7 @@
     def __init__(self):
         self.begun = []
 
-    def begin_takeover(self, service, holder, row_version):
+    def begin_takeover(self, service, holder, row_version, successor):
         self.begun.append((service, holder, row_version))
         return defer.Deferred()
 
@@ -93,6 +93,40 @@
         self.task._check()
         self.assertEqual([], self.source.begun)
 
+    def test_takeover_without_a_promotion_leaves_the_primary_before_it(self):
+        members = [make_primary(), placement.Member("r", "y")]
+        self.group.update(members, 100.0)
+        held = []
+        ended = []
+
+        async def begin(service, holder, row_version, successor):
+            return takeovers.Takeover(service, holder, successor, 9, 9)
+
+        async def release(takeover, planned, begun_at):
+            held.append(self.group.primary)
+
+        async def promote(group, takeover, old_primary, reason, begun_at):
+            return None
+
+        async def record_end(takeover, successor):
+            ended.append(successor)
+
+        def set_takeover(takeover):
+            blocks = takeover.blocks_primary
+            self.group.set_takeover(blocks, takeover.successor, 100.0)
+
+        self.source.begin_takeover = begin
+        self.task.sync.apply_takeover = self.learn
+        self.task.proxy.set_takeover = set_takeover
+        self.task._release_old_primary = release
+        self.task._promote = promote
+        self.task._record_end = record_end
+        self.learn(takeovers.Takeover("g", "", "r", 7, 8))
+        self.assertEqual("r", self.group.primary)
+        reason = takeovers.Reason.EVACUATED
+        defer.ensureDeferred(self.task._take_over(self.group, reason))
+        self.assertEqual((["r"], ["r"]), (held, ended))
+
     def test_takeover_of_an_earlier_process_is_restarted(self):
         self.learn(takeovers.Takeover("g", "other/0", "", 7, 7))
         self.task._check()
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -123,6 +123,26 @@
         )
 
 
+class TakeoverTests(testtools.TestCase):
+    def test_start_of_a_takeover_keeps_the_member_that_was_promoted_last(self):
+        client = FakeStoreClient()
+        written = []
+
+        async def commit(table, conditions, writes):
+            written.extend(writes.items())
+            return 31
+
+        client.commit = commit
+        platform_source = source.PlatformSource(client)
+        run(platform_source.fetch_instances())
+        begun = run(platform_source.begin_takeover("g", "a/7", 0, "p"))
+        ((key, value),) = written
+        client.rows = store.ReadResult([store.Row(key, value, 31)], 31, 6.0)
+        _, listed = run(platform_source.fetch_instances())
+        self.assertEqual([begun], listed)
+        self.assertEqual(("p", "a/7", 31), (begun.successor, begun.holder, begun.fence))
+
+
 class EvacuationTests(testtools.TestCase):
     def read(self, client, *rows, revision=30):
         client.rows = store.ReadResult(list(rows), revision, 5.0)
