Take no role from a copy that the store has returned from

What callers saw: after a return of the store from a copy older than the last promotion, no instance knew a primary for 0.5 to 1.1 s. Writes were refused with no_primary, or their acknowledgement was lost (in three logs that were read: 5, 2 and 1 refused, 2 lost; three callers, one of each instance).

Cause: until a member has written its row again, it was used as the copy's row describes it, only not as ready if it was leaving. So the former primary was named as the primary, and the one that had been promoted since as a replica. Where the promotion is known, that means: it has restarted, and there is no primary; where it is not, the former primary is used.

Evidence: logs of test_evacuation_that_a_restored_store_lacks_stays, three runs that passed: PRIMARY_CHANGED to none in all three instances with the first read of the new era, and back 0.5 to 1.1 s after it.

What was known before is newer than the copy, so a member in use now keeps its role until its row is written again, as it keeps its place in use.

The test with fakes failed before (roles exchanged).

--- a/pomelograde/core/placement/_restored.py
+++ b/pomelograde/core/placement/_restored.py
@@ -11,10 +11,10 @@
 class RestoredMembers:
     """Selects the members to use from rows that may be of an older copy.
 
-    A copy can hold the row of a member that has left since, and can show a
-    leaving member as ready. A row counts as it is once its member has written it
-    again. Until then, a member that was in use stays in use for a limited time,
-    and one that was not in use is left out.
+    A copy can hold the row of a member that has left since, can show a leaving
+    member as ready, and name a former primary. A row counts as it is once its
+    member has written it again. Until then, a member that was in use stays in
+    use in its role for a limited time, and one that was not in use is left out.
 
     Attributes
     ----------
@@ -79,4 +79,5 @@
         timeout_s = max(REWRITE_TIMEOUT_S, REWRITE_HEARTBEATS * self.heartbeat_s)
         if known is None or now - self.since > timeout_s:
             return None
-        return attrs.evolve(member, leaving=member.leaving or known.leaving)
+        leaving = member.leaving or known.leaving
+        return attrs.evolve(member, role=known.role, leaving=leaving)
--- a/tests/core/placement/test_restored.py
+++ b/tests/core/placement/test_restored.py
@@ -63,6 +63,17 @@
         (written,) = self.read(2, 2.0, a=(make_member("a"), 21))
         self.assertFalse(written.leaving)
 
+    def test_old_rows_do_not_name_a_former_primary(self):
+        primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
+        a, b = make_member("a"), make_member("b")
+        self.current = {"g": [a, attrs.evolve(b, role=primary)]}
+        old = {"a": (attrs.evolve(a, role=primary), 20), "b": (b, 21)}
+        found = self.read(2, 1.0, **old)
+        self.assertEqual([replica, primary], [member.role for member in found])
+        written = {**old, "b": (b, 25)}
+        found = self.read(2, 1.5, **written)
+        self.assertEqual([replica, replica], [member.role for member in found])
+
     def test_row_of_an_earlier_process_of_a_member_in_use_is_left_out(self):
         row = attrs.evolve(make_member("a"), started_ms=0)
         self.assertEqual([], self.read(2, 1.0, a=(row, 20)))
--- a/tests/net/hosted/test_store_restore.py
+++ b/tests/net/hosted/test_store_restore.py
@@ -243,6 +243,21 @@
         self.assertEqual(1, len(self.fences()))
         self.assertEqual([], self.find_refusing(host.KEY))
 
+    def test_primary_that_was_promoted_since_the_copy_stays_in_use(self):
+        self.fleet.keep_store_copy()
+        self.make_primary_leave()
+        time.sleep(2.0)
+        returned_at = time.time()
+        self.fleet.restore_store()
+        time.sleep(2.5)
+        changed = [
+            (record["instance"], record["primary"])
+            for number in range(3)
+            for record in self.find_records("PRIMARY_CHANGED", number)
+            if record["time"] > returned_at
+        ]
+        self.assertEqual([], changed)
+
     def test_unfinished_takeover_that_the_store_has_lost_neither_ends_nor_blocks(self):
         self.fleet.keep_store_copy()
         # A suspended instance makes the takeover wait for its primary lease.
