End a reader's poll before its configuration counts as old

What callers saw: nothing by itself. In some fleets that had just started, two instances read the store and ran takeovers for 3 s.

Cause: the reader polls the store first 0.5 s after its start and lets the store wait for up to 1.0 s. At the end of that poll its configuration is 1.5 s old, which is the age at which others suspect the reader of old news. An instance that asked just then took itself for the reader.

The poll now leaves time for an answer to another instance. In steady state it is as long as before, as the next poll follows at once.

--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -393,7 +393,9 @@
         answered = False
         try:
             age_s = self.context.now() - self.freshness.configuration_at
-            wait_s = LONG_POLL_S if age_s < STALE_AFTER_S else 0.0
+            # The answer reaches the others before the configuration counts as old.
+            left_s = STALE_AFTER_S - PEER_TIMEOUT_S - age_s
+            wait_s = min(LONG_POLL_S, max(0.0, left_s))
             document = await self.source.wait_for_configuration(
                 self.poll_revision, wait_s
             )
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -133,6 +133,28 @@
         self.source.calls[-1].callback(([self.own, other], []))
         self.assertIsNotNone(self.sync.loop)
 
+    def poll(self, age_s):
+        """Poll with a configuration of an age; returns how long the store waits."""
+        waits = []
+
+        def wait(revision, wait_s):
+            waits.append(wait_s)
+            return defer.Deferred()
+
+        self.source.wait_for_configuration = wait
+        self.sync.freshness = configuration.Freshness(5.0, 100.0 - age_s)
+        defer.ensureDeferred(self.sync._poll_configuration())
+        return waits[0]
+
+    def test_first_poll_does_not_make_a_reader_suspected_of_old_news(self):
+        for age_s in (0.01, 0.2, 0.5, 0.9):
+            wait_s = self.poll(age_s)
+            reached_s = age_s + wait_s + state_sync.PEER_TIMEOUT_S
+            self.assertTrue(reached_s <= state_sync.STALE_AFTER_S, (age_s, wait_s))
+            self.assertTrue(wait_s > 0.0)
+        self.assertEqual(state_sync.LONG_POLL_S, self.poll(0.01))
+        self.assertEqual(0.0, self.poll(2.0))
+
     def read_evacuations(self, revision, *names, as_of=99.0):
         read = placement.EvacuationsRead(frozenset(names), 1, revision, as_of)
         self.sync._apply_evacuations(read)
