--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -194,6 +194,7 @@
         """Run a takeover and log its outcome."""
         service = group.name
         started_at = self.context.now()
+        decided_on = self.sync.fleet.takeovers.get(service)
         outcome = "failed"
         try:
             if reason is takeovers.Reason.SILENT:
@@ -212,6 +213,10 @@
                 # Otherwise callers would wait for a takeover that can't end.
                 is_confirmed = await self._knows_logs(group)
                 outcome = "replica does not answer"
+            if is_confirmed and self.sync.fleet.takeovers.get(service) != decided_on:
+                # The reason was that of a primary which may be replaced by now.
+                is_confirmed = False
+                outcome = "somebody else began"
             if is_confirmed:
                 outcome = await self._take_over(group, reason)
         except (
@@ -260,7 +265,10 @@
             age_s=round(self.context.now() - self.sync.freshness.members_at, 3),
         )
         takeover = await source.begin_takeover(
-            service, _format_holder(self.context.members.own), row_version
+            service,
+            _format_holder(self.context.members.own),
+            row_version,
+            "" if known is None else known.successor,
         )
         if takeover is None:
             # Read the store again without delay, to learn of that takeover.
@@ -271,7 +279,7 @@
         await self._release_old_primary(takeover, reason.is_planned, begun_at)
         successor = await self._promote(group, takeover, old_primary, reason, begun_at)
         # Without a promotion, the member that was promoted last stays the successor.
-        await self._record_end(takeover, successor or group.successor)
+        await self._record_end(takeover, successor or takeover.successor)
         return "promoted" if successor else "no candidate"
 
     async def _record_end(self, takeover, successor):
