Check the stored primary of a group before it is used

A row primaries/SERVICE of another writer with a term of 20 digits was taken for the group's highest term: every primary that the members report afterwards has a lower one and was ignored, so the service had no usable primary for good, and the messages that carry the term could not be encoded. With a term or a name of another type the row raised TypeError, both when it was read at the start and each time that a new primary was to be stored, so it was never replaced.

groups.read_primary returns a Result; the term has to fit a BIGINT of the members.

A term that is well-formed but far too high still counts, as members and rows can't be told apart by their values.

--- a/pomelograde/core/failover/__init__.py
+++ b/pomelograde/core/failover/__init__.py
@@ -25,6 +25,7 @@
 GroupView = _group.GroupView
 LEASE_S = _lease.LEASE_S
 MemberStatus = _group.MemberStatus
+TERM_LIMIT = _group.TERM_LIMIT
 ProbeNewConnection = _messages.ProbeNewConnection
 Outcome = _acknowledgements.Outcome
 PendingWrite = _acknowledgements.PendingWrite
@@ -56,6 +57,7 @@
     "Follow",
     "GroupView",
     "MemberStatus",
+    "TERM_LIMIT",
     "Outcome",
     "PendingWrite",
     "ProbeNewConnection",
--- a/pomelograde/core/failover/_group.py
+++ b/pomelograde/core/failover/_group.py
@@ -9,6 +9,7 @@
 from pomelograde.core.sessions import _bookmark
 
 MAX_REMEMBERED_TERMS = 32
+TERM_LIMIT = 2**63  # what a BIGINT column of the members can hold
 
 
 @attrs.frozen
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -3,6 +3,7 @@
 import functools
 
 import attrs
+import result
 from twisted.internet import defer
 
 from pomelograde.core import failover, placement, pooling, routing, sessions
@@ -25,6 +26,25 @@
 LEASE_ACKNOWLEDGEMENT = "lease"
 
 
+@attrs.frozen
+class StoredPrimary:
+    """A group's primary as it is stored in the platform's table.
+
+    Attributes
+    ----------
+    term : int
+        Term of the primary.
+    primary : str
+        Name of the member.
+    version : int
+        Version of the row.
+    """
+
+    term: int
+    primary: str
+    version: int
+
+
 @attrs.frozen
 class PrimaryChanged:
     """The known primary of a group has changed.
@@ -236,12 +256,11 @@
         answer = await client.rows(key)
         if answer.is_err():
             return
-        version = 0
-        for row in answer.ok_value.rows:
-            if row.key == key and row.value is not None:
-                version = row.version
-                if row.value["term"] >= term:
-                    return
+        row = _find_row(answer.ok_value.rows, key)
+        stored = read_primary(row)
+        if stored.is_ok() and stored.ok_value.term >= term:
+            return
+        version = 0 if row is None else row.version
         value = {"term": term, "primary": primary}
         await client.commit(
             [platform.Condition(key, version)], [platform.Write(key, value)]
@@ -256,9 +275,14 @@
         answer = await client.rows(key)
         if answer.is_err():
             return
-        for row in answer.ok_value.rows:
-            if row.key == key and row.value is not None:
-                self.update_primary(row.value["term"], row.value["primary"])
+        row = _find_row(answer.ok_value.rows, key)
+        if row is None:
+            return
+        stored = read_primary(row)
+        if stored.is_ok():
+            self.update_primary(stored.ok_value.term, stored.ok_value.primary)
+        else:
+            client.reject(key, stored.err_value)
 
     def _connection_share(self, member):
         members = self.context.members
@@ -305,6 +329,25 @@
                 deferred.callback(None)
 
 
+def read_primary(row):
+    """Return the Result of a `StoredPrimary`, or why a row of the table is none."""
+    value = None if row is None else row.value
+    if not isinstance(value, dict):
+        return result.Err("is no object")
+    term, primary = value.get("term"), value.get("primary")
+    if type(term) is not int or not 0 < term < failover.TERM_LIMIT:
+        return result.Err("has no valid term")
+    if not isinstance(primary, str):
+        return result.Err("has no name of a member")
+    return result.Ok(StoredPrimary(term, primary, row.version))
+
+
+def _find_row(rows, key):
+    """Return the row of a key, or None."""
+    found = (row for row in rows if row.key == key and row.value is not None)
+    return next(found, None)
+
+
 def make_waiter(account, role, weight, deadline, context):
     """Return a `Waiter` for a member's pool."""
     return pooling.Waiter(account, role, deadline, context, weight)
--- a/pomelograde/net/platform.py
+++ b/pomelograde/net/platform.py
@@ -173,6 +173,11 @@
             )
         )
 
+    def reject(self, key, reason):
+        """Report a row that can't be used."""
+        if self.on_rejected is not None:
+            self.on_rejected(key, reason)
+
     async def commit(self, conditions, writes):
         """Write rows if all conditions hold.
 
@@ -272,8 +277,8 @@
             decoded = decode(item)
             if decoded.is_ok():
                 found.append(decoded.ok_value)
-            elif self.on_rejected is not None:
-                self.on_rejected(prefix + _name_of(item), decoded.err_value)
+            else:
+                self.reject(prefix + _name_of(item), decoded.err_value)
         return found
 
     async def _request(self, method, path, body=None):
--- a/tests/net/test_odd_rows.py
+++ b/tests/net/test_odd_rows.py
@@ -127,3 +127,15 @@
         self.fleet.wait_for_peers()
         self.assertIn("ROW_REJECTED", self.read_log())
         self.assertNotIn("INTERNAL_FAULT", self.read_log())
+
+    def test_odd_primary_is_replaced_by_the_known_one(self):
+        for value in ({"term": 10**400, "primary": "a"}, {"term": "9"}, [], "a"):
+            self.write({f"primaries/{fleets.SERVICE}": value})
+            self.fleet.add_daemon(fleets.DATA_CENTRES[0])
+        for settings in self.fleet.settings:
+            addresses = settings["addresses"]
+            processes.wait_for_port(addresses["host"], addresses["caller_port"])
+        for number in range(len(self.fleet.daemons)):
+            with self.fleet.connect(number) as connection:
+                connection.execute("SELECT 1")
+            self.assertNotIn("INTERNAL_FAULT", self.read_log(number))
