Turn an unreadable answer of a member into the error of a call

A status of a member with a missing column or without a number in it raised IndexError or ValueError out of the probe. The member counted neither as alive nor as failed: its probes went on without an effect, and a witness's question was answered by a failure. In acknowledgements and resolutions such a position left the query's connection in use, and the writes that wait for it got no answer before their deadline. A number of more digits than a BIGINT holds was accepted. A member's address under the name of another one counted as that one, whatever name the member reports.

upstream.read_position and the new read_status and read_fence_answer raise UpstreamCallError, for which every caller has a path: the member is alive, and the call is repeated. A status under another name is not one of the member that was asked, which is then unreachable.

Of the tests in test_group_watch.py both of ProbeTests failed before (IndexError, and a witness that confirmed a member at another one's address).

--- a/pomelograde/net/_resolutions.py
+++ b/pomelograde/net/_resolutions.py
@@ -129,7 +129,7 @@
             connection,
             f"SELECT * FROM pomelograde.holds({position.term}, {position.index})",
         )
-        return deferred.addCallback(lambda row: row[0] == "t")
+        return deferred.addCallback(lambda row: row[:1] == ["t"])
 
     def _finish(self, survival, position, connection):
         if self.done:
--- a/pomelograde/net/acknowledgements.py
+++ b/pomelograde/net/acknowledgements.py
@@ -130,7 +130,7 @@
         if query_connection is not self.query_connection:
             return
         if isinstance(query, failover.QueryEntry):
-            is_held = row[0] == "t"
+            is_held = row[:1] == ["t"]
             position = query.position
             self._complete(
                 self.queue.on_entry_answer(query_connection.member, position, is_held)
--- a/pomelograde/net/floors.py
+++ b/pomelograde/net/floors.py
@@ -94,12 +94,11 @@
 
     async def _query_position(self, name):
         try:
-            row = await self.group.member_connections.call(
-                name, POSITION_SQL, MEMBER_TIMEOUT_S
+            return await self.group.member_connections.call(
+                name, POSITION_SQL, MEMBER_TIMEOUT_S, upstream.read_position
             )
         except member_connections.MemberCallError:
             return None
-        return upstream.read_position(row)
 
 
 def _gather_first(calls, needed):
--- a/pomelograde/net/group_watch.py
+++ b/pomelograde/net/group_watch.py
@@ -24,6 +24,8 @@
 WITNESS_TIMEOUT_S = 0.9
 CONNECTION_IDLE_S = 2.0
 STATUS_SQL = "SELECT * FROM pomelograde.status()"
+STATUS_COLUMNS = 8
+FENCE_COLUMNS = 5
 
 
 class WatchTask:
@@ -275,16 +277,12 @@
         return True
 
     async def _read_status(self, name, timeout_s):
-        row = await self.group.member_connections.call(name, STATUS_SQL, timeout_s)
-        return failover.MemberStatus(
-            name=row[0],
-            role=row[1],
-            term=int(row[2]),
-            fenced_term=int(row[3]),
-            position=sessions.Position(int(row[4]), int(row[5])),
-            leader=row[6],
-            leaving=row[7] == "t",
+        status = await self.group.member_connections.call(
+            name, STATUS_SQL, timeout_s, read_status
         )
+        if status.name != name:
+            raise member_connections.MemberCallError(f"another member: {status.name}")
+        return status
 
     def _handle(self, event):
         view, promoter = self.group.view, self.promoter
@@ -355,15 +353,12 @@
     async def _fence(self, member, term):
         sql = f"SELECT * FROM pomelograde.fence({term}, '{self._holder_id()}')"
         try:
-            row = await self.group.member_connections.call(
-                member, sql, COMMAND_TIMEOUT_S
+            answer = await self.group.member_connections.call(
+                member, sql, COMMAND_TIMEOUT_S, read_fence_answer
             )
         except member_connections.MemberCallError:
             return
-        position = upstream.read_position(row[3:5])
-        self._handle(
-            failover.FenceAnswered(member, term, row[0] == "t", int(row[1]), position)
-        )
+        self._handle(failover.FenceAnswered(member, term, *answer))
 
     async def _promote(self, member, term):
         sql = f"SELECT * FROM pomelograde.promote({term}, '{self._holder_id()}')"
@@ -371,7 +366,7 @@
             row = await self.group.member_connections.call(
                 member, sql, COMMAND_TIMEOUT_S
             )
-            done = row[0] == "t"
+            done = row[:1] == ["t"]
         except member_connections.MemberCallError:
             done = False
         self._handle(failover.PromoteAnswered(member, term, done))
@@ -384,6 +379,42 @@
             return
 
 
+def read_status(row):
+    """Return the `MemberStatus` of a row of `STATUS_SQL`.
+
+    Raises
+    ------
+    UpstreamCallError
+        If the row is invalid.
+    """
+    row = upstream.read_columns(row, STATUS_COLUMNS)
+    name, role, term, fenced_term, _, _, leader, leaving = row
+    if None in (name, role):
+        raise upstream.UpstreamCallError(upstream.INVALID_ROW, "no name or role")
+    return failover.MemberStatus(
+        name=name,
+        role=role,
+        term=upstream.read_bigint(term),
+        fenced_term=upstream.read_bigint(fenced_term),
+        position=upstream.read_position(row[4:6]),
+        leader=leader,
+        leaving=leaving == "t",
+    )
+
+
+def read_fence_answer(row):
+    """Return whether a fence was accepted, the fenced term, and the position.
+
+    Raises
+    ------
+    UpstreamCallError
+        If the row is invalid.
+    """
+    row = upstream.read_columns(row, FENCE_COLUMNS)
+    position = upstream.read_position(row[3:5])
+    return row[0] == "t", upstream.read_bigint(row[1]), position
+
+
 @functools.singledispatch
 def _execute(action, watch):
     raise TypeError(f"unknown action {action!r}")
--- a/pomelograde/net/member_connections.py
+++ b/pomelograde/net/member_connections.py
@@ -60,7 +60,7 @@
         if connection is not None and not connection.is_lost:
             connection.close()
 
-    async def call(self, member, sql, timeout_s):
+    async def call(self, member, sql, timeout_s, decode=None):
         """Call a function of a member.
 
         Parameters
@@ -71,6 +71,8 @@
             Statement that calls the function.
         timeout_s : float
             Time limit for opening a connection, and again for the answer.
+        decode : callable or None
+            Converts the row; raises `UpstreamCallError` if it is invalid.
 
         Returns
         -------
@@ -87,7 +89,8 @@
             connection = await self._connection(member, timeout_s)
             answer = upstream.call(connection, sql)
             answer.addTimeout(timeout_s, self.context.reactor)
-            return await answer
+            row = await answer
+            return row if decode is None else decode(row)
         except pools.UpstreamOpenError as error:
             raise MemberCallError(str(error), error.refused) from error
         except upstream.UpstreamCallError as error:
--- a/pomelograde/net/upstream.py
+++ b/pomelograde/net/upstream.py
@@ -232,8 +232,15 @@
         self.answer.errback(UpstreamCallError("08006", "connection lost"))
 
 
+INVALID_ROW = "XX000"  # SQLSTATE of an internal error
+MAX_BIGINT = 2**63 - 1
+MAX_DIGITS = 19
+
+
 class UpstreamCallError(Exception):
-    """Raised when a member refuses a function call or is lost during it.
+    """Raised when a member refuses a function call, or is lost during it.
+
+    Also raised when the member's answer can't be read.
 
     Attributes
     ----------
@@ -254,8 +261,38 @@
 
 
 def read_position(row):
-    """Return the `Position` in a row of two columns, term and index."""
-    return sessions.Position(int(row[0]), int(row[1]))
+    """Return the `Position` in a row of two columns, term and index.
+
+    Raises
+    ------
+    UpstreamCallError
+        If the row holds none.
+    """
+    term, index = read_columns(row, 2)
+    return sessions.Position(read_bigint(term), read_bigint(index))
+
+
+def read_columns(row, count):
+    """Return the first columns of a row; raises `UpstreamCallError` if it is short."""
+    if len(row) < count:
+        raise UpstreamCallError(INVALID_ROW, f"{len(row)} of {count} columns")
+    return row[:count]
+
+
+def read_bigint(text):
+    """Return a whole number that is not negative, from str or bytes.
+
+    Raises
+    ------
+    UpstreamCallError
+        If the text is None, is no such number, or exceeds a BIGINT.
+    """
+    if isinstance(text, bytes):
+        text = text.decode("ascii", "replace")
+    is_number = text is not None and len(text) <= MAX_DIGITS and text.isascii()
+    if not is_number or not text.isdigit() or int(text) > MAX_BIGINT:
+        raise UpstreamCallError(INVALID_ROW, "a column holds no valid number")
+    return int(text)
 
 
 async def open_connection(
