Read rows of rate leases whatever another writer left there

A row below limits/ that is no object raised AttributeError in ShareLease. The version of the table had been recorded before, so every other row of that read was lost as well, and a stop of the daemon that waited for the poll was cut short. A row with a text or a negative number of parts entered the sums of the ledger, and any row below the prefix was deleted as a lease that had ended.

read_parts decides on one row. One that can't be read keeps the parts that it was last seen with, so that they return to the ledger once it is reclaimed; an odd own row is written again; an odd ledger counts as what the other rows leave. Only rows of shares are taken for shares. A failed poll is logged and ends itself only.

--- a/pomelograde/core/limits/__init__.py
+++ b/pomelograde/core/limits/__init__.py
@@ -32,6 +32,7 @@
 Waiter = _share.Waiter
 choose_sender = _cold_starts.choose_sender
 compensated_limits = _compensation.compensated_limits
+read_parts = _lease.read_parts
 
 __all__ = [
     "BORROW_TIMEOUT_S",
@@ -55,4 +56,5 @@
     "Waiter",
     "choose_sender",
     "compensated_limits",
+    "read_parts",
 ]
--- a/pomelograde/core/limits/_lease.py
+++ b/pomelograde/core/limits/_lease.py
@@ -118,6 +118,10 @@
     reduces its parts before it sends the commit that returns some, and
     increases them only once it knows that a commit has taken effect.
 
+    Another writer may leave a row that can't be read. It keeps the parts that it
+    was last seen with, so that they are returned once it is reclaimed. A ledger
+    that can't be read counts as what the other rows leave.
+
     A lease is valid from the moment at which its commit was sent. Other
     instances reclaim the parts of a row only after they have seen it unchanged
     for longer than a lease.
@@ -207,7 +211,7 @@
     def on_rows(self, rows, now):
         """Process rows of the table that have changed."""
         self.table_read = True
-        for row in rows:
+        for row in sorted(rows, key=_is_ledger):
             self._observe(row, now)
 
     def plan_commit(self, instances, nonce, now):
@@ -272,7 +276,7 @@
     def on_conflict(self, rows, now):
         """Handle that a condition of the pending commit did not hold."""
         self.pending = None
-        for row in rows:
+        for row in sorted(rows, key=_is_ledger):
             self._observe(row, now)
 
     def on_outcome_unknown(self):
@@ -295,8 +299,7 @@
         if unresolved is None:
             return
         for row in rows:
-            value = row.value or {}
-            if row.key == self.key and value.get("nonce") == unresolved.nonce:
+            if row.key == self.key and _read_nonce(row) == unresolved.nonce:
                 self._apply(unresolved)
 
     def _apply(self, commit):
@@ -305,14 +308,19 @@
         self.renewed_at = commit.sent_at
 
     def _observe(self, row, now):
-        value = row.value or {}
+        parts = read_parts(row)
         if row.key == LEDGER_KEY:
             if row.version >= self.ledger.version:
-                self.ledger = ObservedRow(value.get("free", 0), row.version, now)
+                if parts is None:
+                    parts = self._sum_free_parts()
+                self.ledger = ObservedRow(parts, row.version, now)
+            return
+        if not row.key.startswith(SHARE_PREFIX):
             return
-        parts = value.get("parts", 0)
         version = row.version if row.value is not None else 0
         if row.key == self.key:
+            if parts is None:
+                parts = self.own_row.parts if now < self.expires_at else 0
             self.own_row = ObservedRow(parts, version, now)
             self.parts = min(self.parts, parts)
             return
@@ -320,8 +328,15 @@
         if row.value is None:
             self.other_rows.pop(row.key, None)
         elif known is None or known.version < row.version:
+            if parts is None:
+                parts = 0 if known is None else known.parts
             self.other_rows[row.key] = ObservedRow(parts, row.version, now)
 
+    def _sum_free_parts(self):
+        """Return the parts that no row holds, in place of an odd ledger."""
+        held = sum(row.parts for row in self.other_rows.values())
+        return max(0, TOTAL_PARTS - held - self.own_row.parts)
+
     def _find_expired(self, now):
         expiry_s = self.lease_s * (1.0 + MAX_CLOCK_DRIFT) + SAFETY_MARGIN_S
         for key, observed in self.other_rows.items():
@@ -368,3 +383,32 @@
     def _send(self, conditions, writes, parts, nonce, now):
         self.pending = Commit(conditions, writes, parts, nonce, now)
         return self.pending
+
+
+def read_parts(row):
+    """Return the parts of a row of the table, 0 if it is deleted.
+
+    Parameters
+    ----------
+    row : TableRow
+        Row of the ledger or of an instance, whoever has written it.
+
+    Returns
+    -------
+    int or None
+        None if the row can't be read.
+    """
+    if row.value is None:
+        return 0
+    if not isinstance(row.value, dict):
+        return None
+    parts = row.value.get("free" if row.key == LEDGER_KEY else "parts", 0)
+    return parts if type(parts) is int and 0 <= parts <= TOTAL_PARTS else None
+
+
+def _read_nonce(row):
+    return row.value.get("nonce") if isinstance(row.value, dict) else None
+
+
+def _is_ledger(row):
+    return row.key == LEDGER_KEY
--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from pomelograde.core import limits
-from pomelograde.net import peer_messages, peers, platform, rates
+from pomelograde.net import faults, peer_messages, peers, platform, rates
 
 POLL_INTERVAL_S = 1.0
 NO_SHARE_POLL_INTERVAL_S = 0.2
@@ -87,6 +87,7 @@
         if self.running_poll is None:
             self.running_poll = defer.ensureDeferred(self._poll())
             self.running_poll.addBoth(self._on_poll_ended)
+            self.running_poll.addErrback(self._on_poll_failed)
         return self.running_poll
 
     async def release_share(self):
@@ -137,18 +138,27 @@
         self.running_poll = None
         return outcome
 
+    def _on_poll_failed(self, reason):
+        # A stop of the daemon waits for the poll.
+        faults.log_failure(self.context.log, reason, self.poll)
+
     async def _read_table(self):
         answer = await self.client.rows(limits.TABLE_PREFIX, self.table_version)
         if answer.is_err():
             return False
         read = answer.ok_value
         self.table_version = max(self.table_version, read.version)
-        table_rows = [
-            limits.TableRow(row.key, row.value, row.version) for row in read.rows
-        ]
-        self.lease.on_read_back(table_rows, self.clock())
+        self.lease.on_read_back(self._convert_rows(read.rows), self.clock())
         return True
 
+    def _convert_rows(self, rows):
+        """Return rows of the platform as `TableRow`; reports those of odd content."""
+        table_rows = [limits.TableRow(row.key, row.value, row.version) for row in rows]
+        for row in table_rows:
+            if limits.read_parts(row) is None:
+                self.client.reject(row.key, "has no valid number of parts")
+        return table_rows
+
     async def _commit(self, commit):
         """Send a commit; returns whether another one may be planned."""
         answer = await self.client.commit(
@@ -160,11 +170,7 @@
             self.lease.on_committed(answer.ok_value, now)
             return True
         if isinstance(answer.err_value, platform.Conflict):
-            rows = answer.err_value.rows
-            table_rows = [
-                limits.TableRow(row.key, row.value, row.version) for row in rows
-            ]
-            self.lease.on_conflict(table_rows, now)
+            self.lease.on_conflict(self._convert_rows(answer.err_value.rows), now)
             return True
         self.lease.on_outcome_unknown()
         return False
--- a/tests/net/test_odd_rows.py
+++ b/tests/net/test_odd_rows.py
@@ -139,3 +139,22 @@
             with self.fleet.connect(number) as connection:
                 connection.execute("SELECT 1")
             self.assertNotIn("INTERNAL_FAULT", self.read_log(number))
+
+    def test_odd_rates_stop_no_other_rate(self):
+        self.write(
+            {
+                "limits/shares/odd-1/1": {"parts": "many", "nonce": 1},
+                "limits/shares/odd-2/1": {"parts": 10**400},
+                "limits/shares/odd-3/1": {"parts": -5},
+                "limits/shares/odd-4/1": [1],
+                "limits/shares/odd-5/1": 7,
+            }
+        )
+        self.assert_follows_and_serves()
+        self.assertNotIn("INTERNAL_FAULT", self.read_log())
+        time.sleep(9.0)  # leases that were not renewed have ended
+        self.fleet.add_daemon(fleets.DATA_CENTRES[0])
+        self.fleet.wait()
+        with self.fleet.connect(2) as connection:
+            self.assertEqual((1,), connection.execute("SELECT 1").fetchone())
+        self.assertNotIn("INTERNAL_FAULT", self.read_log())
