Take the reply to a request only from the connection it was sent over

Request ids are numbers that each process counts up from 1. A reply was matched to its request by the id alone, whatever connection it arrived over, so a reply that another instance sent by mistake, or twice, ended the request to a third one with an answer that is not its own: for a HoldRequest an empty reply is the consent to replace a primary, for a RelayRequest it would be another client's answer.

A reply now counts only if the request is outstanding on the connection that it arrives over; it is left out otherwise. The test with a reply of a stranger failed before: it got Empty() as the answer of the instance that was asked.

--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -239,6 +239,9 @@
     def receive(self, envelope, connection):
         """Handle a message from a peer."""
         if envelope.is_reply:
+            # Only the peer that was asked may answer, and once.
+            if envelope.request_id not in connection.pending_requests:
+                return
             connection.pending_requests.discard(envelope.request_id)
             reply = self.pending_replies.pop(envelope.request_id, None)
             if reply is not None:
--- a/tests/net/test_peer_requests.py
+++ b/tests/net/test_peer_requests.py
@@ -1,5 +1,6 @@
 """Time limits of requests between instances, without a network."""
 
+import struct
 import types
 
 import testtools
@@ -11,7 +12,7 @@
 TIMEOUT_S = 0.3
 
 
-class RequestTests(testtools.TestCase):
+class PeerCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.reactor = testing.MemoryReactorClock()
@@ -42,6 +43,8 @@
         connection.makeConnection(transport)
         return transport
 
+
+class RequestTests(PeerCase):
     def test_time_limit_includes_the_connection(self):
         results = self.start_request()
         self.reactor.advance(TIMEOUT_S - 0.01)
@@ -60,3 +63,41 @@
         transport = self.connect()
         self.assertEqual([], results)
         self.assertNotEqual(b"", transport.value())
+
+
+class ReplyTests(PeerCase):
+    """Replies that no request over the same connection waits for."""
+
+    def accept(self):
+        """Return a connection that another peer has opened."""
+        connection = self.task.buildProtocol(None)
+        connection.makeConnection(testing.StringTransport())
+        return connection
+
+    def reply(self, connection, sender, request_id, message):
+        envelope = peer_messages.Envelope(sender, 1, request_id, True, message)
+        data = peer_messages.encode(envelope)
+        connection.dataReceived(struct.pack(">I", len(data)) + data)
+
+    def test_reply_over_another_connection_answers_no_request(self):
+        results = self.start_request()
+        self.connect()
+        stranger = self.accept()
+        for request_id in range(5):
+            self.reply(stranger, "b", request_id, peer_messages.Empty())
+        self.assertEqual([], results)
+        owner = self.task.connections["a"]
+        self.reply(owner, "a", 1, peer_messages.Empty())
+        self.assertEqual([peer_messages.Empty()], results)
+
+    def test_repeated_reply_answers_no_later_request(self):
+        first = self.start_request()
+        self.connect()
+        owner = self.task.connections["a"]
+        for _ in range(3):
+            self.reply(owner, "a", 1, peer_messages.Empty())
+        second = self.start_request()
+        self.reply(owner, "a", 1, peer_messages.RelayAnswer())
+        self.assertEqual(([peer_messages.Empty()], []), (first, second))
+        self.reply(owner, "a", 2, peer_messages.Ping())
+        self.assertEqual([peer_messages.Ping()], second)
