Refuse truncated messages of several segments, which ended the process

What an instance did: it ended by itself, with SIGABRT and without a log line, when a message between instances lacked its end.

Cause: a Cap'n Proto message of more than 8 KB has several segments. The library reads those after the first one lazily, and reads the rest in the destructor of its reader, where its exception ends the process: no except clause of ours is ever reached. Shorter messages have one segment, which the constructor reads; cut anywhere, they raise KjException.

Messages of several segments, which the first packed byte shows, are now unpacked here into one buffer of known length and read by the library's reader of flat buffers, which checks all lengths in its constructor. Messages of one segment, all those of statements of ordinary size, are read as before.

Of the four tests of SegmentTests three failed before: two of them crashed the process of the test ("worker 'gw0' crashed"), the third raised another error. The process of a fuzzing trial with mutated messages was ended in the same way.

--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -16,6 +16,14 @@
 MIN_COMPRESS_BYTES = 1024  # typical result rows are shorter and hardly compress
 COMPRESS_LEVEL = 1  # fast; reduces names and addresses to a quarter
 MAX_UNPACKED_BYTES = 64 * 1024 * 1024  # four times the longest frame
+WORD_BYTES = 8  # of Cap'n Proto
+# Bits of the first packed byte; not 0 if a message has more than one segment.
+SEGMENT_COUNT_TAG = 0x0F
+ALL_NONZERO = 0xFF
+# For each tag of a packed word, the places of its bytes that follow.
+NONZERO_BYTES = [
+    [place for place in range(WORD_BYTES) if tag >> place & 1] for tag in range(256)
+]
 FORMAT_PLAIN = b"\0"
 FORMAT_COMPRESSED = b"\1"
 FORMAT_STREAM = b"\2"  # `peer_streams`
@@ -843,7 +851,15 @@
     capnp.KjException, ValueError
         If the data is malformed.
     """
-    built = SCHEMA.Envelope.from_bytes_packed(packed)
+    if packed and packed[0] & SEGMENT_COUNT_TAG:
+        # The library reads further segments lazily and ends the process in a
+        # destructor if they are missing.
+        with SCHEMA.Envelope.from_bytes(_unpack_words(packed)) as built:
+            return _read_envelope(built)
+    return _read_envelope(SCHEMA.Envelope.from_bytes_packed(packed))
+
+
+def _read_envelope(built):
     which = built.body.which()
     message = Empty()
     if which != "empty":
@@ -869,6 +885,37 @@
     return packed
 
 
+def _unpack_words(packed):
+    """Undo the packing of Cap'n Proto; raises ValueError if it is malformed."""
+    words = bytearray()
+    position, end = 0, len(packed)
+    while position < end:
+        tag = packed[position]
+        start = position + 1
+        stop = start + len(NONZERO_BYTES[tag])
+        if tag == 0:
+            position = start + 1
+            words += bytes(WORD_BYTES * (1 + packed[start])) if start < end else b""
+        elif tag == ALL_NONZERO:
+            count = packed[stop] if stop < end else 0
+            position = stop + 1 + WORD_BYTES * count
+            words += packed[start:stop]
+            words += packed[stop + 1 : position]
+        else:
+            word = bytearray(WORD_BYTES)
+            for place, value in zip(
+                NONZERO_BYTES[tag], packed[start:stop], strict=False
+            ):
+                word[place] = value
+            words += word
+            position = stop
+        if len(words) > MAX_UNPACKED_BYTES:
+            raise ValueError("message is too long")
+    if position > end:
+        raise ValueError("message is truncated")
+    return bytes(words)
+
+
 def _fill_struct(target, message):
     for name, camel in _field_names(type(message)):
         value = getattr(message, name)
