--- a/tests/net/test_odd_rows.py
+++ b/tests/net/test_odd_rows.py
@@ -127,3 +127,34 @@
         self.fleet.wait_for_peers()
         self.assertIn("ROW_REJECTED", self.read_log())
         self.assertNotIn("INTERNAL_FAULT", self.read_log())
+
+    def test_odd_primary_is_replaced_by_the_known_one(self):
+        for value in ({"term": 10**400, "primary": "a"}, {"term": "9"}, [], "a"):
+            self.write({f"primaries/{fleets.SERVICE}": value})
+            self.fleet.add_daemon(fleets.DATA_CENTRES[0])
+        for settings in self.fleet.settings:
+            addresses = settings["addresses"]
+            processes.wait_for_port(addresses["host"], addresses["caller_port"])
+        for number in range(len(self.fleet.daemons)):
+            with self.fleet.connect(number) as connection:
+                connection.execute("SELECT 1")
+            self.assertNotIn("INTERNAL_FAULT", self.read_log(number))
+
+    def test_odd_rates_stop_no_other_rate(self):
+        self.write(
+            {
+                "limits/shares/odd-1/1": {"parts": "many", "nonce": 1},
+                "limits/shares/odd-2/1": {"parts": 10**400},
+                "limits/shares/odd-3/1": {"parts": -5},
+                "limits/shares/odd-4/1": [1],
+                "limits/shares/odd-5/1": 7,
+            }
+        )
+        self.assert_follows_and_serves()
+        self.assertNotIn("INTERNAL_FAULT", self.read_log())
+        time.sleep(9.0)  # leases that were not renewed have ended
+        self.fleet.add_daemon(fleets.DATA_CENTRES[0])
+        self.fleet.wait()
+        with self.fleet.connect(2) as connection:
+            self.assertEqual((1,), connection.execute("SELECT 1").fetchone())
+        self.assertNotIn("INTERNAL_FAULT", self.read_log())
