Reject manifests with values that their consumers cannot use

A manifest with maxConns as an integer of 400 digits was accepted, and raised OverflowError in the pools (and in each timer that resizes them): the rest of the new configuration was not applied. Negative or boolean limits, numbers as text and an anonymous of "false", which opened the route to callers without a key, were accepted as well. The message on an invalid list of keys quoted it, so that a key could reach the log with CONFIGURATION_REJECTED.

Numbers are checked by type and range, anonymous must be a boolean, and messages on keys name types only. What else parsing raises rejects the manifest, and the one in force stays.

--- a/pomelograde/platform/_json.py
+++ b/pomelograde/platform/_json.py
@@ -31,11 +31,11 @@
     ------
     ValueError
         If the text is something else, or is nested more than `MAX_DEPTH` deep.
-    TypeError
-        If it is neither bytes nor str.
     """
     if isinstance(text, bytes):
         text = text.decode(json.detect_encoding(text))
+    if type(text) is not str:
+        raise ValueError(f"expected a text, got {describe(text)}")
     _check_depth(text)
     value = _DECODER.decode(text)
     if type(value) is not dict:
--- a/pomelograde/platform/manifest.py
+++ b/pomelograde/platform/manifest.py
@@ -10,6 +10,9 @@
 }
 MAX_VERSION = (1 << 63) - 1  # as the messages between instances hold it
 MAX_PRIORITY = (1 << 8) - 1  # likewise
+MAX_COUNT = (1 << 31) - 1
+MAX_AMOUNT = 1 << 53  # up to which floats hold all integers
+MAX_SHOWN_LENGTH = 40
 
 
 class InvalidManifestError(Exception):
@@ -60,8 +63,8 @@
     faults = []
     try:
         fields = _json.parse_object(document)
-    except (ValueError, TypeError) as fault:
-        return None, review.FleetEntries([], [], []), [_make_fault("$", fault)]
+    except ValueError as fault:
+        return None, review.FleetEntries([], [], []), [_make_fault("$", str(fault))]
     entries = review.FleetEntries(
         _decode_list(fields, "routes", _parse_route, faults),
         _decode_list({"tenants": [], **fields}, "tenants", _parse_account, faults),
@@ -99,23 +102,37 @@
 
 
 def _decode(container, key, path, parse, faults):
-    """Return a decoded value, or None after adding its fault to `faults`."""
+    """Return a decoded value, or None after adding its fault to `faults`.
+
+    Notes
+    -----
+    An exception that isn't foreseen is a fault of the document as well: the
+    configuration in force stays.
+    """
     try:
         return parse(container[key])
-    except KeyError as fault:
-        faults.append(_make_fault(path, f"required field {fault} is missing"))
-    except (ValueError, TypeError, AttributeError, OverflowError) as fault:
-        faults.append(_make_fault(path, fault))
+    except KeyError:
+        faults.append(_make_fault(path, f"required field {key!r} is missing"))
+    except ValueError as error:
+        faults.append(_make_fault(path, str(error)))
+    except Exception as error:
+        faults.append(_make_fault(path, type(error).__name__))
     return None
 
 
 def _make_fault(path, reason):
-    return review.Finding(review.Severity.ERROR, path, str(reason))
+    return review.Finding(review.Severity.ERROR, path, reason)
 
 
 def _require_list(value):
     if type(value) is not list:
-        raise ValueError(f"expected a list, got {type(value).__name__}")
+        raise ValueError(f"expected a list, got {_json.describe(value)}")
+    return value
+
+
+def _require_object(value):
+    if type(value) is not dict:
+        raise ValueError(f"expected an object, got {_json.describe(value)}")
     return value
 
 
@@ -124,70 +141,86 @@
 
 
 def _parse_idle_time(limits):
-    return _parse_time({"txIdleMs": 3000, **limits}, "txIdleMs")
+    return _read_time({"txIdleMs": 3000, **_require_object(limits)}, "txIdleMs")
 
 
 def _parse_service(service):
+    defaults = {"syncReplicas": 0, "coldStartS": 0, "coldPerS": 0}
+    fields = {**defaults, **_require_object(service)}
     return configuration.DatabaseService(
-        _json.require_text(service["name"]),
-        int(service["maxConns"]),
-        int(service.get("syncReplicas", 0)),
-        _parse_amount(service.get("coldStartS", 0.0)),
-        _parse_amount(service.get("coldPerS", 0.0)),
+        _json.read(fields, "name", _json.require_text),
+        _json.read(fields, "maxConns", _json.require_integer, MAX_COUNT),
+        _json.read(fields, "syncReplicas", _json.require_integer, MAX_COUNT),
+        _read_amount(fields, "coldStartS"),
+        _read_amount(fields, "coldPerS"),
     )
 
 
 def _parse_route(route):
-    staleness_ms = route.get("maxStalenessMs")
+    defaults = {"priority": 0, "anonymous": False, "allowedRegions": []}
+    fields = {**defaults, **_require_object(route)}
     return statements.Route(
         # The platform calls the database name "host".
-        database=_json.require_text(route["host"]),
-        service=_json.require_text(route["service"]),
-        route_type=_parse_route_type(route["routeType"]),
-        timeout_s=_parse_time(route, "timeoutMs"),
-        latency_objective_s=_parse_time(route, "latencySloMs"),
-        priority=_json.require_integer(route.get("priority", 0), MAX_PRIORITY),
+        database=_json.read(fields, "host", _json.require_text),
+        service=_json.read(fields, "service", _json.require_text),
+        route_type=_parse_route_type(fields["routeType"]),
+        timeout_s=_read_time(fields, "timeoutMs"),
+        latency_objective_s=_read_time(fields, "latencySloMs"),
+        priority=_json.read(fields, "priority", _json.require_integer, MAX_PRIORITY),
         max_staleness_s=float("inf")
-        if staleness_ms is None
-        else _parse_time(route, "maxStalenessMs"),
-        is_open=route.get("anonymous", False),
-        allowed_regions=_parse_texts(route.get("allowedRegions", [])),
+        if fields.get("maxStalenessMs") is None
+        else _read_time(fields, "maxStalenessMs"),
+        is_open=_json.read(fields, "anonymous", _json.require_boolean),
+        allowed_regions=_json.read(fields, "allowedRegions", _parse_texts),
     )
 
 
 def _parse_route_type(name):
-    if name not in ROUTE_TYPES:
+    if type(name) is not str or name not in ROUTE_TYPES:
         known = ", ".join(ROUTE_TYPES)
-        raise ValueError(f"routeType is {name!r}, expected one of {known}")
+        raise ValueError(f"routeType is {_show(name)}, expected one of {known}")
     return ROUTE_TYPES[name]
 
 
-def _parse_time(fields, name):
-    """Return a field in milliseconds as seconds."""
-    value = fields[name]
-    if type(value) not in (int, float):
-        raise ValueError(f"{name}: expected a number of milliseconds, got {value!r}")
-    return value / 1000.0
-
-
 def _parse_account(tenant):
+    fields = {"allowedRegions": [], **_require_object(tenant)}
     return configuration.ClientAccount(
-        name=_json.require_text(tenant["name"]),
-        keys=_parse_texts(tenant["apiKeys"]),
-        rate_per_s=_parse_amount(tenant["ratePerS"]),
-        burst=_parse_amount(tenant["burst"]),
-        allowed_regions=_parse_texts(tenant.get("allowedRegions", [])),
+        name=_json.read(fields, "name", _json.require_text),
+        keys=_json.read(fields, "apiKeys", _parse_texts),
+        rate_per_s=_read_amount(fields, "ratePerS"),
+        burst=_read_amount(fields, "burst"),
+        allowed_regions=_json.read(fields, "allowedRegions", _parse_texts),
     )
 
 
 def _parse_texts(values):
-    if type(values) is not list:
-        raise ValueError(f"expected a list of texts, got {type(values).__name__}")
-    return frozenset(_json.require_text(value) for value in values)
+    return frozenset(_json.require_text(value) for value in _require_list(values))
+
+
+def _read_time(fields, name):
+    """Return a field in milliseconds as seconds."""
+    return _json.read(fields, name, _require_time) / 1000.0
+
+
+def _require_time(value):
+    if type(value) not in (int, float):
+        raise ValueError(f"expected a number of milliseconds, got {_show(value)}")
+    if not abs(value) <= MAX_AMOUNT:
+        raise ValueError("the number of milliseconds is out of range")
+    return value
+
+
+def _read_amount(fields, name):
+    return float(_json.read(fields, name, _require_amount))
+
+
+def _require_amount(value):
+    if type(value) not in (int, float) or not 0 <= value <= MAX_AMOUNT:
+        raise ValueError(f"must be finite and not below 0, got {_json.describe(value)}")
+    return value
 
 
-def _parse_amount(value):
-    amount = float(value)
-    if not 0 <= amount < float("inf"):
-        raise ValueError(f"must be finite and not below 0, got {value!r}")
-    return amount
+def _show(value):
+    """Return a description of a value that is no key, with its text."""
+    is_short = type(value) is str and len(value) <= MAX_SHOWN_LENGTH
+    return repr(value) if is_short else _json.describe(value)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,7 +7,7 @@
 import testtools
 from hypothesis import strategies
 
-from pomelograde.core import placement, statements
+from pomelograde.core import placement, pooling, statements
 from pomelograde.platform import manifest, registry, settings, store
 from pomelograde.standins.hosting import fleets, host
 
@@ -31,6 +31,22 @@
 }
 
 
+NESTED = (33, 500, *range(880, 1000))
+VALUES = JSON | strategies.sampled_from(
+    [10**400, -1, 1 << 64, 1.5, 1e300, "\ud800", True, float("inf"), float("nan")]
+)
+FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=1000)
+
+
+def find_places(document):
+    """Yield container and key of each value within a JSON value."""
+    names = document if isinstance(document, dict) else range(len(document))
+    for name in names:
+        yield document, name
+        if isinstance(document[name], (dict, list)):
+            yield from find_places(document[name])
+
+
 def parse_rows(*values):
     rows = [store.Row(f"i-{number}", value, 1) for number, value in enumerate(values)]
     return registry.parse_members(rows)[0]
@@ -97,6 +113,74 @@
         self.assertRaises(error, manifest.parse_manifest, json.dumps(value))
         self.assertRaises(error, manifest.parse_manifest, b"\xff{")
 
+    def test_values_that_consumers_cannot_use_are_rejected(self):
+        route, service = host.MANIFEST["routes"][0], host.MANIFEST["services"][0]
+        account, large = host.MANIFEST["tenants"][0], 10**400
+        changes = [{"version": large}, {"version": True}, {"limits": []}]
+        changes += [{"limits": {"txIdleMs": large}}, {"routes": {}}, {"services": [5]}]
+        for name, values in (
+            ("maxConns", (large, -1, "5", 5.5, True, None)),
+            ("syncReplicas", (large, -1, "1", True, None)),
+            ("coldStartS", (large, "1", True, None)),
+            ("coldPerS", (large, "1", True, None)),
+        ):
+            changes += [{"services": [{**service, name: value}]} for value in values]
+        for name, values in (
+            ("timeoutMs", (large, 1e300, True, None)),
+            ("maxStalenessMs", (large, "1", True)),
+            ("priority", (large, True, 1.0)),
+            ("anonymous", ("false", 0, None, [])),
+            ("routeType", (["primary"], {}, None)),
+        ):
+            changes += [{"routes": [{**route, name: value}]} for value in values]
+        for name in ("ratePerS", "burst"):
+            for value in (large, "5", True, None, [5]):
+                changes.append({"tenants": [{**account, name: value}]})
+        error = manifest.InvalidManifestError
+        for change in changes:
+            document = json.dumps({**host.MANIFEST, **change})
+            self.assertRaises(error, manifest.parse_manifest, document)
+
+    def test_texts_that_cannot_be_decoded_are_rejected(self):
+        text = json.dumps({**host.MANIFEST, "x": 0, "note": "\x07"})
+        error = manifest.InvalidManifestError
+        for value in ("9" * 5000, "1e999", "NaN", *("[" * n + "]" * n for n in NESTED)):
+            document = text.replace('"x": 0', f'"x": {value}')
+            self.assertRaises(error, manifest.parse_manifest, document)
+            self.assertRaises(error, manifest.parse_manifest, document.encode())
+        for document in (None, 5, b"\xff", text.encode()[:-1], "\ud800" + text):
+            self.assertRaises(error, manifest.parse_manifest, document)
+
+    def test_messages_hold_no_key(self):
+        account = host.MANIFEST["tenants"][0]
+        for keys in ("s3cret", ["k", ["s3cret"]], {"s3cret": 1}, [{"s3cret": 1}]):
+            document = {**host.MANIFEST, "tenants": [{**account, "apiKeys": keys}]}
+            _, _, faults = manifest.decode_manifest(json.dumps(document))
+            self.assertEqual(1, len(faults))
+            self.assertNotIn("s3cret", str(faults))
+
+    @FUZZ
+    @hypothesis.given(data=strategies.data(), value=VALUES)
+    def test_manifest_with_an_arbitrary_value(self, data, value):
+        document = copy.deepcopy(host.MANIFEST)
+        place, name = data.draw(strategies.sampled_from(list(find_places(document))))
+        place[name] = value
+        try:
+            found = manifest.parse_manifest(json.dumps(document))
+        except manifest.InvalidManifestError:
+            return
+        for service in found.services.values():
+            pooling.divide_connections(service.max_connections, 3, 1, False)
+            float(service.max_connections)
+        for text in (*found.routes, *found.accounts, *found.services):
+            text.encode()
+
+    @FUZZ
+    @hypothesis.given(document=strategies.binary() | strategies.text())
+    def test_arbitrary_text(self, document):
+        error = manifest.InvalidManifestError
+        self.assertRaises(error, manifest.parse_manifest, document)
+
 
 class RegistryTests(testtools.TestCase):
     def test_member_is_parsed(self):
