Log and count invalid rows

Invalid rows were skipped without a trace: nothing told a writer's mistake from a member that had left.

--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -22,6 +22,7 @@
     context,
     evacuations,
     health,
+    invalid_rows,
     paths,
     placing,
     probe_site,
@@ -230,9 +231,9 @@
         instance_settings.instance,
     )
     freshness = configuration.Freshness(instance_settings.revocation_s)
-    sync = state_sync.StateSync(
-        shared_context, source.PlatformSource(store_client), freshness
-    )
+    platform_source = source.PlatformSource(store_client)
+    platform_source.on_invalid_rows = invalid_rows.InvalidRows(shared_context).report
+    sync = state_sync.StateSync(shared_context, platform_source, freshness)
     session_proxy = proxy.Proxy(shared_context, freshness, upstreams.open_connection)
     if instance_settings.shares_members:
         fleet_paths = paths.Paths(shared_context, session_proxy)
