Count a host that no name server knows as a connection that failed

A row may name a host. DNSLookupError is no ConnectError, so the opening failed with an exception that the pool does not expect: the pool took the connection for one that is still being opened, and its waiters were not told. The same held for the platform's own addresses.

--- a/pomelograde/platform/http.py
+++ b/pomelograde/platform/http.py
@@ -320,6 +320,7 @@
     defer.TimeoutError,
     defer.CancelledError,
     error.ConnectError,
+    error.DNSLookupError,
     error.ConnectingCancelledError,
     error.ConnectionClosed,
     ConnectionLostError,
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -303,6 +303,7 @@
 
 _CONNECT_ERRORS = (
     net_error.ConnectError,
+    net_error.DNSLookupError,
     net_error.ConnectingCancelledError,
     defer.CancelledError,
 )
