Take a status row with a number of any length for an invalid one

int() raises ValueError for more than 4,300 digits, so that such an answer of a member ended a takeover with a fault. A term has up to 18 digits, as in positions.

Of the new tests on members' answers and callers' lines the two on status rows fail before.

--- a/pomelograde/platform/_line_protocol.py
+++ b/pomelograde/platform/_line_protocol.py
@@ -18,6 +18,7 @@
 _TOKEN = re.compile(rb"[\x21-\x7e\x80-\xff]+")
 _CONTROL = re.compile(rb"[\x00-\x1f\x7f]")
 _POSITION = re.compile(rb"(\d{1,18})\.(\d{1,18})")
+_TERM = re.compile(rb"\d{1,18}")
 _OP = statements.Operation
 _KIND = retries.ErrorKind
 _ERROR = statements.UpstreamError
@@ -153,7 +154,7 @@
     if answer.error is not None or not answer.rows:
         return None
     fields = answer.rows[0].split(b" ")
-    if len(fields) < 3 or not fields[1].isdigit():
+    if len(fields) < 3 or not _TERM.fullmatch(fields[1]):
         return None
     position = decode_position(fields[2])
     if position is None:
--- a/tests/platform/test_line_protocol.py
+++ b/tests/platform/test_line_protocol.py
@@ -141,3 +141,25 @@
             b"retry after 250 ms\r\nREADY I -\r\n",
             text,
         )
+
+
+VERBS = [b"BEGIN", b"COMMIT", b"READ", b"WRITE", b"SET", b"PARSE", b"EXECUTE", b"CLOSE"]
+
+
+class ArbitraryLineTests(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=1000)
+    @hypothesis.given(
+        words=strategies.lists(
+            strategies.binary(max_size=6) | strategies.sampled_from(VERBS), max_size=5
+        ),
+        is_query=strategies.booleans(),
+    )
+    def test_line_is_a_statement_or_malformed(self, words, is_query):
+        line = b" ".join([b"QUERY", b"q1", *words] if is_query else words)
+        try:
+            found = _line_protocol.decode_statement(line)
+        except _line_protocol.MalformedLineError:
+            return
+        self.assertIsInstance(found, statements.Statement)
+        sent = _line_protocol.encode_statement(found, None, None)
+        self.assertEqual(line + b"\r\n", sent)
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -1,14 +1,39 @@
 """Tests of connections to members that answer what no member should."""
 
+import hypothesis
 import testtools
+from hypothesis import strategies as st
 from twisted.internet import defer, error, testing
 from twisted.python import failure
 
-from pomelograde.core import placement
+from pomelograde.core import placement, statements
 from pomelograde.net import pools
 from pomelograde.platform import upstreams
 
 MEMBER = placement.Member(name="i-1", data_centre="a", host="h", port=1)
+FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+LINES = st.sampled_from(
+    [
+        b"DATAROW a",
+        b"DATAROW",
+        b"COMPLETE d",
+        b"COMPLETE",
+        b"ERROR RETRY",
+        b"ERROR",
+        b"READY I 1.2",
+        b"READY",
+        b"READY \xff " + b"9" * 5000,
+        b"",
+        b"\x00",
+    ]
+)
+
+
+class Transport(testing.StringTransport):
+    """Transport in memory."""
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        """Do nothing."""
 
 
 class OpenTests(testtools.TestCase):
@@ -20,3 +45,62 @@
         reason = failure.Failure(error.DNSLookupError())
         reactor.tcpClients[0][2].clientConnectionFailed(None, reason)
         self.assertIsInstance(found[0].value, pools.UpstreamOpenError)
+
+
+class AnswerTests(testtools.TestCase):
+    def connect(self):
+        connection = upstreams.UpstreamConnection("g", "i-1", "desk", lambda: 0.0)
+        connection.ready.addErrback(lambda reason: reason.trap(pools.UpstreamOpenError))
+        connection.makeConnection(Transport())
+        return connection
+
+    def read_status(self, row):
+        answer = statements.Answer((row,), b"d", None, b"", b"I", None)
+        return self.connect().read_status(answer)
+
+    def test_status_with_numbers_of_any_length_never_raises(self):
+        self.assertEqual((True, 3), self.read_status(b"primary 3 3.12 0 0 0 0")[:2])
+        for row in (
+            b"primary " + b"9" * 5000 + b" 3.12",
+            b"primary 3 " + b"9" * 5000 + b".1",
+            b"primary \xd9\xa3 3.12",
+            b"primary -1 3.12",
+            b"primary 3 3",
+            b"",
+        ):
+            self.assertIsNone(self.read_status(row), row[:40])
+
+    @FUZZ
+    @hypothesis.given(
+        fields=st.lists(
+            st.binary(max_size=8)
+            | st.sampled_from([b"primary", b"3", b"3.4", b"9" * 5000]),
+            max_size=4,
+        )
+    )
+    def test_arbitrary_status(self, fields):
+        found = self.read_status(b" ".join(fields))
+        if found is not None:
+            self.assertTrue(0 <= found[1] < 10**18)
+
+    @FUZZ
+    @hypothesis.given(data=st.lists(LINES | st.binary(max_size=20), max_size=12))
+    def test_arbitrary_lines_answer_or_close(self, data):
+        connection = self.connect()
+        connection.dataReceived(b"READY I 1.2\r\n")
+        answers = []
+        for _ in range(3):
+            connection.ask_status(answers.append)
+        connection.dataReceived(b"\r\n".join([*data, b""]))
+        for answer in answers:
+            self.assertIsInstance(answer, statements.Answer)
+        pending = len(connection.response_handlers)
+        self.assertTrue(connection.is_lost or len(answers) + pending == 3)
+
+    @FUZZ
+    @hypothesis.given(data=st.lists(LINES | st.binary(max_size=20), max_size=4))
+    def test_arbitrary_lines_to_the_start(self, data):
+        connection = self.connect()
+        connection.dataReceived(b"\r\n".join([*data, b""]))
+        connection.close()
+        self.assertTrue(connection.ready.called)
