--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -149,7 +149,7 @@
         client.commit = lambda *call: commits.append(call) or done(9)
         platform_source = source.PlatformSource(client)
         run(platform_source.fetch_instances())
-        begun = run(platform_source.begin_takeover("g", "a/2", known_revision))
+        begun = run(platform_source.begin_takeover("g", "a/2", known_revision, ""))
         self.assertEqual(9, begun.fence)
         ((_, conditions, _),) = commits
         return conditions
