Take a takeover whose holder names no process for one that times out

A row or message of another writer with a holder such as "x" or "x/one" ended each check of the primaries with a ValueError, ten times a second: no instance started a takeover of any service any more.

The holder's incarnation is read only if it is a number of up to 19 digits; otherwise the holder's timeout applies. The new test failed before (invalid literal for int()).

--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -1,5 +1,7 @@
 """The record of a takeover in the store."""
 
+import re
+
 import attrs
 
 # Latest time for a promotion after the start of a takeover. The leases on the old
@@ -14,6 +16,7 @@
 # copy. An instance whose registration was lost may hold a primary lease until
 # then, and one whose takeover was lost may have promoted a member.
 RESTORE_SETTLE_TIME_S = 3.2
+_INCARNATION = re.compile("[0-9]{1,19}")
 
 
 @attrs.frozen
@@ -77,13 +80,14 @@
     If the current holder is registered with a later incarnation, its process
     has been replaced and its takeover can be superseded at once. A holder that
     is not registered may still be running and about to promote a member, so
-    its timeout applies.
+    its timeout applies; likewise to one whose text names no process.
     """
     if era_age_s < RESTORE_SETTLE_TIME_S:
         return False
     if takeover is None or takeover.is_done or takeover.holder == holder:
         return True
     name, _, incarnation = takeover.holder.rpartition("/")
-    if incarnations.get(name, 0) > int(incarnation):
+    is_valid = _INCARNATION.fullmatch(incarnation) is not None
+    if is_valid and incarnations.get(name, 0) > int(incarnation):
         return True
     return unchanged_for_s > HOLDER_TIMEOUT_S
--- a/tests/core/takeovers/test_decide.py
+++ b/tests/core/takeovers/test_decide.py
@@ -174,6 +174,12 @@
         self.assertFalse(takeovers.may_start(current, "y/1", {"y": 1}, 5.9))
         self.assertTrue(takeovers.may_start(current, "y/1", {"y": 1}, 6.1))
 
+    def test_holder_that_names_no_instance_is_superseded_after_the_timeout(self):
+        for holder in ("x", "x/", "x/one", "x/-1", "/1", "x/" + "9" * 5000):
+            current = takeovers.Takeover("g", holder, "", 5, 5)
+            self.assertFalse(takeovers.may_start(current, "y/1", {"x": 3}, 5.9))
+            self.assertTrue(takeovers.may_start(current, "y/1", {"x": 3}, 6.1))
+
     def test_promotion_deadline_is_before_the_holder_timeout(self):
         # Leaves 1 s for a promotion call that starts at the deadline.
         current = takeovers.Takeover("g", "x/1", "", 5, 5)
