Withdraw a relayed request that was not sent when its owner is given up

A relayed write that still waited for a connection to its owner was sent elsewhere once the owner was suspected, as not sent; but the first request stayed with the connection attempt. If that succeeded after all, the write ran twice.

Now the request is cancelled where a call that was not sent fails, so that nothing is sent once the connection opens.

--- a/pomelograde/net/hosted/admissions.py
+++ b/pomelograde/net/hosted/admissions.py
@@ -39,6 +39,8 @@
         Whether its answer is outstanding.
     is_sent : bool
         Whether the request was written to a connection.
+    sending : Deferred or None
+        The last request.
     started_at : float
         When the first holder was asked.
     refusals : list of Failure
@@ -54,6 +56,7 @@
         self.sent_at = 0.0
         self.is_waiting = False
         self.is_sent = False
+        self.sending = None
         self.started_at = relay.context.now()
         self.refusals = []
 
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -74,6 +74,8 @@
         Whether the outstanding answer is only awaited to discard the transaction.
     is_sent : bool
         Whether the outstanding request was written to a connection.
+    sending : Deferred or None
+        The last request; its cancellation keeps one that was not sent from it.
     is_path_lost : bool
         Whether the way to the member was lost rather than the member.
     is_lost_at_member : bool
@@ -103,6 +105,7 @@
         self.is_lost_at_member = False
         self.is_counted = False
         self.is_sent = False
+        self.sending = None
         self.is_path_lost = False
         self.kind = None
         self.payload_bytes = 0
@@ -199,7 +202,6 @@
     def _send(self, step, done, after, settings, **fields):
         self.response_handlers.append(done)
         self.sent_at = self.relay.context.now()
-        self.is_sent = False
         self.call = next(self.relay.call_numbers)
         useful_ms = min(MAX_USEFUL_MS, self.useful_s * 1000.0)
         request = peer_messages.RelayRequest(
@@ -540,12 +542,14 @@
         call : RemoteConnection or AdmissionCall
             Gets the answer by `on_answer(message)`, or `on_unreachable()` if
             `peer` will not answer. `sent_at` and `is_waiting` say since when,
-            and whether, it waits for an answer.
+            and whether, it waits for an answer, `is_sent` and `sending` whether
+            the request was written to a connection, and the Deferred of it.
         request : object
             One of the message classes.
         """
         peer = call.peer
         self.outstanding.setdefault(peer.name, set()).add(call)
+        call.is_sent = False
 
         def on_sent():
             if call.peer is peer:
@@ -554,6 +558,7 @@
         sent = defer.ensureDeferred(
             self.context.peers.request(peer, request, REQUEST_TIMEOUT_S, on_sent)
         )
+        call.sending = sent
         if self.paths is not None:
             self.paths.on_send(peer)
         arguments = [call, peer]
@@ -697,8 +702,16 @@
         self.context.peers.drop_connection(name)
 
     def fail_calls(self, name):
-        """Fail the outstanding calls to a peer that is not used any more."""
+        """Fail the outstanding calls to a peer that is not used any more.
+
+        Notes
+        -----
+        A request that still waits for its connection is not sent any more: its
+        statement may run elsewhere meanwhile.
+        """
         for call in list(self.outstanding.pop(name, ())):
+            if not call.is_sent:
+                call.sending.cancel()
             call.on_unreachable()
 
     def _on_answer(self, message, call, peer):
@@ -711,6 +724,8 @@
             self.untrack(call)
 
     def _on_unreachable(self, reason, call, peer):
+        if reason.check(defer.CancelledError):
+            return
         reason.trap(peers.PeerUnreachableError)
         if self.paths is None:
             self._suspect(peer.name, "connection lost")
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -90,6 +90,29 @@
         self.assertTrue(done.called)
         self.assertEqual(set(), found.outstanding["a2"])
 
+    def test_request_that_waits_for_a_connection_is_not_sent_after_it_has_failed(self):
+        # The caller's statement goes elsewhere, and would run twice.
+        found = self.make(INSTANCES[4])
+        remote = relay.RemoteConnection(found, INSTANCES[0], "g", "p", "account")
+        refused = []
+        remote.on_refused = refused.append
+        statement = statements.Statement(b"q1", statements.Operation.WRITE, b"WRITE k")
+        remote.execute(statement, None, None, {}, lambda answer: None)
+        ((_, waiting),) = self.requests
+        found.fail_calls("a1")
+        self.assertEqual(1, len(refused))
+        self.assertTrue(waiting.called)
+
+    def test_request_that_was_sent_is_not_withdrawn(self):
+        found = self.make(INSTANCES[4])
+        remote = relay.RemoteConnection(found, INSTANCES[0], "g", "p", "account")
+        remote.on_lost = lambda outstanding: None
+        remote.begin(True, None, {}, lambda answer: None)
+        remote.is_sent = True
+        ((_, waiting),) = self.requests
+        found.fail_calls("a1")
+        self.assertFalse(waiting.called)
+
     def ask_holders(self, *answers):
         """Return the holders asked, the waits allowed, and the result."""
         found = self.make(INSTANCES[4])
--- a/tests/net/test_peer_requests.py
+++ b/tests/net/test_peer_requests.py
@@ -58,6 +58,15 @@
         transport = self.connect()
         self.assertEqual(b"", transport.value())
 
+    def test_request_that_is_cancelled_before_it_was_sent_is_not_sent(self):
+        request = self.task.request(self.peer, peer_messages.Ping(), TIMEOUT_S)
+        sending = defer.ensureDeferred(request)
+        sending.addErrback(lambda reason: reason.trap(defer.CancelledError))
+        sending.cancel()
+        transport = self.connect()
+        self.assertEqual(b"", transport.value())
+        self.assertEqual({}, self.task.pending_replies)
+
     def test_request_is_sent_once_the_connection_is_open(self):
         results = self.start_request()
         transport = self.connect()
