Keep an evacuation that a returned store lacks until a late enough read

A member of an evacuated data centre could get statements again although the operator had written the request again in time.

Cause: an evacuation that the store has lost counts for 2.5 s after the return was seen, so that the operator can write it again. Its end was decided by the time at which a read was applied. A read of before the operator's write, applied after that time (an answer that waited in a process without processor time), ended it.

The new test failed before: the set was empty after a read of 1.4 s, applied 2.6 s after the return.

The end is now decided by the time of the read, as everything else that a read shows. In the test next to it, reads in the new era now have the times of their application, as real ones have; before they had times of 3 to 6 s in a test at 200 s. What it checks is unchanged.

--- a/pomelograde/core/placement/_evacuations.py
+++ b/pomelograde/core/placement/_evacuations.py
@@ -90,7 +90,8 @@
                 self.kept = self.data_centres
                 self.kept_until = now + _restored.REWRITE_TIMEOUT_S
             read = attrs.evolve(read, as_of=max(read.as_of, known.as_of))
-        if now >= self.kept_until:
+        # An earlier read does not show what the operator has written since.
+        if read.as_of >= self.kept_until:
             self.kept = frozenset()
         evacuated = read.data_centres | self.kept
         unrequested_at = {
--- a/tests/core/placement/test_evacuations.py
+++ b/tests/core/placement/test_evacuations.py
@@ -47,14 +47,22 @@
     def test_request_that_a_restored_store_lacks_counts_until_it_may_be_written(self):
         self.apply(make_read(1), make_read(90, "x", "y"))
         deadline = self.known.deadlines(EVACUATION_S)["x"]
-        self.apply(make_read(3, era=2), now=200.0)
+        self.apply(make_read(3, era=2, as_of=200.0), now=200.0)
         self.assertEqual({"x", "y"}, self.known.data_centres)
-        self.apply(make_read(5, "x", era=2), now=201.9)
+        self.apply(make_read(5, "x", era=2, as_of=201.9), now=201.9)
         self.assertEqual({"x", "y"}, self.known.data_centres)
-        self.apply(make_read(6, "x", era=2), now=203.0)
+        self.apply(make_read(6, "x", era=2, as_of=203.0), now=203.0)
         self.assertEqual({"x"}, self.known.data_centres)
         self.assertEqual(deadline, self.known.deadlines(EVACUATION_S)["x"])
 
+    def test_late_answer_does_not_end_what_may_be_written_since_it_was_read(self):
+        self.apply(make_read(1), make_read(90, "x"))
+        self.apply(make_read(3, era=2, as_of=200.0), now=200.0)
+        self.apply(make_read(4, era=2, as_of=201.4), now=202.6)
+        self.assertEqual({"x"}, self.known.data_centres)
+        self.apply(make_read(5, "x", era=2, as_of=201.6), now=203.1)
+        self.assertEqual({"x"}, self.known.data_centres)
+
     @hypothesis.given(
         strategies.lists(strategies.sets(strategies.sampled_from("xyz"))),
         strategies.randoms(use_true_random=False),
