Begin no takeover for an evacuation that the check has outlived

What callers saw: writes that waited for 1.5 s, and were then refused, although the primary could have run them until the time limit of its evacuation; or a takeover after the evacuation had been taken back.

Cause: before a takeover for an evacuation, the replicas are asked how far they are. Whether the takeover was still wanted, and possible, was not asked again afterwards. With all data centres evacuated one right after the other, the first request started the check, and the primary was held for members that could not be chosen any more.

Two of the three new tests failed before (a takeover was begun).

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -207,6 +207,11 @@
             elif reason is takeovers.Reason.EVACUATED:
                 is_confirmed = await self._is_replica_near(group)
                 outcome = "no candidate"
+                if is_confirmed and not self._resumes(service):
+                    # Evacuations may have changed during the check.
+                    health = self._collect_health(group, self.context.now())
+                    is_confirmed = takeovers.find_takeover_reason(health) is not None
+                    outcome = "not needed"
             else:
                 is_confirmed = True
             if is_confirmed and not self._resumes(service) and not reason.is_planned:
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -184,6 +184,34 @@
             self.task._check()
         self.assertEqual([], self.source.begun)
 
+    def check_near_replica(self, change):
+        """Run a takeover for an evacuation; things change while replicas are asked."""
+        asked = defer.Deferred()
+
+        async def is_near(group):
+            await asked
+            return True
+
+        self.group.update([make_primary(), placement.Member("r", "y")], 100.0)
+        self.evacuate("x", until=104.0)
+        self.task._is_replica_near = is_near
+        self.task._check()
+        change()
+        asked.callback(None)
+        return self.source.begun
+
+    def test_takeover_is_not_begun_for_an_evacuation_that_has_ended(self):
+        found = self.check_near_replica(lambda: self.group.set_evacuations({}))
+        self.assertEqual([], found)
+
+    def test_takeover_is_not_begun_once_all_data_centres_are_evacuated(self):
+        found = self.check_near_replica(lambda: self.evacuate("x", "y", until=104.0))
+        self.assertEqual([], found)
+
+    def test_takeover_for_an_evacuation_is_begun_after_the_check(self):
+        found = self.check_near_replica(lambda: None)
+        self.assertEqual([("g", "reader/1", 0)], found)
+
     def test_primary_that_may_not_be_asked_is_not_suspected(self):
         self.group.update([make_primary(), placement.Member("r", "y")], 100.0)
         self.evacuate("x", until=100.0)
