Bound the items of a message between instances

A list in a Cap'n Proto message may claim items of no size, so that a message of 66 bytes held 663,552 of them. To make objects of these took 17.3 s (at a load of about 30), in which the instance did nothing else: its leases ended and its callers timed out.

A message may now have 32,768 items in all its lists, counted before they are made into objects; a state of 1,100 instances and 8,000 members has a third of that. The library's limit counts words read, 8 million of them, and stays as it is.

--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -24,6 +24,7 @@
 NONZERO_BYTES = [
     [place for place in range(WORD_BYTES) if tag >> place & 1] for tag in range(256)
 ]
+MAX_ITEMS = 32_768  # in the lists of a message
 FORMAT_PLAIN = b"\0"
 FORMAT_COMPRESSED = b"\1"
 FORMAT_STREAM = b"\2"  # `peer_streams`
@@ -863,7 +864,8 @@
     which = built.body.which()
     message = Empty()
     if which != "empty":
-        message = _read_struct(CLASSES_BY_FIELD[which], getattr(built.body, which))
+        source = getattr(built.body, which)
+        message = _read_struct(CLASSES_BY_FIELD[which], source, [MAX_ITEMS])
     return Envelope(
         built.sender,
         built.incarnation,
@@ -930,12 +932,21 @@
                 _fill_struct(items[index], item)
 
 
-def _read_struct(cls, source):
+def _read_struct(cls, source, remaining):
+    """Return an object of a message class; `remaining` holds how many items may follow.
+
+    A list takes the same few bytes however many items it claims to hold.
+    """
     values = {}
     for name, camel in _field_names(cls):
         value = getattr(source, camel)
         if name in ITEM_CLASSES:
-            value = [_read_struct(ITEM_CLASSES[name], item) for item in value]
+            remaining[0] -= len(value)
+            if remaining[0] < 0:
+                raise ValueError(f"message has more than {MAX_ITEMS} items")
+            value = [
+                _read_struct(ITEM_CLASSES[name], item, remaining) for item in value
+            ]
         elif name == "rows" and cls is RelayAnswer:
             value = list(value)
         values[name] = value
