Log each message between instances that can't be used, and lose no more by it

Bytes that are no message, and messages that are too long, closed the connection without a log line. An error that the decoder's list did not name went up into the transport. A handler's error was reported when the garbage collector met its Deferred, without message and sender; so was a reply that could not be encoded. An address to which no connection can be opened at all (no port, a name that can't be resolved) left the peer in the table of connections being opened for good: the first request ended in that error, and each later one waited for its time limit.

Decoding is one boundary now: whatever is raised there is logged (MESSAGE_REJECTED, at a bounded rate, with the sender's name if known) and closes the connection. A message that its handler fails on is logged and gets no reply, since an empty one would confirm a HoldRequest; the connection stays, because it carries other clients' transactions, and because a fault of this instance's own state would otherwise close all connections to it again and again. Every failure to open a connection is a PeerUnreachableError.

--- a/pomelograde/net/peers.py
+++ b/pomelograde/net/peers.py
@@ -3,12 +3,11 @@
 import itertools
 
 import attrs
-import capnp
 from twisted.internet import defer, endpoints, protocol
 from twisted.internet import error as net_error
 from twisted.protocols import basic
 
-from pomelograde.net import events, peer_messages, peer_streams, rejections
+from pomelograde.net import events, peer_messages, peer_streams, rejections, timers
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -87,8 +86,11 @@
         """Process one message; close the connection if it is invalid."""
         try:
             envelope = self.decoder.decode(data)
-        except (capnp.KjException, KeyError, ValueError):
-            self.transport.abortConnection()
+        except Exception as error:
+            self._refuse(f"can't be decoded: {type(error).__name__}")
+            return
+        if not envelope.sender:
+            self._refuse("names no sender")
             return
         if not self.peer_name:
             security = self.task.security
@@ -113,6 +115,11 @@
 
     def lengthLimitExceeded(self, length):  # noqa: N802
         """Close the connection if a message exceeds `MAX_MESSAGE_BYTES`."""
+        self._refuse(f"is longer than {MAX_MESSAGE_BYTES} bytes")
+
+    def _refuse(self, reason):
+        """Log a message that can't be used, and close the connection."""
+        self.task.reject(None, self.peer_name, reason)
         self.transport.abortConnection()
 
 
@@ -193,7 +200,13 @@
             One of the message classes.
         """
         sent = defer.ensureDeferred(self._send(instance, message, 0))
-        sent.addErrback(lambda reason: reason.trap(PeerUnreachableError) and None)
+        sent.addErrback(self._on_send_failed, message, instance.name)
+
+    def _on_send_failed(self, reason, message, receiver):
+        if not reason.check(PeerUnreachableError):
+            place = timers.format_location(reason)
+            fault = f"can't be sent: {reason.type.__name__} at {place}"
+            self.reject(message, receiver, fault)
 
     async def request(
         self, instance, message, timeout_s=REQUEST_TIMEOUT_S, on_sent=None
@@ -254,6 +267,19 @@
         done = defer.maybeDeferred(handler, envelope.message, envelope)
         if envelope.request_id:
             done.addCallback(self._reply, envelope.request_id, connection)
+        done.addErrback(self._on_handler_failed, envelope)
+
+    def _on_handler_failed(self, reason, envelope):
+        """Log a message that its handler can't process; it gets no reply.
+
+        Notes
+        -----
+        An empty reply would confirm what was asked. The connection stays open, as
+        it serves other clients, too.
+        """
+        place = timers.format_location(reason)
+        fault = f"{reason.type.__name__} at {place}"
+        self.reject(envelope.message, envelope.sender, fault)
 
     def on_connection_lost(self, connection):
         """Remove a lost connection and fail the requests sent over it."""
@@ -324,7 +350,7 @@
         self.connecting[instance.name] = []
         try:
             connection = await self._open(instance)
-        except PeerUnreachableError as error:
+        except Exception as error:
             for waiter in self.connecting.pop(instance.name):
                 waiter.errback(error)
             raise
@@ -350,6 +376,11 @@
             await endpoints.connectProtocol(endpoint, connection)
         except (net_error.ConnectError, defer.CancelledError) as error:
             raise PeerUnreachableError(instance.name) from error
+        except Exception as error:
+            # The address can't be used: no IP address, or no port.
+            fault = f"connection can't be opened: {type(error).__name__}"
+            self.reject(None, instance.name, fault)
+            raise PeerUnreachableError(instance.name) from error
         return connection
 
 
--- a/tests/net/test_peer_requests.py
+++ b/tests/net/test_peer_requests.py
@@ -3,7 +3,10 @@
 import struct
 import types
 
+import attrs
+import hypothesis
 import testtools
+from hypothesis import strategies as st
 from twisted.internet import defer, testing
 
 from pomelograde.core import membership
@@ -110,3 +113,111 @@
         self.assertEqual(([peer_messages.Empty()], []), (first, second))
         self.reply(owner, "a", 2, peer_messages.Ping())
         self.assertEqual([peer_messages.Ping()], second)
+
+
+class MalformedMessageTests(PeerCase):
+    def setUp(self):
+        super().setUp()
+        self.lines = []
+        self.task.context.log = types.SimpleNamespace(
+            write=lambda event, **fields: self.lines.append((event, fields))
+        )
+        self.task.context.now = self.reactor.seconds
+        self.connection = self.task.buildProtocol(None)
+        self.transport = testing.StringTransport()
+        self.connection.makeConnection(self.transport)
+
+    def send(self, message, request_id=0, sender="b"):
+        envelope = peer_messages.Envelope(sender, 1, request_id, False, message)
+        self.send_bytes(peer_messages.encode(envelope))
+
+    def send_bytes(self, data):
+        self.connection.dataReceived(struct.pack(">I", len(data)) + data)
+
+    def assert_rejected(self, count=1):
+        names = [event.name for event, _ in self.lines]
+        self.assertEqual(["MESSAGE_REJECTED"] * count, names)
+
+    def test_bytes_that_are_no_message_close_the_connection_with_an_event(self):
+        self.send(peer_messages.Ping())
+        self.send_bytes(b"\0abc")
+        self.assertTrue(self.transport.disconnecting)
+        self.assert_rejected()
+        self.assertEqual("b", self.lines[0][1]["sender"])
+
+    def test_message_that_is_too_long_closes_the_connection_with_an_event(self):
+        self.connection.dataReceived(b"\xff\xff\xff\xff")
+        self.assertTrue(self.transport.disconnecting)
+        self.assert_rejected()
+
+    def test_message_without_a_sender_closes_the_connection_with_an_event(self):
+        self.send(peer_messages.Ping(), sender="")
+        self.assertTrue(self.transport.disconnecting)
+        self.assert_rejected()
+
+    def test_message_that_its_handler_fails_on_is_dropped_with_an_event(self):
+        def fail(message, envelope):
+            raise ValueError
+
+        async def fail_later(message, envelope):
+            raise ValueError
+
+        handlers = self.task.handlers
+        handlers[peer_messages.Leaving] = fail
+        handlers[peer_messages.FloorRequest] = lambda message, envelope: (
+            defer.ensureDeferred(fail_later(message, envelope))
+        )
+        handlers[peer_messages.Ping] = lambda message, envelope: None
+        self.send(peer_messages.Leaving())
+        self.send(peer_messages.FloorRequest("g"), 7)
+        self.assert_rejected(2)
+        self.assertEqual(b"", self.transport.value())
+        self.send(peer_messages.Ping(), 8)
+        self.assertNotEqual(b"", self.transport.value())
+        self.assertFalse(self.transport.disconnecting)
+
+    def test_reply_that_cannot_be_encoded_is_left_out_with_an_event(self):
+        handlers = self.task.handlers
+        handlers[peer_messages.FloorRequest] = lambda message, envelope: (
+            peer_messages.FloorAnswer(True, -1, 2**70)
+        )
+        self.send(peer_messages.FloorRequest("g"), 7)
+        self.assert_rejected()
+        self.assertEqual(b"", self.transport.value())
+
+    def test_message_that_cannot_be_encoded_is_left_out_with_an_event(self):
+        self.task.send(self.peer, peer_messages.ConfigurationRequest(2**70))
+        self.connect()
+        self.assert_rejected()
+
+    def test_address_that_cannot_be_used_fails_every_request_to_it(self):
+        for host, port in (("no.example", 70_000), ("127.0.0.1", "x"), (None, 5)):
+            peer = attrs.evolve(self.peer, host=host, peer_port=port)
+            self.task.security = BrokenSecurity()
+            for _ in range(2):
+                results = []
+                request = self.task.request(peer, peer_messages.Ping(), TIMEOUT_S)
+                defer.ensureDeferred(request).addBoth(results.append)
+                self.assertTrue(results[0].check(peers.PeerUnreachableError), host)
+                self.assertFalse(results[0].check(peers.NoReplyError))
+            self.assertEqual({}, self.task.connecting)
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(st.lists(st.binary(max_size=40), max_size=5), st.booleans())
+    def test_any_bytes_raise_nothing(self, pieces, framed):
+        self.connection = self.task.buildProtocol(None)
+        self.connection.makeConnection(testing.StringTransport())
+        for piece in pieces:
+            if framed:
+                self.send_bytes(piece)
+            else:
+                self.connection.dataReceived(piece)
+
+
+class BrokenSecurity(peers.PlainPeers):
+    """Connections that fail as those to an odd address do."""
+
+    def wrap_endpoint(self, endpoint, name):
+        return types.SimpleNamespace(
+            connect=lambda factory: defer.fail(OverflowError("port must be 0-65535"))
+        )
