Check relayed requests and answers before they reach a connection

What could happen with a request of another instance that decodes but makes no sense. An unknown step was executed as a statement. An unknown operation raised ValueError after a connection had been taken from the pool, which was never given back, so that a few of them left the member without a connection for anybody. A line end in a text or a setting was a second statement to the member, whose answer would be taken for that of the next client on the connection. A repeated commit was sent while the first one ran: the first answer freed the connection for the next client, and the second one gave it back again while it was in use. A discard that overtook a statement left its request pending, so that a stop waited for it until its end. An answer with an unknown kind of refusal or error raised ValueError after its handler had been taken off, so that the statement waited for ever; one that says that a transaction is open and gives no number made the next statement of the transaction run outside of it.

find_fault decides on a request before anything is done for it. A request that can't be carried out is logged (MESSAGE_REJECTED), takes no connection and is refused, which is true: nothing was sent. In a transaction it gets the answer that the connection is lost. So does a request for a transaction whose last statement has no answer yet. Unknown kinds of refusals and errors count as the general ones, and an answer that contradicts itself as a loss.

--- a/pomelograde/net/hosted/admissions.py
+++ b/pomelograde/net/hosted/admissions.py
@@ -9,6 +9,7 @@
 MAX_REFUSALS = 2  # holders whose tokens are used up, of those that are asked
 
 _KIND = retries.ErrorKind
+_REFUSALS = frozenset(found.value for found in _KIND)
 
 
 class AdmissionCall:
@@ -88,6 +89,9 @@
         if not message.refusal:
             self._finish(None)
             return
+        if message.refusal not in _REFUSALS:
+            self.on_unreachable()  # a later build may have others
+            return
         wait_s = message.retry_after_ms / 1000.0
         account = self.request.account
         kind = _KIND(message.refusal)
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -8,6 +8,7 @@
 
 import collections
 import itertools
+import re
 
 import attrs
 from twisted.internet import defer
@@ -27,8 +28,12 @@
 COUNT_BITS = 32  # lower bits of the number, which count
 SUSPICION_RESET_S = 5.0  # without a failure, after which MIN_SUSPICION_S applies
 
+STEPS = frozenset(("execute", "begin", "roll_back", "discard"))
+OPERATIONS = frozenset(found.value for found in statements.Operation)
+
 _KIND = retries.ErrorKind
 _OP = statements.Operation
+_LINE_ENDS = re.compile(rb"[\r\n]")
 
 
 class RemoteConnection:
@@ -236,7 +241,10 @@
 
     def on_answer(self, message):
         """Handle the owner's answer."""
-        if not isinstance(message, peer_messages.RelayAnswer):
+        is_valid = isinstance(message, peer_messages.RelayAnswer) and (
+            message.refusal or message.path_failed or _is_consistent(message)
+        )
+        if not is_valid:
             self.is_lost_at_member = True
             self._on_lost()
             return
@@ -252,10 +260,9 @@
             return
         done = self.response_handlers.popleft()
         if message.refusal:
-            kind = _KIND(message.refusal)
             wait_s = message.retry_after_ms / 1000.0
             failure = retries.Failure(
-                kind,
+                _read_refusal(message.refusal),
                 retry_after_s=wait_s,
                 path_failed=message.path_failed and self.on_primary,
             )
@@ -770,9 +777,25 @@
         if message.call and self.context.settings.shares_members:
             self.calls.setdefault((handler.origin, message.call), handler)
         handler.done.addCallback(self._on_request_done, handler)
-        handler.start()
+        fault = find_fault(message)
+        if fault is not None:
+            self.context.peers.reject(message, envelope.sender, fault)
+            handler.refuse()
+            return handler.done
+        try:
+            handler.start()
+        except Exception as error:
+            fault = f"can't be carried out: {type(error).__name__}"
+            self.context.peers.reject(message, envelope.sender, fault)
+            handler.fail()
         return handler.done
 
+    def end_requests(self, connection):
+        """Answer the requests that wait for a connection which was closed."""
+        for handler in list(self.pending):
+            if handler.connection is connection and not handler.done.called:
+                handler.done.callback(None)
+
     def give_up_reads(self, member):
         """Answer requests that wait for a silent member and may run elsewhere."""
         for handler in list(self.pending):
@@ -846,6 +869,14 @@
             self.relay.open_transactions.pop(message.transaction)
             transaction.connection.on_lost = None
             transaction.connection.close()
+            self.relay.end_requests(transaction.connection)
+            self.done.callback(None)
+            return
+        if transaction is not None and transaction.connection.response_handlers:
+            # Its answer would free the connection while this request uses it.
+            self.relay.context.peers.reject(
+                message, self.origin.peer_name, "repeats or overtakes another one"
+            )
             self.done.callback(None)
             return
         if transaction is not None:
@@ -879,6 +910,23 @@
         )
         pool.request(self.waiter)
 
+    def refuse(self):
+        """Answer a request that can't be carried out: nothing was sent for it."""
+        if self.message.transaction:
+            self.done.callback(None)
+        else:
+            self.on_refused(retries.Failure(_KIND.UPSTREAM_UNREACHABLE))
+
+    def fail(self):
+        """Close the connection and answer that it is lost, after an error."""
+        if self.connection is not None:
+            self.connection.on_lost = None
+            self.connection.close()
+            number = self.message.transaction
+            self.relay.open_transactions.pop(number, None)
+        if not self.done.called:
+            self.done.callback(None)
+
     def withdraw(self):
         """Stop, as the caller has left or its instance is lost.
 
@@ -1066,8 +1114,52 @@
     return statements.Answer(
         rows=tuple(message.rows),
         digest=message.digest if message.has_digest else None,
-        error=statements.UpstreamError(message.error) if message.error else None,
+        error=_read_error(message.error),
         text=message.text,
         status=message.status,
         position=position,
     )
+
+
+def _is_consistent(message):
+    """Return whether a RelayAnswer names a transaction exactly if one is open."""
+    return (message.status == statements.Answer().status) == (message.transaction == 0)
+
+
+def _read_refusal(text):
+    """Return the ErrorKind of a refusal; a later build may have others."""
+    try:
+        return _KIND(text)
+    except ValueError:
+        return _KIND.UPSTREAM_UNREACHABLE
+
+
+def _read_error(text):
+    """Return the UpstreamError of an answer or None; a later build may have others."""
+    try:
+        return statements.UpstreamError(text) if text else None
+    except ValueError:
+        return statements.UpstreamError.OTHER
+
+
+def find_fault(message):
+    """Return why a RelayRequest can't be carried out, or None.
+
+    Notes
+    -----
+    A line end in a statement would be a second one to the member, whose answer
+    would be taken for that of the next statement on the connection.
+    """
+    if message.step not in STEPS:
+        return "has an unknown step"
+    if message.step == "execute" and message.operation not in OPERATIONS:
+        return "has an unknown operation"
+    if message.step == "discard" and not message.transaction:
+        return "discards no transaction"
+    for name in (message.service, message.member, message.account):
+        if not name.isprintable() or " " in name:
+            return "has a name with spaces or control characters"
+    parts = [message.request_id, message.text, message.value, message.shape]
+    for setting in message.settings:
+        parts += (setting.name, setting.value)
+    return "has a line end" if _LINE_ENDS.search(b" ".join(parts)) else None
--- a/tests/net/hosted/test_relayed_room.py
+++ b/tests/net/hosted/test_relayed_room.py
@@ -125,7 +125,9 @@
         self.assertAlmostEqual(self.now + 2.0, waiter.deadline, 3)
 
     def test_request_of_an_earlier_build_has_no_useful_time(self):
-        request = peer_messages.RelayRequest("execute", "g", "p", "hot", budget_ms=900)
+        request = peer_messages.RelayRequest(
+            "execute", "g", "p", "hot", budget_ms=900, operation="read"
+        )
         self.receive(self.decode(request))
         (waiter,) = self.waiters()
         self.assertEqual((0, float("inf")), (waiter.priority, waiter.useful_until))
--- a/tests/net/hosted/test_relayed_transactions.py
+++ b/tests/net/hosted/test_relayed_transactions.py
@@ -3,7 +3,10 @@
 import random
 import types
 
+import attrs
+import hypothesis
 import testtools
+from hypothesis import strategies as st
 from twisted.internet import defer
 
 from pomelograde.core import membership, statements
@@ -52,6 +55,8 @@
 
     def __init__(self, own, seed):
         self.upstreams = []
+        self.released = []
+        self.waiters = []
         self.requests = []
         self.logged = []
         context = types.SimpleNamespace(
@@ -67,16 +72,26 @@
                 request=self.request,
                 send=lambda peer, message: self.requests.append(message),
                 drop_connection=lambda name: None,
+                reject=lambda message, sender, reason: self.rejected.append(reason),
             ),
         )
+        self.rejected = []
         self.handlers = context.peers.handlers
         proxy = types.SimpleNamespace(
-            pools={"p": types.SimpleNamespace(try_acquire=self.open_upstream)},
+            pools={
+                "p": types.SimpleNamespace(
+                    try_acquire=self.open_upstream, request=self.waiters.append
+                )
+            },
             groups={},
             placing=None,
             health=None,
             may_send=lambda *arguments: True,
-            release=lambda connection: None,
+            release=self.released.append,
+            abandon=lambda connection, in_transaction: connection.close(),
+            cold_starts=types.SimpleNamespace(
+                paces={}, presume_restart=lambda service, member: None
+            ),
         )
         self.relay = relay.Relay(context, proxy)
         self.relay.set_instances([OWNER, ENTRY, OTHER])
@@ -96,7 +111,11 @@
         envelope = types.SimpleNamespace(
             sender=connection.peer_name, incarnation=1, connection=connection
         )
-        return self.handlers[peer_messages.RelayRequest](request, envelope).result
+        return self.start(request, envelope).result
+
+    def start(self, request, envelope):
+        """Handle a request; returns the Deferred of its answer."""
+        return self.handlers[peer_messages.RelayRequest](request, envelope)
 
     def begin(self, account, connection):
         """Open a transaction for another instance; returns its number."""
@@ -161,6 +180,146 @@
         self.assertEqual([number], list(owner.relay.open_transactions))
 
 
+class Busy(Upstream):
+    """Connection to a member on which statements wait to be answered."""
+
+    def execute(self, statement, prepared, after, settings, done):
+        self.sent.append(statement.operation.value)
+        self.response_handlers.append(done)
+
+    def answer(self, answer):
+        self.response_handlers.pop(0)(answer)
+
+
+class MalformedRequestTests(testtools.TestCase):
+    """Requests of other instances that can't be carried out."""
+
+    def setUp(self):
+        super().setUp()
+        self.owner = Process(OWNER, seed=1)
+        self.entry = connect(ENTRY)
+
+    def use_busy_upstream(self):
+        """Let the transaction that is begun next have a busy connection."""
+        upstream = Busy("p", "red")
+        self.owner.relay.proxy.pools["p"].try_acquire = lambda *_: upstream
+        return upstream
+
+    def test_request_that_cannot_be_carried_out_takes_no_connection(self):
+        write = make_request("execute", "red", 0)
+        for change in (
+            {"step": "explode"},
+            {"step": ""},
+            {"operation": "explode"},
+            {"operation": ""},
+            {"text": b"WRITE a 1\r\nWRITE b 2"},
+            {"text": b"WRITE a\n"},
+            {"value": b"\r\n"},
+            {"request_id": b"1 READ a\r\n"},
+            {"shape": b"\n", "is_prepared": True},
+            {"settings": [peer_messages.Setting(b"a", b"1\r\nROLLBACK")]},
+            {"settings": [peer_messages.Setting(b"\n", b"")]},
+            {"account": "red\r\nQUERY"},
+            {"account": "red p"},
+            {"member": "p\n"},
+        ):
+            answer = self.owner.receive(attrs.evolve(write, **change), self.entry)
+            self.assertEqual("upstream_unreachable", answer.refusal, change)
+        self.assertEqual([], self.owner.upstreams)
+        self.assertEqual(14, len(self.owner.rejected))
+        self.assertFalse(self.owner.relay.is_busy)
+
+    def test_discard_of_no_transaction_is_answered(self):
+        request = make_request("discard", "red", 0)
+        self.assertNotEqual("", self.owner.receive(request, self.entry).refusal)
+
+    def test_repeated_request_does_not_free_the_connection_of_the_next_client(self):
+        upstream = self.use_busy_upstream()
+        number = self.owner.begin("red", self.entry)
+        envelope = types.SimpleNamespace(
+            sender="a2", incarnation=1, connection=self.entry
+        )
+        commit = attrs.evolve(
+            make_request("execute", "red", number), operation="commit"
+        )
+        first = self.owner.start(commit, envelope)
+        self.assertIsNone(self.owner.receive(commit, self.entry))
+        upstream.answer(statements.Answer())
+        self.assertEqual(b"I", first.result.status)
+        self.assertEqual(["BEGIN", "commit"], upstream.sent)
+        self.assertEqual([upstream], self.owner.released)
+
+    def test_discard_ends_the_request_that_waits_for_an_answer(self):
+        upstream = self.use_busy_upstream()
+        number = self.owner.begin("red", self.entry)
+        envelope = types.SimpleNamespace(
+            sender="a2", incarnation=1, connection=self.entry
+        )
+        self.owner.start(make_request("execute", "red", number), envelope)
+        self.owner.receive(make_request("discard", "red", number), self.entry)
+        self.assertTrue(upstream.is_closed)
+        self.assertFalse(self.owner.relay.is_busy)
+
+    def test_error_in_a_request_closes_its_connection(self):
+        upstream = self.use_busy_upstream()
+
+        def fail(*arguments):
+            raise RuntimeError
+
+        upstream.execute = fail
+        request = make_request("execute", "red", 0)
+        self.assertIsNone(self.owner.receive(request, self.entry))
+        self.assertTrue(upstream.is_closed)
+        self.assertFalse(self.owner.relay.is_busy)
+        self.assertEqual(1, len(self.owner.rejected))
+
+    @hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+    @hypothesis.given(
+        st.lists(
+            st.builds(
+                peer_messages.RelayRequest,
+                step=st.sampled_from(
+                    ("execute", "begin", "roll_back", "discard", "", "later")
+                ),
+                service=st.sampled_from(("g", "h", "")),
+                member=st.sampled_from(("p", "q", "", "a\n")),
+                account=st.sampled_from(("red", "blue", "")),
+                transaction=st.sampled_from((0, 1, 2, 2**64 - 1)),
+                budget_ms=st.integers(0, 2**32 - 1),
+                on_primary=st.booleans(),
+                operation=st.sampled_from(("write", "commit", "read", "", "later")),
+                text=st.binary(max_size=5),
+                priority=st.integers(0, 255),
+                is_cold=st.booleans(),
+                useful_ms=st.integers(0, 2**32 - 1),
+                call=st.integers(0, 3),
+                paths=st.just([peer_messages.PathNews("a9", "p", True, 2**32 - 1)]),
+            ),
+            max_size=8,
+        )
+    )
+    def test_any_requests_are_answered_and_leave_the_transactions_of_others(
+        self, requests
+    ):
+        owner = Process(OWNER, seed=1)
+        other, entry = connect(OTHER), connect(ENTRY)
+        number = owner.begin("blue", other)
+        base = next(owner.relay.transaction_numbers)
+        for request in requests:
+            if 0 < request.transaction < 3:
+                transaction = base - request.transaction
+                request = attrs.evolve(request, transaction=transaction)
+            envelope = types.SimpleNamespace(
+                sender="a2", incarnation=1, connection=entry
+            )
+            done = owner.start(request, envelope)
+            self.assertTrue(done.called or owner.waiters)
+        self.assertEqual(["BEGIN"], owner.upstreams[0].sent)
+        self.assertIn(number, owner.relay.open_transactions)
+        answer = owner.receive(make_request("execute", "blue", number), other)
+        self.assertEqual(number, answer.transaction)
+
+
 class EntryTests(testtools.TestCase):
     """What an instance does about transactions at an owner that it has lost."""
 
@@ -206,3 +365,59 @@
         )
         self.assertEqual("discard", self.entry.requests[-1].step)
         self.assertEqual(set(), self.entry.relay.remote_transactions[OWNER.name])
+
+
+class MalformedAnswerTests(testtools.TestCase):
+    """Answers of an owner that name something unknown, or contradict themselves."""
+
+    def ask(self, answer):
+        """Return what a statement gets of an answer: answers, losses, refusals."""
+        entry = Process(ENTRY, seed=1)
+        remote = relay.RemoteConnection(entry.relay, OWNER, "g", "p", "red")
+        answers, losses, refusals = [], [], []
+        remote.on_lost = losses.append
+        remote.on_refused = refusals.append
+        statement = statements.Statement(b"1", statements.Operation.READ, b"READ k")
+        remote.execute(statement, None, None, {}, answers.append)
+        entry.answer.callback(answer)
+        return answers, losses, refusals
+
+    def test_unknown_refusal_says_that_nothing_was_sent(self):
+        answer = peer_messages.RelayAnswer(refusal="later", retry_after_ms=2**32 - 1)
+        answers, losses, refusals = self.ask(answer)
+        self.assertEqual(([], []), (answers, losses))
+        self.assertEqual("upstream_unreachable", refusals[0].kind.value)
+
+    def test_unknown_error_is_an_error(self):
+        answer = peer_messages.RelayAnswer(error="later", status=b"I")
+        answers, _, _ = self.ask(answer)
+        self.assertIs(statements.UpstreamError.OTHER, answers[0].error)
+
+    def test_answer_that_contradicts_itself_is_a_loss(self):
+        for answer in (
+            peer_messages.RelayAnswer(status=b"T"),
+            peer_messages.RelayAnswer(status=b"I", transaction=5),
+            peer_messages.RelayAnswer(status=b""),
+            peer_messages.Empty(),
+            peer_messages.AdmitAnswer("later"),
+        ):
+            self.assertEqual(([], [True], []), self.ask(answer), answer)
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(
+        st.builds(
+            peer_messages.RelayAnswer,
+            refusal=st.sampled_from(("", "later", "upstream_unreachable", "\0")),
+            retry_after_ms=st.integers(0, 2**32 - 1),
+            transaction=st.integers(0, 2**64 - 1) | st.just(0),
+            rows=st.lists(st.binary(max_size=4), max_size=3),
+            error=st.sampled_from(("", "later", "busy", "failed")),
+            status=st.sampled_from((b"I", b"T", b"E", b"", b"xx")),
+            term=st.integers(0, 2**64 - 1),
+            index=st.integers(0, 2**64 - 1),
+            has_position=st.booleans(),
+            path_failed=st.booleans(),
+        )
+    )
+    def test_any_answer_ends_the_wait(self, answer):
+        self.assertEqual(1, sum(map(len, self.ask(answer))))
