Borrow parts of the rates again whatever a lender has answered

While the platform is away an instance borrows parts of all rates. An amount that is no number, or is infinite, raised ValueError or OverflowError, and a lender that had gone since its last loan AttributeError, with the mark of a loan in progress set: no loan was asked for any more until the process ended, and its requests were refused for lack of a share. A loan of more than all parts, or for 49 days, was used as it was.

The mark is taken off in any case; an amount that can't be one is logged and lends nothing, the time is at most the one asked for, and a lender that is not known any more is passed over.

--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -199,15 +199,19 @@
         if self.is_borrowing:
             return
         self.is_borrowing = True
-        for name in [*self.last_lenders, *self._peer_order()][:MAX_LENDERS_ASKED]:
-            if await self._borrow_parts_from(name):
-                self.last_lenders = [name]
-                break
-        self.is_borrowing = False
+        try:
+            for name in [*self.last_lenders, *self._peer_order()][:MAX_LENDERS_ASKED]:
+                if await self._borrow_parts_from(name):
+                    self.last_lenders = [name]
+                    break
+        finally:
+            self.is_borrowing = False
         self.resize()
 
     async def _borrow_parts_from(self, name):
         instance = self.context.members.instances.get(name)
+        if instance is None:
+            return False  # it has gone since it lent parts
         sent_at = self.clock()
         request = peer_messages.BorrowRequest(
             PARTS_RESOURCE, 0.0, 0.0, int(limits.LOAN_DURATION_S * 1000)
@@ -216,11 +220,15 @@
             answer = await self.context.peers.request(instance, request)
         except peers.PeerUnreachableError:
             return False
-        if not getattr(answer, "amount", 0.0):
+        if not isinstance(answer, peer_messages.BorrowAnswer) or not answer.amount:
+            return False
+        if not 0.0 < answer.amount <= limits.TOTAL_PARTS:
+            self.context.peers.reject(answer, name, "lends an impossible amount")
             return False
+        for_s = min(answer.for_ms / 1000.0, limits.LOAN_DURATION_S)
         # Discards the tokens of a loan that has ended.
         self.resize()
-        self.lease.on_loan(int(answer.amount), sent_at + answer.for_ms / 1000.0)
+        self.lease.on_loan(int(answer.amount), sent_at + for_s)
         return True
 
     def _lend_parts(self, message, envelope):
--- a/pomelograde/net/rates.py
+++ b/pomelograde/net/rates.py
@@ -270,7 +270,8 @@
                 answer = await self.context.peers.request(
                     instance, request, limits.BORROW_TIMEOUT_S
                 )
-                amount = getattr(answer, "amount", 0.0)
+                if isinstance(answer, peer_messages.BorrowAnswer):
+                    amount = min(answer.amount, action.amount)
             except peers.PeerUnreachableError:
                 pass
         now = self.clock()
