Reject evidence about members with counts that are no numbers

Evidence in a message between instances carries floats. One that is infinite or no number was merged as it was: the collected evidence of all instances then held it, went to all of them with the next answers, and judged a member by a share of failures that no later statement could change until it was too old to count.

Such evidence, and negative counts, are logged and left out where they are decoded. The test with 32 such reports failed before; another one judges and passes on 300 derandomized sets of evidence.

--- a/pomelograde/net/hosted/health.py
+++ b/pomelograde/net/hosted/health.py
@@ -14,6 +14,7 @@
 TELL_INTERVAL_S = 1.0  # between messages to all instances about one service
 MAX_MESSAGES_PER_S = 150.0  # with collected evidence; each takes about 0.1 ms
 MAX_COUNT = 65535  # of instances in a message
+MAX_EVIDENCE = 1e9  # decayed count of statements, or of seconds that they took
 MAX_BUDGETS = 1000  # of client accounts and databases that one instance serves
 
 _ERROR = statements.UpstreamError
@@ -182,6 +183,10 @@
             group = self.proxy.groups.get(encoded.service)
             if group is None or encoded.member not in group.members:
                 continue
+            if not _is_valid(encoded):
+                fault = "has counts that are not finite, or negative"
+                self.context.peers.reject(encoded, sender, fault)
+                continue
             decoded = _decode(encoded, now)
             if encoded.collected:
                 group.outliers.merge_shared(encoded.member, decoded)
@@ -301,6 +306,12 @@
     )
 
 
+def _is_valid(encoded):
+    """Return whether the counts of an EvidenceNews can be added to others."""
+    counts = (encoded.attempts, encoded.failures, encoded.reads, encoded.read_s)
+    return all(0.0 <= count < MAX_EVIDENCE for count in counts)
+
+
 def _decode(encoded, now):
     return placement.Evidence(
         as_of=now - encoded.age_ms / 1000.0,
--- a/tests/net/hosted/test_health.py
+++ b/tests/net/hosted/test_health.py
@@ -1,11 +1,15 @@
 """Tests of the task that judges members and exchanges evidence about them."""
 
 import contextlib
+import json
 import threading
 import time
 import types
 
+import attrs
+import hypothesis
 import testtools
+from hypothesis import strategies as st
 
 from pomelograde.core import membership, placement, sessions, statements
 from pomelograde.net import events, metrics, peer_messages, pools
@@ -34,9 +38,12 @@
             metrics=metrics.Metrics(),
             log=types.SimpleNamespace(write=self.log),
             peers=types.SimpleNamespace(
-                handlers={}, send=lambda to, message: self.sent.append((to, message))
+                handlers={},
+                send=lambda to, message: self.sent.append((to, message)),
+                reject=lambda message, sender, reason: self.rejected.append(sender),
             ),
         )
+        self.rejected = []
         self.now = NOW
         self.group = placement.Group("g")
         self.proxy = types.SimpleNamespace(
@@ -61,6 +68,13 @@
             self.task.record_relayed(REQUEST, answer, connection)
 
 
+def make_evidence(collected, member="a", **fields):
+    """Return an EvidenceNews of service ``g``; the other fields are 0."""
+    values = {field.name: 0 for field in attrs.fields(peer_messages.EvidenceNews)}
+    values.update(service="g", member=member, collected=collected, **fields)
+    return peer_messages.EvidenceNews(**values)
+
+
 class ExchangeTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -107,6 +121,66 @@
         self.reader.task.apply(reports, "i2")
         self.assertEqual({}, self.reader.group.outliers.healths)
 
+    def test_counts_that_are_no_numbers_are_rejected(self):
+        counts = dict.fromkeys(("attempts", "failures", "reads", "read_s"), 1.0)
+        for name in counts:
+            for value in (float("nan"), float("inf"), -1.0, 3e38):
+                for collected in (False, True):
+                    evidence = make_evidence(collected, **dict(counts, **{name: value}))
+                    self.pass_message([evidence], "i2", self.reader)
+        self.assertEqual(["i2"] * 32, self.reader.rejected)
+        self.assertEqual([], self.reader.task.make_collected("i3"))
+
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(st.data())
+    def test_any_evidence_is_judged_and_passed_on(self, data):
+        reader = Instance(INSTANCES[0])
+        ages = st.integers(0, 2**32 - 1) | st.just(1)
+        numbers = st.integers(0, 65535)
+        counts = st.floats(width=32) | st.floats(0.0, 50.0, width=32)
+        evidence = [
+            make_evidence(
+                data.draw(st.booleans()),
+                member=data.draw(st.sampled_from(("p", "a", "b", "gone", ""))),
+                **{
+                    name: data.draw(counts)
+                    for name in ("attempts", "failures", "reads", "read_s")
+                },
+                **{
+                    name: data.draw(ages)
+                    for name in (
+                        "age_ms",
+                        "failed_age_ms",
+                        "heard_age_ms",
+                        "silent_age_ms",
+                    )
+                },
+                **{
+                    name: data.draw(numbers)
+                    for name in (
+                        "silent",
+                        "answering",
+                        "sources",
+                        "suspecting",
+                        "passed",
+                    )
+                },
+            )
+            for _ in range(3)
+        ]
+        self.pass_message(evidence, "i2", reader)
+        for _ in range(3):
+            reader.now += 0.1
+            reader.task._judge()
+        for _, fields in reader.logged:
+            json.dumps(fields, allow_nan=False)
+        for receiver in ("i2", "i3"):
+            message = peer_messages.NewsOffer(
+                [], evidence=reader.task.make_collected(receiver)
+            )
+            envelope = peer_messages.Envelope("i1", 1, 0, False, message)
+            peer_messages.decode(peer_messages.encode(envelope))
+
     def test_members_that_refuse_a_connection_for_lack_of_room_are_healthy(self):
         pool = types.SimpleNamespace(service="g", spec=types.SimpleNamespace(name="a"))
         full = pools.UpstreamOpenError("full", refused=True, is_full=True)
