Skip single records of instances in a message that can't be used

A heartbeat carries records of instances, also of others than its sender. One with a state that this build doesn't know raised ValueError before anything of the heartbeat was used, the time at which the sender was heard included: as records are passed on, one of them, or a later build with another state, would have let instances take each other for lost. A record with a host that is no IP address was passed on, and connections to it were tried by name.

peer_messages.read_instance returns a Result, as the platform's list does by the same membership.find_fault. Heartbeats, and the hosting side's answers and offers, use the records that can be used and log the others.

--- a/pomelograde/core/membership/_instances.py
+++ b/pomelograde/core/membership/_instances.py
@@ -58,8 +58,10 @@
     """
     for field in ("name", "data_centre", "region"):
         value = getattr(instance, field)
-        if not isinstance(value, str) or not value or not value.isprintable():
+        if not isinstance(value, str) or not value.isprintable():
             return f"has no printable {field}"
+    if not instance.name or not instance.data_centre:
+        return "has no name or no data centre"
     if not _is_ip_address(instance.host):
         return "has a host that is no IP address"
     port = instance.peer_port
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -609,7 +609,10 @@
             if self.health is not None:
                 self.health.apply(message.evidence, envelope.sender)
             return
-        sender = peer_messages.read_instance(message.instances[0])
+        senders = self._read_instances(message.instances[:1], envelope.sender)
+        if not senders:
+            return
+        sender = senders[0]
         self.suspected_until.pop(sender.name, None)
         is_newer = message.configuration_version > self.configuration.version
         if self._is_stale() or is_newer:
@@ -617,6 +620,17 @@
         else:
             self.is_offer_due = False
 
+    def _read_instances(self, items, sender):
+        """Return the instances of a message that can be used; logs the others."""
+        found = []
+        for item in items:
+            read = peer_messages.read_instance(item)
+            if read.is_ok():
+                found.append(read.ok_value)
+            else:
+                self.context.peers.reject(item, sender, read.err_value)
+        return found
+
     async def _pull_from(self, instance):
         answer, asked_at = await self._request_state(instance)
         if answer is not None:
@@ -709,11 +723,7 @@
             self.instances_as_of = as_of
             if answer.instances:
                 self._apply_instances(
-                    [
-                        peer_messages.read_instance(encoded)
-                        for encoded in answer.instances
-                    ],
-                    [],
+                    self._read_instances(answer.instances, instance.name), []
                 )
         if as_of >= self.freshness.members_at:
             self._record_members_read(as_of)
--- a/pomelograde/net/membership.py
+++ b/pomelograde/net/membership.py
@@ -3,6 +3,7 @@
 import functools
 
 import attrs
+import result
 from twisted.internet import defer
 
 from pomelograde.core import membership
@@ -12,6 +13,7 @@
 LEAVE_TIMEOUT_S = 1.0
 RECORD_SYNC_INTERVAL_S = 1.0
 
+STATES = frozenset(state.value for state in membership.State)
 CHANGE_EVENTS = {
     membership.State.LIVE: events.Event.INSTANCE_JOINED,
     membership.State.LOST: events.Event.INSTANCE_LOST,
@@ -134,7 +136,7 @@
         )
 
     def _on_heartbeat(self, message, envelope):
-        records = [_to_record(item) for item in message.instances]
+        records = self._read_records(message.instances, envelope.sender)
         now = self.context.now()
         self.execute(self.detector.on_heartbeat(envelope.sender, records, now))
         if envelope.request_id:
@@ -146,6 +148,17 @@
             self._send_all_records(envelope.sender, now)
         return None
 
+    def _read_records(self, items, sender):
+        """Return the records of a heartbeat that can be used; logs the others."""
+        records = []
+        for item in items:
+            record = _to_record(item)
+            if record.is_ok():
+                records.append(record.ok_value)
+            else:
+                self.context.peers.reject(item, sender, record.err_value)
+        return records
+
     def _send_all_records(self, name, now):
         """Send the records of all instances to a peer whose digest differs."""
         instance = self.context.members.instances.get(name)
@@ -175,10 +188,16 @@
 
 
 def _to_record(item):
+    """Return the Result of the `Record` of an `InstanceNews`, or what is wrong."""
+    if item.state not in STATES:
+        return result.Err(f"has an unknown state {item.state}")
     state = membership.State(item.state)
     leaving = state is membership.State.LEAVING
-    instance = attrs.evolve(peer_messages.read_instance(item), leaving=leaving)
-    return membership.Record(instance, item.beat, state)
+    return peer_messages.read_instance(item).map(
+        lambda found: membership.Record(
+            attrs.evolve(found, leaving=leaving), item.beat, state
+        )
+    )
 
 
 @functools.singledispatch
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -10,6 +10,7 @@
 
 import attrs
 import capnp
+import result
 
 from pomelograde.core import membership
 
@@ -780,9 +781,17 @@
 
 
 def read_instance(news):
-    """Return the `Instance` that an `InstanceNews` describes."""
+    """Return the Result of the `Instance` of an `InstanceNews`, or what is wrong.
+
+    Returns
+    -------
+    Result of Instance or str
+        The instance, or why no connection can be opened to it.
+    """
     fields = [field.name for field in attrs.fields(membership.Instance)]
-    return membership.Instance(**{name: getattr(news, name) for name in fields})
+    found = membership.Instance(**{name: getattr(news, name) for name in fields})
+    fault = membership.find_fault(found)
+    return result.Ok(found) if fault is None else result.Err(fault)
 
 
 def _camel_case(name):
--- a/tests/net/compatibility/test_builds.py
+++ b/tests/net/compatibility/test_builds.py
@@ -125,7 +125,7 @@
         new = attrs.evolve(old, build="0.1.0+3f9c04d1a7e2")
         self.assertEqual((old, repr(old)), (new, repr(new)))
         news = peer_messages.write_instance(new)
-        self.assertEqual(new.build, peer_messages.read_instance(news).build)
+        self.assertEqual(new.build, peer_messages.read_instance(news).ok_value.build)
 
 
 class StoreWithRows:
--- a/tests/net/hosted/test_malformed_messages.py
+++ b/tests/net/hosted/test_malformed_messages.py
@@ -10,6 +10,13 @@
 from tests.net.hosted import test_fleet
 
 EMPTY_VALUES = {int: 0, float: 0.0, str: "", bytes: b"", bool: False}
+ODD_VALUES = {
+    int: 1,
+    float: float("nan"),
+    str: "a\r\nb",
+    bytes: b"a\r\nb",
+    bool: True,
+}
 LARGE_VALUES = {
     int: 2**8 - 1,
     float: float("inf"),
@@ -19,13 +26,20 @@
 }
 
 
-def make_message(cls, values):
-    """Return a message whose scalar fields have given values, and empty lists."""
+def make_message(cls, values, count=0):
+    """Return a message whose scalar fields have given values, and lists of items."""
     return cls(
-        **{field.name: values.get(field.type, []) for field in attrs.fields(cls)}
+        **{field.name: make_value(field, values, count) for field in attrs.fields(cls)}
     )
 
 
+def make_value(field, values, count):
+    if field.name in peer_messages.ITEM_CLASSES:
+        item_class = peer_messages.ITEM_CLASSES[field.name]
+        return [make_message(item_class, values, 0)] * count
+    return values.get(field.type, [])
+
+
 def frame(message, request_id, is_reply):
     envelope = peer_messages.Envelope("stranger", 1, request_id, is_reply, message)
     data = peer_messages.encode(envelope)
@@ -54,6 +68,14 @@
                     self.send(frame(message, request_id, is_reply))
         self.assert_serves()
 
+    def test_messages_with_odd_items_end_no_instance(self):
+        for cls in peer_messages.MESSAGE_CLASSES:
+            for values in (EMPTY_VALUES, LARGE_VALUES, ODD_VALUES):
+                message = make_message(cls, values, count=2)
+                for request_id, is_reply in ((0, False), (7, False), (7, True)):
+                    self.send(frame(message, request_id, is_reply))
+        self.assert_serves()
+
     def test_bytes_that_are_no_messages_end_no_instance(self):
         good = frame(make_message(peer_messages.Ping, EMPTY_VALUES), 1, False)
         for data in (
@@ -62,6 +84,7 @@
             struct.pack(">I", 20) + b"\x01" * 20,
             struct.pack(">I", 20) + b"\x02" * 20,
             good[:-3],
+            struct.pack(">I", 8) + bytes.fromhex("0011010101050000"),
             good[:4] + b"\x09" + good[5:],
         ):
             self.send(data)
--- a/tests/net/test_membership.py
+++ b/tests/net/test_membership.py
@@ -2,10 +2,16 @@
 
 import signal
 import time
+import types
 
+import hypothesis
 import pytest
 import testtools
+from hypothesis import strategies as st
+from twisted.internet import task
 
+from pomelograde.core import membership as core_membership
+from pomelograde.net import membership, peer_messages
 from tests import fleets
 
 INSTANCES = 7
@@ -89,3 +95,89 @@
         self.assert_all_see(self.names - inside, far, 2 * MAX_LOSS_DETECTION_S)
         fleet.cut()
         self.assert_all_see(self.names, numbers, 2 * MAX_LOSS_DETECTION_S)
+
+
+class HeartbeatTests(testtools.TestCase):
+    """Records of a heartbeat, whoever has written them."""
+
+    def setUp(self):
+        super().setUp()
+        self.own = core_membership.Instance("own", "suva", 1, "127.0.0.1", 7432)
+        self.rejected = []
+        clock = task.Clock()
+        context = types.SimpleNamespace(
+            reactor=clock,
+            now=clock.seconds,
+            members=core_membership.Membership(self.own),
+            log=types.SimpleNamespace(write=lambda event, **fields: None),
+            peers=types.SimpleNamespace(
+                handlers={},
+                send=lambda instance, message: None,
+                drop_connection=lambda name: None,
+                reject=lambda message, sender, reason: self.rejected.append(reason),
+            ),
+        )
+        configuration = types.SimpleNamespace(current=types.SimpleNamespace(revision=0))
+        self.task = membership.MembershipTask(context, None, configuration)
+        self.handle = context.peers.handlers[peer_messages.Heartbeat]
+        self.members = context.members
+
+    def make_news(self, name="a", **change):
+        values = {"data_centre": "suva", "region": "r", "incarnation": 3}
+        values.update(host="127.0.0.1", peer_port=7432, beat=5)
+        return peer_messages.InstanceNews(name, **{**values, **change})
+
+    def receive(self, items, sender="a"):
+        heartbeat = peer_messages.Heartbeat(1, 0, items)
+        envelope = peer_messages.Envelope(sender, 1, 0, False, heartbeat)
+        self.handle(heartbeat, envelope)
+
+    def test_odd_record_costs_itself_only(self):
+        for number, change in enumerate(
+            (
+                {"state": 3},
+                {"state": 255},
+                {"host": "a.example"},
+                {"host": ""},
+                {"host": "127.0.0.1\n"},
+                {"peer_port": 0},
+                {"data_centre": ""},
+                {"data_centre": "a\nb"},
+                {"name": ""},
+                {"name": "a\x00"},
+            ),
+            start=1,
+        ):
+            odd = self.make_news(**{"name": "odd", **change})
+            self.receive([odd, self.make_news(f"good-{number}")])
+            self.assertEqual(number, len(self.rejected), change)
+            self.assertIn(f"good-{number}", self.members.instances)
+        self.assertEqual(12, len(self.members.records) + 1)
+        self.assertEqual(0.0, self.task.detector.heard_at["a"])
+
+    @hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+    @hypothesis.given(
+        st.lists(
+            st.builds(
+                peer_messages.InstanceNews,
+                name=st.sampled_from(("a", "b", "own", "")) | st.text(max_size=3),
+                data_centre=st.sampled_from(("suva", "nadi", "")),
+                region=st.text(max_size=2),
+                incarnation=st.integers(0, 2**64 - 1),
+                host=st.sampled_from(("127.0.0.1", "::1", "x", "")),
+                peer_port=st.integers(0, 65535),
+                leaving=st.booleans(),
+                beat=st.integers(0, 2**64 - 1),
+                state=st.integers(0, 255) | st.integers(0, 2),
+            ),
+            max_size=4,
+        ),
+        st.sampled_from(("a", "stranger", "own", "")),
+    )
+    def test_any_heartbeat_leaves_records_that_can_be_sent(self, items, sender):
+        self.receive(items, sender)
+        self.task.execute(self.task.detector.tick(self.task.context.now()))
+        heartbeat = self.task._heartbeat(self.task.detector.all_records())
+        envelope = peer_messages.Envelope("own", 1, 0, False, heartbeat)
+        peer_messages.decode(peer_messages.encode(envelope))
+        self.assertEqual(self.own, self.members.instances["own"])
