Reject terms and positions of a group that no member can hold

Messages carry terms and positions in 64 bits, the members hold them in a BIGINT. A primary of term 2**64 - 1 in a message was taken for the latest one: every later primary was ignored, so the service had none for good, and the next term could not be sent to a member. A floor of that size let reads wait for a position that no replica reaches.

The gateway rejects such messages about a group, and a floor out of range counts as no answer, so that the members are queried.

--- a/pomelograde/net/floors.py
+++ b/pomelograde/net/floors.py
@@ -83,6 +83,9 @@
             return None
         if not isinstance(answer, peer_messages.FloorAnswer) or not answer.known:
             return None
+        if max(answer.term, answer.index) >= failover.TERM_LIMIT:
+            self.context.peers.reject(answer, watcher.name, "a position out of range")
+            return None
         return sessions.Position(answer.term, answer.index)
 
     async def _query_members(self):
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -122,6 +122,9 @@
         group = self.groups.get(message.group)
         if group is None:
             return None
+        if not groups.has_valid_terms(message):
+            self.context.peers.reject(message, envelope.sender, "a term out of range")
+            return None
         return groups.on_message(message, group)
 
     def _on_changed(self, changed):
--- a/pomelograde/net/groups.py
+++ b/pomelograde/net/groups.py
@@ -353,6 +353,20 @@
     return pooling.Waiter(account, role, deadline, context, weight)
 
 
+def has_valid_terms(message):
+    """Return whether the members can hold the terms and positions of a message.
+
+    Notes
+    -----
+    A higher term than the group's is taken for the latest one, so that one which
+    no member can reach would hide every later primary.
+    """
+    numbers = [getattr(message, "term", 0)]
+    for member in getattr(message, "members", ()):
+        numbers += (member.term, member.index)
+    return max(numbers) < failover.TERM_LIMIT
+
+
 @functools.singledispatch
 def on_message(message, group):
     """Handle a peer's message about a group; returns the reply, if any."""
