Log invalid rows of a feed once the rate allows it

A feed returns a row once. Faults that are due are kept and logged after a later read.

The new test of the report fails before.

--- a/pomelograde/net/hosted/invalid_rows.py
+++ b/pomelograde/net/hosted/invalid_rows.py
@@ -35,7 +35,7 @@
 
     Each version of a row is counted once. A fault is logged at most once in
     `REPEAT_INTERVAL_S`, since its writer may write the row again and again. Lines
-    beyond `MAX_LINES` wait for a later read that still finds the row.
+    beyond `MAX_LINES` wait for a later read, unless that finds the row valid.
 
     Parameters
     ----------
@@ -86,26 +86,31 @@
                 fault.version = row.version
                 fault.is_due = True
                 self.context.metrics.count(self.counter, table)
-            if fault.is_due:
-                self._log(table, row, fault)
         self.faults[table] = faults
+        self._log_due()
 
-    def _log(self, table, row, fault):
+    def _log_due(self):
+        """Log the faults that are due, as far as the rate allows."""
         now = self.context.now()
         if now - self.since >= REPEAT_INTERVAL_S:
             self.since, self.lines = now, 0
+        for table, faults in self.faults.items():
+            for key, fault in faults.items():
+                if self.lines >= MAX_LINES:
+                    return
+                if fault.is_due:
+                    self._log(table, key, fault, now)
+
+    def _log(self, table, key, fault, now):
+        fault.is_due = False
         if now - fault.logged_at < REPEAT_INTERVAL_S:
-            fault.is_due = False
-            return
-        if self.lines >= MAX_LINES:
             return
         self.context.log.write(
             events.Event.ROW_INVALID,
             table=table,
-            key=row.key,
-            row_version=row.version,
-            reason=row.reason,
+            key=key,
+            row_version=fault.version,
+            reason=fault.reason,
         )
-        fault.is_due = False
         fault.logged_at = now
         self.lines += 1
--- a/tests/net/hosted/test_invalid_rows.py
+++ b/tests/net/hosted/test_invalid_rows.py
@@ -70,6 +70,13 @@
             self.clock.advance(invalid_rows.REPEAT_INTERVAL_S)
         self.assertEqual(50, len({line["key"] for line in self.logged}))
 
+    def test_line_on_a_change_that_is_read_once_is_not_lost_in_many_others(self):
+        self.report(*((f"k{number}", 7, "odd") for number in range(30)))
+        self.rows.report("op", [_rows.InvalidRow("late", 8, "odd")], False)
+        self.clock.advance(invalid_rows.REPEAT_INTERVAL_S)
+        self.report()
+        self.assertEqual("late", self.logged[-1]["key"])
+
     def test_row_that_was_valid_meanwhile_is_reported_again(self):
         self.report(("a", 7, "odd"))
         self.report()
