Use no members of a service that the configuration does not name

Rows of another writer named a service that does not exist.

An entry whose service isn't named names no member to use. The members of such a service are kept apart and logged as unnamed, and used once a configuration names it. An attempt to connect that ends after its pool was removed no longer raises KeyError.

The new test fails before: the group exists.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -49,6 +49,8 @@
         Configuration in force.
     groups : dict of str to Group
         Database services by name.
+    registered : dict of str to list of Member
+        All registered members by service, also those that may not be used.
     pools : dict of str to MemberPool
         Connection pools by member.
     rates : RegisteredRates
@@ -89,6 +91,7 @@
         self.open_connection = open_connection
         self.configuration = configuration.FleetConfiguration()
         self.groups = {}
+        self.registered = {}
         self.pools = {}
         self.takeovers = {}
         self.evacuation_deadlines = {}
@@ -157,7 +160,9 @@
 
     def set_configuration(self, new):
         """Apply a configuration."""
-        self.configuration = new
+        previous, self.configuration = self.configuration, new
+        if previous.services.keys() != new.services.keys():
+            self._apply_members()
         self.rates.set_configuration(new)
         for group in self.groups.values():
             self.cold_starts.configure(group)
@@ -177,6 +182,28 @@
 
     def set_members(self, members):
         """Update the registered members, given by service."""
+        self.registered = members
+        self._apply_members()
+
+    def _apply_members(self):
+        """Use the registered members, but for those that may not be used.
+
+        Notes
+        -----
+        The row of another writer may name a service that does not exist. Its
+        members are not used before the configuration names it.
+        """
+        named = self.configuration.services
+        unnamed = {
+            service: sorted(member.name for member in found)
+            for service, found in self.registered.items()
+            if service not in named
+        }
+        members = {
+            service: found
+            for service, found in self.registered.items()
+            if service in named
+        }
         for service in [name for name in self.groups if name not in members]:
             self.groups[service].update([], self.context.now())
         regions = self.context.settings.regions
@@ -206,6 +233,7 @@
             members={
                 name: sorted(group.members) for name, group in self.groups.items()
             },
+            unnamed=unnamed,
         )
 
     def set_evacuations(self, deadlines):
@@ -527,7 +555,8 @@
                     self.context.reactor, service, spec, role, host
                 )
             except pools.UpstreamOpenError as error:
-                if not error.refused and not self.pools[spec.name].open:
+                pool = self.pools.get(spec.name)
+                if not error.refused and (pool is None or not pool.open):
                     self.cold_starts.presume_restart(service, spec.name)
                 raise
             self.cold_starts.watch(connection)
--- a/tests/net/hosted/test_evacuation_task.py
+++ b/tests/net/hosted/test_evacuation_task.py
@@ -80,6 +80,13 @@
         )
         freshness = configuration.Freshness(5.0, 99.9, 99.9)
         self.proxy = proxy.Proxy(context, freshness, None)
+        self.proxy.set_configuration(
+            configuration.FleetConfiguration(
+                services={
+                    name: configuration.DatabaseService(name, 22) for name in "gh"
+                }
+            )
+        )
         self.proxy.relay.set_instances([OWN])
         self.known = placement.Evacuations()
         self.source = Source()
@@ -211,6 +218,23 @@
         self.proxy.set_members({"h": [placement.Member("q", "x")]})
         self.assertEqual({"x"}, self.proxy.groups["h"].evacuated)
 
+    def test_members_of_a_service_are_used_once_the_configuration_names_it(self):
+        self.proxy.set_members({"unnamed": [placement.Member("q", "x")]})
+        self.assertNotIn("unnamed", self.proxy.groups)
+        self.assertNotIn("q", self.proxy.pools)
+        event, fields = self.logged[-1]
+        self.assertEqual("UPSTREAM_MEMBERS_CHANGED", event.name)
+        self.assertEqual({"unnamed": ["q"]}, fields["unnamed"])
+        service = configuration.DatabaseService("unnamed", 22)
+        self.proxy.set_configuration(
+            configuration.FleetConfiguration(services={"unnamed": service})
+        )
+        self.assertEqual(["q"], list(self.proxy.groups["unnamed"].members))
+        self.assertIn("q", self.proxy.pools)
+        self.proxy.set_configuration(configuration.FleetConfiguration())
+        self.assertEqual([], list(self.proxy.groups["unnamed"].members))
+        self.assertNotIn("q", self.proxy.pools)
+
     def test_status_is_written_once_per_change_and_again_after_a_failure(self):
         self.source.is_away = True
         self.read(2, "x")
