Leave out members whose address answers under another id

Rows of another writer named the address of the primary under other ids. Where they stood in the store when a fleet of three processes started, one of them was taken for the primary for good, since no position of the real one was known: 0 of 278 statements were served in 11 s, with 2,888 failed attempts to connect. Where the rows said that the member leaves, a takeover replaced the working primary. In a running fleet 8 such rows made 2,280 attempts fail in 14 s.

The member's own answer, MISROUTED, says that the row is wrong. A row whose address answers so, and has never answered this instance under the row's id, is left out: it takes no statements, is no primary and starts no takeover. A member that did answer before has ended, and is replaced as before. An instance that relays to the owner of a member's connections checks for itself when that one doesn't reach it. A takeover of a leaving primary without a known position asks it first.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -8,6 +8,7 @@
 from pomelograde.net import events, pools, timers
 from pomelograde.net.hosted import (
     cold_starts,
+    contradictions,
     placing,
     positions,
     rates,
@@ -51,6 +52,8 @@
         Database services by name.
     registered : dict of str to list of Member
         All registered members by service, also those that may not be used.
+    contradictions : Contradictions
+        Leaves out members whose address answers under another id.
     pools : dict of str to MemberPool
         Connection pools by member.
     rates : RegisteredRates
@@ -92,6 +95,9 @@
         self.configuration = configuration.FleetConfiguration()
         self.groups = {}
         self.registered = {}
+        self.contradictions = contradictions.Contradictions(
+            context, self._connect_anew, self._apply_members
+        )
         self.pools = {}
         self.takeovers = {}
         self.evacuation_deadlines = {}
@@ -153,6 +159,7 @@
         if self.startup_timer is not None and self.startup_timer.active():
             self.startup_timer.cancel()
         self.rates.stop()
+        self.contradictions.stop()
         for task in list(self.sessions):
             task.stop(retries.Failure(_KIND.DRAINING))
         for pool in self.pools.values():
@@ -201,7 +208,7 @@
         }
         members = {
             service: found
-            for service, found in self.registered.items()
+            for service, found in self.contradictions.select(self.registered).items()
             if service in named
         }
         for service in [name for name in self.groups if name not in members]:
@@ -545,6 +552,23 @@
             self.relay.paths.set_members(self.pools)
         return replaced
 
+    def suspect_row(self, service, name):
+        """Check whether a member that another instance doesn't reach is there."""
+        group = self.groups.get(service)
+        member = None if group is None else group.members.get(name)
+        if member is not None:
+            self.contradictions.suspect(service, member)
+
+    def _connect_anew(self, service, member):
+        """Return a coroutine of a connection to a member that is in no pool."""
+        return self.open_connection(
+            self.context.reactor,
+            service,
+            member,
+            next(iter(self.configuration.accounts), ""),
+            self.context.settings.host,
+        )
+
     def _make_pool(self, service, member):
         async def open_connection(spec, role):
             if self.relay.paths is not None:
@@ -555,10 +579,12 @@
                     self.context.reactor, service, spec, role, host
                 )
             except pools.UpstreamOpenError as error:
+                self.contradictions.record_refusal(service, spec, error)
                 pool = self.pools.get(spec.name)
                 if not error.refused and (pool is None or not pool.open):
                     self.cold_starts.presume_restart(service, spec.name)
                 raise
+            self.contradictions.record_answer(service, spec)
             self.cold_starts.watch(connection)
             return connection
 
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -251,6 +251,8 @@
         done = self.response_handlers.popleft()
         if message.refusal:
             kind = _KIND(message.refusal)
+            if kind is _KIND.UPSTREAM_UNREACHABLE:
+                self.relay.proxy.suspect_row(self.service, self.member)
             wait_s = message.retry_after_ms / 1000.0
             failure = retries.Failure(
                 kind,
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -210,6 +210,9 @@
             elif reason is takeovers.Reason.EVACUATED:
                 is_confirmed = await self._is_replica_near(group)
                 outcome = "no candidate"
+            elif reason is takeovers.Reason.LEAVING:
+                is_confirmed = not await self._is_contradicted(group)
+                outcome = "primary has another id"
             else:
                 is_confirmed = True
             if is_confirmed and not self._resumes(service) and not reason.is_planned:
@@ -912,6 +915,26 @@
         )
         return not answers_here and True not in witness_answers
 
+    async def _is_contradicted(self, group):
+        """Return whether the address of the primary's row answers under another id.
+
+        Notes
+        -----
+        A position shows that it has answered under the row's id.
+        """
+        primary = group.members.get(group.primary)
+        if primary is None or primary.position is not None:
+            return False
+        known = self.proxy.contradictions
+        try:
+            connection = await self._connect(group, primary)
+        except pools.UpstreamOpenError as error:
+            known.record_refusal(group.name, primary, error)
+        else:
+            connection.close()
+            known.record_answer(group.name, primary)
+        return primary.name in known.found
+
     async def _query_witness(self, instance, message):
         """Return whether an instance can reach a member; None if it is unknown."""
         answer = await self._request_witness(instance, message)
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -20,12 +20,15 @@
         Whether the member itself answered, and is therefore alive.
     is_full : bool
         Whether the member refused because its connection limit is reached.
+    is_misdirected : bool
+        Whether the address has answered under another name.
     """
 
-    def __init__(self, message, refused=False, is_full=False):
+    def __init__(self, message, refused=False, is_full=False, is_misdirected=False):
         super().__init__(message)
         self.refused = refused
         self.is_full = is_full
+        self.is_misdirected = is_misdirected
 
 
 class RoomGauges:
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -291,9 +291,14 @@
             reason = self.start_error.value if self.start_error else "closed"
             # The address may belong to another member by now, so the refusal does
             # not show that the member is alive.
-            refused = self.start_error is not statements.UpstreamError.MISDIRECTED
+            is_misdirected = self.start_error is statements.UpstreamError.MISDIRECTED
             self.ready.errback(
-                pools.UpstreamOpenError(reason, refused=refused, is_full=is_full)
+                pools.UpstreamOpenError(
+                    reason,
+                    refused=not is_misdirected,
+                    is_full=is_full,
+                    is_misdirected=is_misdirected,
+                )
             )
         if on_closed is not None:
             on_closed(self)
--- a/tests/net/hosted/test_relay.py
+++ b/tests/net/hosted/test_relay.py
@@ -312,7 +312,9 @@
             placing=None,
             health=None,
             may_send=lambda *arguments: True,
+            suspect_row=lambda service, name: self.suspected.append(name),
         )
+        self.suspected = []
         self.relay = self.proxy.relay = relay.Relay(self.context, self.proxy)
         self.relay.paths = self.paths = paths.Paths(self.context, self.proxy)
         self.relay.set_instances(INSTANCES)
@@ -400,6 +402,7 @@
         )
         (failure,) = self.refusals
         self.assertEqual((kind, True), (failure.kind, failure.path_failed))
+        self.assertEqual([connection.member], self.suspected)
         other = self.start()
         self.assertNotEqual(connection.peer.name, other.peer.name)
         self.clock.now += 0.1
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -14,6 +14,7 @@
     takeovers,
 )
 from pomelograde.net import peer_messages, pools
+from pomelograde.net.hosted import contradictions
 from pomelograde.net.hosted import takeovers as hosted_takeovers
 
 
@@ -53,6 +54,7 @@
             peers=types.SimpleNamespace(handlers={}),
             log=types.SimpleNamespace(write=lambda event, **_: None),
             members=types.SimpleNamespace(own=own),
+            settings=types.SimpleNamespace(host="127.0.0.1"),
         )
         group = placement.Group("g")
         group.update([make_primary()], 100.0)
@@ -75,11 +77,17 @@
             uses_primary=lambda service: False,
             fence_primary=lambda service: None,
             configuration=configuration.FleetConfiguration(),
+            contradictions=contradictions.Contradictions(context, None, lambda: None),
+            open_connection=self.open_connection,
         )
+        self.open_error = pools.UpstreamOpenError("no answer")
         promoter = types.SimpleNamespace(UnavailableError=ValueError)
         self.group = group
         self.task = hosted_takeovers.TakeoverTask(context, sync, proxy, promoter)
 
+    def open_connection(self, *arguments):
+        return defer.fail(self.open_error)
+
     def learn(self, takeover):
         self.fleet.takeovers[takeover.service] = takeover
         self.task.set_takeovers(self.fleet.takeovers)
@@ -88,6 +96,21 @@
         self.task._check()
         self.assertEqual([("g", "reader/1", 0)], self.source.begun)
 
+    def test_row_of_a_leaving_primary_with_another_id_starts_no_takeover(self):
+        self.open_error = pools.UpstreamOpenError("misdirected", is_misdirected=True)
+        self.task._check()
+        self.assertEqual([], self.source.begun)
+        self.assertEqual(
+            [self.group.primary], list(self.task.proxy.contradictions.found)
+        )
+
+    def test_leaving_primary_that_has_answered_is_not_asked_again(self):
+        self.open_error = pools.UpstreamOpenError("misdirected", is_misdirected=True)
+        primary = self.group.members[self.group.primary]
+        primary.position = sessions.Position(1, 1)
+        self.task._check()
+        self.assertEqual([("g", "reader/1", 0)], self.source.begun)
+
     def test_takeover_that_another_instance_runs_is_not_restarted(self):
         self.learn(takeovers.Takeover("g", "other/1", "", 7, 7))
         self.task._check()
