--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -592,7 +592,7 @@
         primaries = [
             member for member in self.members.values() if member.role is Role.PRIMARY
         ]
-        primaries.sort(key=_term_of)
+        primaries.sort(key=lambda found: (_term_of(found), now < found.leaving_until))
         name = primaries[-1].name if primaries else None
         successor = self.members.get(self.successor)
         if successor is not None:
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -8,6 +8,7 @@
 from pomelograde.net import events, pools, timers
 from pomelograde.net.hosted import (
     cold_starts,
+    contradictions,
     placing,
     positions,
     rates,
@@ -49,6 +50,12 @@
         Configuration in force.
     groups : dict of str to Group
         Database services by name.
+    registered : dict of str to list of Member
+        All registered members by service, also those that may not be used.
+    unchanged_at : float
+        Monotonic time of the last read that returned other members.
+    contradictions : Contradictions
+        Leaves out members whose address answers under another id.
     pools : dict of str to MemberPool
         Connection pools by member.
     rates : RegisteredRates
@@ -92,6 +99,11 @@
         self.open_connection = open_connection
         self.configuration = configuration.FleetConfiguration()
         self.groups = {}
+        self.registered = {}
+        self.unchanged_at = float("-inf")
+        self.contradictions = contradictions.Contradictions(
+            context, self._connect_anew, self._apply_members
+        )
         self.pools = {}
         self.takeovers = {}
         self.evacuation_deadlines = {}
@@ -155,6 +167,7 @@
         if self.startup_timer is not None and self.startup_timer.active():
             self.startup_timer.cancel()
         self.rates.stop()
+        self.contradictions.stop()
         for task in list(self.sessions):
             self.stopped_sessions += 1
             self.stopped_statements += task.stop(retries.Failure(_KIND.DRAINING))
@@ -163,7 +176,9 @@
 
     def set_configuration(self, new):
         """Apply a configuration."""
-        self.configuration = new
+        previous, self.configuration = self.configuration, new
+        if previous.services.keys() != new.services.keys():
+            self._apply_members()
         self.rates.set_configuration(new)
         for group in self.groups.values():
             self.cold_starts.configure(group)
@@ -191,8 +206,33 @@
         unchanged_at : float
             Monotonic time of the last read that returned other members.
         """
+        self.registered = members
+        self.unchanged_at = unchanged_at
+        self._apply_members()
+
+    def _apply_members(self):
+        """Use the registered members, but for those that may not be used.
+
+        Notes
+        -----
+        The row of another writer may name a service that does not exist. Its
+        members are not used before the configuration names it. Those of a service
+        that the configuration no longer names are, so that no statement in
+        progress is cut off.
+        """
+        named = self.configuration.services.keys() | self.groups.keys()
+        unnamed = {
+            service: sorted(member.name for member in found)
+            for service, found in self.registered.items()
+            if service not in named
+        }
+        members = {
+            service: found
+            for service, found in self.contradictions.select(self.registered).items()
+            if service in named
+        }
         drain_s = self.context.settings.drain_s
-        leaving_until = unchanged_at + placement.USE_FRACTION * drain_s
+        leaving_until = self.unchanged_at + placement.USE_FRACTION * drain_s
         for service in [name for name in self.groups if name not in members]:
             self.groups[service].update([], self.context.now())
         regions = self.context.settings.regions
@@ -222,6 +262,7 @@
             members={
                 name: sorted(group.members) for name, group in self.groups.items()
             },
+            unnamed=unnamed,
         )
 
     def set_evacuations(self, deadlines):
@@ -549,6 +590,39 @@
             self.relay.paths.set_members(self.pools)
         return replaced
 
+    def suspect_row(self, service, name):
+        """Check the row of a member that another instance could not use."""
+        member = self._find_row(service, name)
+        if member is not None:
+            self.contradictions.suspect(service, member)
+
+    def confirm_row(self, service, name):
+        """Record that a member has answered another instance under its id.
+
+        Notes
+        -----
+        Otherwise the loss of a member would make all instances connect to it.
+        """
+        if name in self.contradictions.answered:
+            return
+        member = self._find_row(service, name)
+        if member is not None:
+            self.contradictions.record_answer(service, member)
+
+    def _find_row(self, service, name):
+        group = self.groups.get(service)
+        return None if group is None else group.members.get(name)
+
+    def _connect_anew(self, service, member):
+        """Return a coroutine of a connection to a member that is in no pool."""
+        return self.open_connection(
+            self.context.reactor,
+            service,
+            member,
+            next(iter(self.configuration.accounts), ""),
+            self.context.settings.host,
+        )
+
     def _make_pool(self, service, member):
         async def open_connection(spec, role):
             if self.relay.paths is not None:
@@ -559,9 +633,12 @@
                     self.context.reactor, service, spec, role, host
                 )
             except pools.UpstreamOpenError as error:
-                if not error.refused and not self.pools[spec.name].open:
+                self.contradictions.record_refusal(service, spec, error)
+                pool = self.pools.get(spec.name)
+                if not error.refused and (pool is None or not pool.open):
                     self.cold_starts.presume_restart(service, spec.name)
                 raise
+            self.contradictions.record_answer(service, spec)
             self.cold_starts.watch(connection)
             return connection
 
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -260,6 +260,8 @@
             return
         done = self.response_handlers.popleft()
         if message.refusal:
+            if message.refusal == _KIND.UPSTREAM_UNREACHABLE.value:
+                self.relay.proxy.suspect_row(self.service, self.member)
             wait_s = message.retry_after_ms / 1000.0
             failure = retries.Failure(
                 _read_refusal(message.refusal),
@@ -274,6 +276,7 @@
             self.is_path_lost = self.on_primary
             self._on_lost()
             return
+        self.relay.proxy.confirm_row(self.service, self.member)
         self.transaction = message.transaction
         self.relay.track_transaction(self)
         done(_decode_answer(message))
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -9,7 +9,7 @@
 import attrs
 
 from pomelograde.core import checks, membership, placement, takeovers
-from pomelograde.platform import _json, _rows, manifest, registry, settings, store
+from pomelograde.platform import _json, _rows, manifest, registry, store
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -18,7 +18,6 @@
 EVACUATION_PREFIX = "evacuate/"  # followed by a data centre; the row is the request
 INSTANCES_TABLE = "instances"  # written by the instances themselves
 TAKEOVER_PREFIX = "takeover/"  # names of instances contain no slash
-MAX_PORT = (1 << 16) - 1
 
 
 @attrs.frozen
@@ -434,16 +433,14 @@
 
 def _decode_instance(row):
     instance = _structure_row(row, membership.Instance)
-    fields = attrs.asdict(instance)
     read = _json.read
-    if read(fields, "name", _json.require_name) != row.key:
+    fault = membership.find_fault(instance)
+    if fault is not None:
+        raise ValueError(fault)
+    if instance.name != row.key:
         raise ValueError("name: differs from the key")
-    read(fields, "data_centre", _json.require_name)
-    read(fields, "host", settings.require_host)
-    read(fields, "peer_port", _json.require_integer, MAX_PORT, 1)
-    for name in ("region", "build"):
-        if not fields[name].isprintable():
-            raise ValueError(f"{name}: expected printable characters")
+    if not instance.build.isprintable():
+        raise ValueError("build: expected printable characters")
     era = store.era_of(instance.incarnation)
     read({"era": era}, "era", _json.require_integer, store.MAX_ERA)
     return attrs.evolve(instance, incarnation=store.make_revision(era, row.version))
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -41,6 +41,14 @@
         self.update(primary, leaving=False, until=30.0)
         self.assertEqual("c", self.group.usable_primary(40.0).name)
 
+    def test_primary_whose_time_is_over_comes_after_one_of_the_same_term(self):
+        rows = [
+            member(name, role=placement.Role.PRIMARY, leaving=leaving)
+            for name, leaving in (("c", True), ("d", False), ("e", True))
+        ]
+        self.group.update(rows, 10.0, leaving_until=9.0)
+        self.assertEqual("d", self.group.primary)
+
     def test_promotion_of_a_leaving_member_does_not_extend_its_time(self):
         self.update(placement.Role.REPLICA, leaving=True, until=20.0)
         self.update(placement.Role.PRIMARY, leaving=True, until=30.0)
--- a/tests/net/hosted/test_relayed_transactions.py
+++ b/tests/net/hosted/test_relayed_transactions.py
@@ -87,6 +87,8 @@
             placing=None,
             health=None,
             may_send=lambda *arguments: True,
+            confirm_row=lambda service, name: None,
+            suspect_row=lambda service, name: None,
             release=self.released.append,
             abandon=lambda connection, in_transaction: connection.close(),
             cold_starts=types.SimpleNamespace(
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -17,7 +17,7 @@
     "name": "a",
     "data_centre": "x",
     "incarnation": 2,
-    "host": "h",
+    "host": "10.0.0.1",
     "peer_port": 1,
 }
 
@@ -164,7 +164,7 @@
         self.assertEqual({"takeover/g": 5}, conditions)
 
     def test_fields_of_later_versions_are_ignored(self):
-        instance = membership.Instance("a", "x", 7, "h", 1)
+        instance = membership.Instance("a", "x", 7, "10.0.0.1", 1)
         fields = {**attrs.asdict(instance), "added": 1}
         rows = [
             store.Row("a", json.dumps(fields).encode(), 7),
@@ -312,7 +312,10 @@
         self.assertEqual(
             (instances, listed),
             (
-                [peer_messages.read_instance(found) for found in received.instances],
+                [
+                    peer_messages.read_instance(found).ok_value
+                    for found in received.instances
+                ],
                 [state_sync.decode_takeover(found) for found in received.takeovers],
             ),
         )
