Add soak runs with planned stops under clients that stay

The soak met few planned stops, its callers left at the first error, its transactions had no pauses, and keys and databases did not change under open sessions.

Forty clients use their connections until the server closes them: single statements, several at once, sessions of a few operations, and transactions of up to twelve statements with pauses up to just below the idle limit. Keys move, are withdrawn and given back, databases come and go, and time limits change every 1 to 2 s. `--instances` sets the size of the fleet.

The stand-in members record what they ran with connection, transaction, account and settings, and can take a time for it. From that and from what clients saw, the checks report requests without a whole answer, requests that hang, statements that no client sent or for another account than the key's, statements outside their transaction or inside another one, other settings, and processes that end otherwise than asked. The checks of writes and reads are those of the other runs.

--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -245,6 +245,10 @@
         """Return member, lease holder and fencing token of each promotion call."""
         return http.send("GET", f"http://{self.members}/promotions")
 
+    def show_trace(self):
+        """Return the statements that arrived at each member, as JSON values."""
+        return http.send("GET", f"http://{self.members}/trace")
+
     def change_member(self, name, **changes):
         """Set attributes of a member; ``promote=True`` makes it the primary."""
         http.post(f"http://{self.members}/{name}", changes)
--- a/pomelograde/standins/hosting/host.py
+++ b/pomelograde/standins/hosting/host.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 from twisted.internet import task
 from twisted.web import resource, server
 
@@ -71,8 +72,9 @@
     """Control interface of the members.
 
     ``GET /NAME`` returns the state of a member, ``POST /NAME`` sets attributes of
-    a member, ``restart`` starts it again and says for how long it is cold, and
-    ``GET /promotions`` lists the promotions.
+    a member, ``restart`` starts it again and says for how long it is cold,
+    ``GET /promotions`` lists the promotions, and ``GET /trace`` the statements that
+    arrived at each member.
     """
 
     isLeaf = True  # noqa: N815
@@ -85,6 +87,8 @@
         """Return the state of a member, or all promotions."""
         if request.path == b"/promotions":
             return http.answer(request, 200, self.host.promotions)
+        if request.path == b"/trace":
+            return http.answer(request, 200, self.host.describe_trace())
         group_member = self.host.find(request.path.decode().strip("/"))
         state = {
             "role": group_member.role,
@@ -188,6 +192,13 @@
         self.write_member_rows()
         return 200
 
+    def describe_trace(self):
+        """Return the statements that arrived at each member, as JSON values."""
+        return {
+            group_member.name: [attrs.asdict(found) for found in group_member.trace]
+            for group_member in self.group.members
+        }
+
     def write_member_rows(self):
         """Write the rows of running members and remove the rows of others."""
         self.seq += 1
--- a/pomelograde/standins/hosting/member.py
+++ b/pomelograde/standins/hosting/member.py
@@ -1,5 +1,6 @@
 """Stand-in for replicated members that speak the line protocol."""
 
+import collections
 import itertools
 import json
 import time
@@ -64,6 +65,10 @@
         proxy included.
     protocols : list of MemberProtocol
         Open connections.
+    work_s : float
+        Time that each statement of a caller takes.
+    trace : list of Execution
+        Statements of callers that have arrived, and all commits.
     """
 
     name: str
@@ -87,6 +92,8 @@
     cold_until: float = 0.0
     requests: list = attrs.field(factory=list)
     protocols: list = attrs.field(factory=list)
+    work_s: float = 0.0
+    trace: list = attrs.field(factory=list)
 
     def restart(self, cold_s):
         """Start again under the same name, and be cold for a time."""
@@ -104,6 +111,43 @@
         return {item: data for item, data, _ in self.log[: self.applied]}
 
 
+@attrs.define(eq=False)
+class Execution:
+    """A statement that has arrived at a member.
+
+    Attributes
+    ----------
+    arrived_at : float
+        Monotonic time of its arrival.
+    connection : int
+        Number of the connection, unique among those of all members.
+    account : str
+        Client account of the connection.
+    request_id : str
+        Request id.
+    text : str
+        Statement; a prepared one has its kind and shape in place of its name.
+    transaction : int
+        Number of the transaction on the connection; 0 outside of transactions.
+    settings : dict of str to str
+        Session settings.
+    written : int
+        Writes that the transaction holds.
+    ran_at : float or None
+        Monotonic time at which it was run; None if it was not.
+    """
+
+    arrived_at: float
+    connection: int
+    account: str
+    request_id: str
+    text: str = ""
+    transaction: int = 0
+    settings: dict = attrs.field(factory=dict)
+    written: int = 0
+    ran_at: float | None = None
+
+
 class Group:
     """A primary and its replicas.
 
@@ -155,6 +199,7 @@
 
     MAX_LENGTH = 2 * 1024 * 1024
     digest_numbers = itertools.count(1)
+    connection_numbers = itertools.count(1)
 
     def __init__(self, group, member):
         self.group = group
@@ -164,9 +209,15 @@
         self.prepared = {}
         self.writes = None
         self.read_only = False
+        self.number = next(self.connection_numbers)
+        self.transaction_count = 0
+        self.waiting = collections.deque()
+        self.execution = None
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Count the connection as closed; uncommitted writes are dropped."""
+        while len(self.waiting) > 1:  # the first one is being executed
+            self.waiting.pop()
         if self in self.member.protocols:
             self.member.protocols.remove(self)
         if self.account is not None:
@@ -188,7 +239,29 @@
             self.member.requests.append([now, request_id, text])
         if request_id != "-":
             self.member.queried_at = self.member.reached_at
-        self._query(request_id, text)
+        execution = Execution(
+            self.member.reached_at, self.number, self.account, request_id
+        )
+        if request_id != "-":
+            self.member.trace.append(execution)
+        self.waiting.append((execution, text))
+        if len(self.waiting) == 1:
+            self._execute_next()
+
+    def _execute_next(self):
+        """Execute the first statement that waits, after the time that it takes."""
+        while self.waiting:
+            execution, text = self.waiting[0]
+            if execution.request_id != "-" and self.member.work_s:
+                reactor.callLater(self.member.work_s, self._execute, execution, text)
+                return
+            self._query(execution, text)
+            self.waiting.popleft()
+
+    def _execute(self, execution, text):
+        self._query(execution, text)
+        self.waiting.popleft()
+        self._execute_next()
 
     def _start(self, keyword, rest):
         fields = rest.split(" ")
@@ -213,12 +286,20 @@
         self.sendLine(f"ERROR {code} {self.member.name}".encode())
         self.transport.loseConnection()
 
-    def _query(self, request_id, text):
+    def _query(self, execution, text):
+        self.execution, request_id = execution, execution.request_id
         required_position = None
         if text.startswith("AFTER "):
             _, required_position, text = text.split(" ", 2)
         verb, _, arguments = text.partition(" ")
         member = self.member
+        execution.text = text
+        execution.settings = dict(self.settings)
+        if self.writes is not None:
+            execution.transaction = self.transaction_count
+            execution.written = len(self.writes)
+        if verb == "COMMIT" and request_id == "-":
+            member.trace.append(execution)
         if required_position is not None and not self._has_applied(required_position):
             self._error("LAGGING")
             return
@@ -227,7 +308,8 @@
             if name not in self.prepared:
                 self._error("UNKNOWN")
                 return
-            verb, arguments = self.prepared[name], rest
+            (verb, shape), arguments = self.prepared[name], rest
+            execution.text = f"EXECUTE {verb} {shape} {rest}"
         if member.fail and verb in ("READ", "WRITE"):
             self._error(member.fail)
             return
@@ -246,6 +328,7 @@
             self._error("READONLY")
             return
         self.writes = []
+        self.transaction_count += 1
         self.read_only = arguments == "READ"
         self._done()
 
@@ -268,6 +351,7 @@
             return
         self.group.commit(self.member, [write])
         if self.member.drop_answers:
+            self.execution.ran_at = time.monotonic()
             self.member.drop_answers -= 1
             self.transport.abortConnection()
             return
@@ -294,8 +378,8 @@
         self._done()
 
     def _parse(self, request_id, arguments, text):
-        name, kind, _ = arguments.split(" ", 2)
-        self.prepared[name] = kind
+        name, kind, shape = arguments.split(" ", 2)
+        self.prepared[name] = (kind, shape)
         self._done()
 
     def _discard(self, request_id, arguments, text):
@@ -324,6 +408,7 @@
         self._status(request_id, arguments, text)
 
     def _done(self, rows=(), request_id=None):
+        self.execution.ran_at = time.monotonic()
         for row in rows:
             self.sendLine(f"DATAROW {row}".encode("latin-1"))
         digest = "-" if request_id is None else f"d.{next(self.digest_numbers)}"
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 
 import click
 
-from soak import run
+from soak import run, stop_run
 
 # Duration in seconds by seed, for seeds that have exposed a fault.
 REGRESSIONS = {
@@ -48,6 +48,12 @@
 @click.option(
     "--other-build", help="Commit; instances are replaced between it and this build."
 )
+@click.option(
+    "--stops", is_flag=True, help="Planned stops in series, under clients that stay."
+)
+@click.option(
+    "--instances", type=int, default=run.INSTANCE_COUNT, help="Number of instances."
+)
 @click.option("--logs", help="Directory for the logs of failed runs.")
 def main(
     seed,
@@ -58,6 +64,8 @@
     evacuations,
     shifts,
     other_build,
+    stops,
+    instances,
     logs,
 ):
     """Run real instances under randomized faults and check their guarantees."""
@@ -72,11 +80,20 @@
             folder = stack.enter_context(tempfile.TemporaryDirectory())
             sources = extract_sources(other_build, pathlib.Path(folder))
         for run_seed, duration_s in durations_s.items():
-            soak_run = run.Run(
-                run_seed, duration_s, logs, restores, evacuations, shifts, sources
+            soak_run = (stop_run.StopRun if stops else run.Run)(
+                run_seed,
+                duration_s,
+                logs,
+                restores,
+                evacuations,
+                shifts,
+                sources,
+                instances,
             )
             violations, served = soak_run.execute()
             click.echo(f"seed {run_seed}: {served} served, {len(violations)} broken")
+            for remark in soak_run.remarks:
+                click.echo(f"  {remark}")
             for violation in violations:
                 click.echo(f"  {violation.guarantee}: {violation.detail}")
             if violations:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -113,7 +113,7 @@
         request_id = f"{self.label}-{value}"
         outcome = history.Outcome.UNKNOWN
         try:
-            outcome = _classify(self._query(f"WRITE {item} {value}", request_id))
+            outcome = classify(self._query(f"WRITE {item} {value}", request_id))
         finally:
             self._record_writes([(request_id, item, value)], outcome)
 
@@ -125,10 +125,10 @@
         ]
         outcome = history.Outcome.NOT_RUN
         try:
-            if _classify(self._query("BEGIN")) is not history.Outcome.ACKNOWLEDGED:
+            if classify(self._query("BEGIN")) is not history.Outcome.ACKNOWLEDGED:
                 return
             for request_id, item, _ in writes:
-                write_outcome = _classify(
+                write_outcome = classify(
                     self._query(f"WRITE {item} {value}", request_id)
                 )
                 if write_outcome is not history.Outcome.ACKNOWLEDGED:
@@ -136,7 +136,7 @@
                         self._query("ROLLBACK")
                     return
             outcome = history.Outcome.UNKNOWN
-            outcome = _classify(self._query("COMMIT"))
+            outcome = classify(self._query("COMMIT"))
         finally:
             self._record_writes(writes, outcome, f"{self.label}-{value}")
 
@@ -150,7 +150,7 @@
         elif self.route == "meters-own":
             floor = self.session_values.get(item, 0)
         lines = self._query(f"READ {item}")
-        if _classify(lines) is history.Outcome.ACKNOWLEDGED:
+        if classify(lines) is history.Outcome.ACKNOWLEDGED:
             rows = [line for line in lines if line.startswith("DATAROW ")]
             value = rows[0].removeprefix("DATAROW ") if rows else MISSING_VALUE
             value = 0 if value == MISSING_VALUE else int(value)
@@ -180,7 +180,7 @@
         self.served += outcome is history.Outcome.ACKNOWLEDGED
 
 
-def _classify(lines):
+def classify(lines):
     """Return the outcome of a statement from the lines of its answer."""
     errors = [line for line in lines if line.startswith("ERROR ")]
     if errors:
--- a/soak/run.py
+++ b/soak/run.py
@@ -79,6 +79,8 @@
     other_sources : pathlib.Path or None
         Folder with the package of another build. All instances start with it, and
         are replaced in turn, back and forth.
+    instances : int
+        Number of instances.
 
     Attributes
     ----------
@@ -86,6 +88,8 @@
         Members that current faults were injected into.
     evacuated_at : dict of str to float
         Monotonic time, by evacuated data centre, of the store's acknowledgement.
+    remarks : list of str
+        What was seen that violates no guarantee.
     """
 
     def __init__(
@@ -97,6 +101,7 @@
         with_evacuations=False,
         with_shifts=False,
         other_sources=None,
+        instances=INSTANCE_COUNT,
     ):
         self.seed = seed
         self.seconds = seconds
@@ -106,19 +111,21 @@
         self.evacuated_at = {}
         self.with_shifts = with_shifts
         self.other_sources = other_sources
+        self.instances = instances
         self.operator = None
         self.observed = history.History()
         self.acknowledged = {}
         self.fleet = None
         self.slots = []
         self.faulted_members = {}
+        self.remarks = []
 
     def execute(self):
         """Execute the run, and return the violations and the operations served."""
         with contextlib.ExitStack() as stack:
             running = stack.enter_context(processes.Processes())
             self.fleet = fleets.Fleet(running)
-            for number in range(INSTANCE_COUNT):
+            for number in range(self.instances):
                 link = proxy.Proxy(self.fleet.store)
                 stack.callback(link.close)
                 ports = processes.free_ports(4)
@@ -130,27 +137,8 @@
             violations = []
             for slot in self.slots:
                 violations.extend(self._check_recovery(slot, START_TIMEOUT_S))
-            self.operator = operators.Operator(self.fleet)
-            if self.with_shifts:
-                shifts.configure(self.operator.manifest)
-            background = [
-                self.operator,
-                operators.KeyProbe(
-                    self.operator, self.seed, self._caller_ports, self.observed
-                ),
-            ]
-            if self.with_shifts:
-                background.append(shifts.HomeCaller(self.seed, self._caller_ports))
-            threads = [
-                callers.Caller(
-                    f"s{self.seed}c{number}",
-                    self.seed,
-                    self._caller_ports,
-                    self.observed,
-                    self.acknowledged,
-                )
-                for number in range(CALLER_COUNT)
-            ]
+            background = self._make_background()
+            threads = self._make_callers()
             for thread in (*background, *threads):
                 thread.start()
             self._inject_faults()
@@ -172,6 +160,42 @@
                 self._copy_logs()
             return violations, sum(thread.served for thread in threads)
 
+    def _make_background(self):
+        """Return the threads of operators and of callers that aren't counted."""
+        self.operator = operators.Operator(self.fleet)
+        if self.with_shifts:
+            shifts.configure(self.operator.manifest)
+        probe = operators.KeyProbe(
+            self.operator, self.seed, self._caller_ports, self.observed
+        )
+        if self.with_shifts:
+            home_caller = shifts.HomeCaller(self.seed, self._caller_ports)
+            return [self.operator, probe, home_caller]
+        return [self.operator, probe]
+
+    def _make_callers(self):
+        return [
+            callers.Caller(
+                f"s{self.seed}c{number}",
+                self.seed,
+                self._caller_ports,
+                self.observed,
+                self.acknowledged,
+            )
+            for number in range(CALLER_COUNT)
+        ]
+
+    def _make_plan(self):
+        return plan.make_plan(
+            self.seed,
+            self.seconds,
+            self.instances,
+            self.with_restores,
+            self.with_evacuations,
+            self.with_shifts,
+            self.other_sources is not None,
+        )
+
     def _caller_ports(self):
         return [slot.ports[0] for slot in self.slots]
 
@@ -183,15 +207,7 @@
     def _inject_faults(self):
         """Begin and end each fault of the plan at its time."""
         started_at = time.monotonic()
-        faults = plan.make_plan(
-            self.seed,
-            self.seconds,
-            INSTANCE_COUNT,
-            self.with_restores,
-            self.with_evacuations,
-            self.with_shifts,
-            self.other_sources is not None,
-        )
+        faults = self._make_plan()
         steps = [(fault.start_s, "begin", fault) for fault in faults]
         steps += [(fault.start_s + fault.duration_s, "end", fault) for fault in faults]
         for at_s, step, fault in sorted(steps, key=lambda entry: entry[0]):
