Soak stops beside cut links to the store, and an account above its rate

The runs with stops had no faults of single links to the store, and all client accounts were far below their rates, so that no statement waited for a token when an instance stopped.

--- a/soak/stops.py
+++ b/soak/stops.py
@@ -24,9 +24,17 @@
 # Unplanned, beside the stops.
 KILL_KINDS = ("kill", "stop_and_kill")
 MEMBER_KINDS = ("primary_leaves", "replica_lags")
-DISRUPTIONS = ("primary_crash", "store_silent", "store_refuses", "store_slow")
+DISRUPTIONS = (
+    "primary_crash",
+    "store_silent",
+    "store_refuses",
+    "store_slow",
+    "store_link_silent",
+    "store_link_slow",
+)
 CHANGE_INTERVAL_S = (1.0, 2.0)
 ACCOUNTS = ("desk", "training", "depot", "audit")
+RATES_PER_S = {"training": 20}  # below what its clients ask for
 KEYS = ("key-a", "key-b", "key-c", "key-d")
 TIMEOUTS_MS = (1000, 2000, 3000, 4000)  # the longest as in `callers`
 
@@ -174,8 +182,8 @@
                 "name": account,
                 "apiKeys": [host.KEY] * (account == ACCOUNTS[0])
                 + [key for key, found in self.accounts.items() if found == account],
-                "ratePerS": 500,
-                "burst": 500,
+                "ratePerS": RATES_PER_S.get(account, 500),
+                "burst": RATES_PER_S.get(account, 500),
             }
             for account in ACCOUNTS
         ]
