Soak an owner of connections that is killed several times in a row

Owners numbered the transactions that they hold for others from 1 in each process, so that the number of an open one was given again only shortly after a restart (see docs/incidents/restarted-owner.md). The runs with stops killed an instance every seven seconds at most, when the numbers in use had grown beyond that. Each run with disruptions now has one instance that is killed four times, 0.5 to 1.5 s after each start.

--- a/soak/stop_run.py
+++ b/soak/stop_run.py
@@ -6,7 +6,7 @@
 from soak import clients, history, run, stop_checks, stops
 
 CLIENT_COUNT = 40
-ACTIONS = {*stops.STOP_KINDS, *stops.KILL_KINDS}
+ACTIONS = {*stops.STOP_KINDS, *stops.KILL_KINDS, "kill_series"}
 
 
 class StopRun(run.Run):
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -23,6 +23,7 @@
 STOP_KINDS = ("stop", "stop_twice", "stop_at_start", "hangup")
 # Unplanned, beside the stops.
 KILL_KINDS = ("kill", "stop_and_kill")
+KILL_COUNT = 4  # of the kind "kill_series"
 MEMBER_KINDS = ("primary_leaves", "replica_lags")
 DISRUPTIONS = (
     "primary_crash",
@@ -86,6 +87,12 @@
         kind = rng.choice(kinds)
         faults.append(plan.Fault(start_s, duration_s, kind, rng.randrange(instances)))
         start_s += duration_s
+    if with_disruptions:
+        # An owner that starts again at once, and numbers its transactions anew.
+        start_s = rng.uniform(0.1, 0.6) * seconds
+        duration_s = rng.uniform(0.5, 1.5)
+        number = rng.randrange(instances)
+        faults.append(plan.Fault(start_s, duration_s, "kill_series", number))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -286,7 +293,13 @@
             self._stop_and_start(slot, fault)
 
     def _stop_and_start(self, slot, fault):
-        if fault.kind == "kill":
+        if fault.kind == "kill_series":
+            for _ in range(KILL_COUNT - 1):
+                self._signal(slot, signal.SIGKILL)
+                self._finish(slot)
+                self.start(slot)
+                time.sleep(fault.duration_s)
+        if fault.kind in ("kill", "kill_series"):
             self._signal(slot, signal.SIGKILL)
         else:
             self._signal(slot, signal.SIGTERM)
@@ -300,7 +313,7 @@
             time.sleep(fault.duration_s * 0.3)
             self._signal(slot, signal.SIGTERM)
             self._finish(slot)
-        elif fault.kind != "stop_twice":
+        elif fault.kind not in ("stop_twice", "kill_series"):
             time.sleep(fault.duration_s)
         self.start(slot)
 
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -9,6 +9,7 @@
     *stops.KILL_KINDS,
     *stops.MEMBER_KINDS,
     *stops.DISRUPTIONS,
+    "kill_series",
 }
 
 
@@ -21,7 +22,7 @@
     def test_all_kinds_are_scheduled_and_some_runs_have_only_planned_ones(self):
         plans = [stops.make_plan(seed, 20.0, 5) for seed in range(50)]
         self.assertEqual(KINDS, {fault.kind for faults in plans for fault in faults})
-        unplanned = {*stops.KILL_KINDS, *stops.DISRUPTIONS}
+        unplanned = {*stops.KILL_KINDS, *stops.DISRUPTIONS, "kill_series"}
         calm = [
             faults
             for faults in plans
