Answer the statements that arrive with one that ends the session

What callers saw: of statements that a client had sent at once, the first was answered with NODATABASE, and the others had no answer before the connection was closed.

Cause: requests that arrive in one piece are handled one after the other. The first one's error closed the connection, and those behind it had not been handed to the session yet, which answers what it has queued.

Change: the connection is closed once all requests that arrived together have been handled, and those behind the end of the session get the same error. After TERMINATE nothing is answered, as before.

The test fails on the code before: one answer in place of three.

--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -26,8 +26,8 @@
         Groups, pools and rates.
     caller : object
         Connection of the caller; has `respond(answer, status)`,
-        `refuse(failure, status)`, `announce_end(failure, status)` and
-        `close_gracefully()`.
+        `refuse(failure, status)`, `announce_end(failure, status)`,
+        `refuse_rest(failure, status)` and `close_gracefully()`.
     database : str
         Database that the caller requested.
     key : str
@@ -447,6 +447,7 @@
 @_execute.register
 def _(action: statements.Close, task):
     task.refuse_queued(action.failure)
+    task.caller.refuse_rest(action.failure, task.core.status)
     task.close("error")
 
 
--- a/pomelograde/platform/callers.py
+++ b/pomelograde/platform/callers.py
@@ -37,6 +37,10 @@
     is_status_due : bool
         Whether the next request has been answered by `announce_end`, but for the
         state of the session.
+    is_reading : bool
+        Whether it handles requests that have arrived together.
+    is_closing : bool
+        Whether this instance closes the connection.
     """
 
     def __init__(self, reactor, open_session, on_refused, closing):
@@ -50,6 +54,8 @@
         self.end_failure = None
         self.end_status = b""
         self.is_status_due = False
+        self.is_reading = False
+        self.is_closing = False
 
     def connectionMade(self):  # noqa: N802
         """Start the time limit for the start message."""
@@ -67,10 +73,14 @@
             self.refuse(retries.Failure(_KIND.FRAME_TOO_LARGE), b"I")
             self.close_gracefully()
             return
+        self.is_reading = True
         for line in lines:
-            if self.transport.disconnecting:
-                return
+            if self.is_closing and self.end_failure is None:
+                break
             self._handle_line(line)
+        self.is_reading = False
+        if self.is_closing:
+            self._close()
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Tell the session that the caller has disconnected."""
@@ -117,11 +127,34 @@
         self.is_status_due = True
         self.transport.write(_line_protocol.encode_error(failure))
 
+    def refuse_rest(self, failure, status):
+        """Answer all later requests with an error.
+
+        Parameters
+        ----------
+        failure : Failure
+            Answer to the requests that have been read and not been handled yet.
+        status : bytes
+            State of the session.
+        """
+        self.end_failure = failure
+        self.end_status = status
+
     def close_gracefully(self):
-        """Close the connection after all pending data has been sent."""
+        """Close the connection after all answers have been sent.
+
+        The requests that have arrived together with the one that is being handled
+        get their answers first.
+        """
         self.closing.add(self)
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.is_closing = True
+        if not self.is_reading:
+            self._close()
+
+    def _close(self):
+        if not self.transport.disconnecting:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
 
     def _handle_line(self, line):
         if self.session is None:
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -293,6 +293,27 @@
         )
         self.assertTrue(caller.transport.disconnecting)
 
+    def send_at_once(self, caller, *texts):
+        """Send statements in one piece; returns the answers."""
+        lines = [f"QUERY q{number} {text}\r\n" for number, text in enumerate(texts)]
+        caller.dataReceived("".join(lines).encode())
+        return self.answers(caller)
+
+    def test_statements_that_arrive_with_one_that_ends_the_session_are_answered(self):
+        caller = self.call()
+        self.begin(caller)
+        self.configure(red={"key-2"})
+        answers = self.send_at_once(caller, "READ k", "WRITE k 2", "COMMIT")
+        self.assertEqual([["ERROR", "DENIED"], ["READY", "E"]] * 3, answers)
+        self.assertTrue(caller.transport.disconnecting)
+        self.assertEqual(set(), self.proxy.sessions)
+
+    def test_statements_behind_the_end_that_the_caller_asked_for_are_dropped(self):
+        caller = self.call()
+        caller.dataReceived(b"TERMINATE\r\nQUERY q1 READ k\r\n")
+        self.assertEqual([], self.answers(caller))
+        self.assertTrue(caller.transport.disconnecting)
+
     def test_statements_behind_one_that_a_stop_refuses_are_answered(self):
         caller = self.wait("READ k", "READ l", "READ m")
         self.proxy.begin_stop()
