Leave out of the soak's checks what its own clients were late by

The time between a request and the end of its connection was taken from when the clients' thread noticed it. The time of a kill now ends a request, and times in which the thread was late don't count. A kill excuses only requests of the process that was killed.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 RECONNECT_PAUSE_S = 0.05
+WATCH_INTERVAL_S = 0.01
 # Pauses between the statements of a transaction, up to just below the idle limit.
 PAUSES_S = (0.0, 0.0, 0.05, 0.3, 1.0, 2.7)
 LONGEST_TRANSACTION_S = 9.0
@@ -42,6 +43,8 @@
         Session settings that were acknowledged on the connection.
     instance : int
         Number of the instance that the client is connected to.
+    connected_at : float
+        Monotonic time at which the connection was opened.
     sent_at : float
         Monotonic time at which it was sent.
     lines : list of str
@@ -61,6 +64,7 @@
     key: str
     settings: dict
     instance: int
+    connected_at: float
     sent_at: float
     lines: list = attrs.field(factory=list)
     end: str = ""
@@ -90,6 +94,8 @@
         Whether the server has announced the end of the session.
     is_closed : bool
         Whether the connection has ended.
+    connected_at : float
+        Monotonic time at which it was opened.
     answered_at : float
         Monotonic time of the last answer; requests behind it waited for it.
     strays : list of str
@@ -105,6 +111,7 @@
         self.state = "I"
         self.is_announced = False
         self.is_closed = False
+        self.connected_at = time.monotonic()
         self.answered_at = 0.0
         self.strays = []
         self.settings = {}
@@ -307,6 +314,7 @@
             self.key,
             dict(settings),
             self.instance,
+            self.session.connected_at,
             time.monotonic(),
         )
         self.group.requests.append(request)
@@ -433,8 +441,8 @@
         Lines from the server that answer nothing.
     served : int
         Reads, writes and transactions that were acknowledged.
-    longest_delay_s : float
-        Longest time that the thread itself was late.
+    delays : list of tuple
+        Start and end of each time in which the thread itself was late.
     """
 
     def __init__(self, seed, count, ports, administrator, observed):
@@ -449,7 +457,7 @@
         self.requests = []
         self.strays = []
         self.served = 0
-        self.longest_delay_s = 0.0
+        self.delays = []
         self.stop_requested = threading.Event()
 
     def run(self):
@@ -462,10 +470,10 @@
 
     async def _watch(self):
         while not self.stop_requested.is_set():
-            due_at = time.monotonic() + 0.05
-            await asyncio.sleep(0.05)
-            delay_s = time.monotonic() - due_at
-            self.longest_delay_s = max(self.longest_delay_s, delay_s)
+            due_at = time.monotonic() + WATCH_INTERVAL_S
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            if (now := time.monotonic()) - due_at > WATCH_INTERVAL_S:
+                self.delays.append((due_at, now))
 
     def is_primary(self, database):
         """Return whether a database is served by the primary."""
--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -13,7 +13,7 @@
 IN_FORCE_S = history.REVOCATION_S
 
 
-def check(requests, trace, configurations, endings):
+def check(requests, trace, configurations, endings, delays=()):
     """Return the guarantees that did not hold.
 
     Parameters
@@ -26,6 +26,8 @@
         Configurations in the order in which they were written.
     endings : list of Ending
         Ends of the processes.
+    delays : list of tuple
+        Start and end of each time in which the clients were late.
     """
     executions = [
         {**found, "member": member}
@@ -36,7 +38,7 @@
     by_id = {found.request_id: found for found in requests if found.request_id}
     arrived = {found["request_id"] for found in executions}
     return [
-        *_check_answers(requests, arrived, endings),
+        *_check_answers(requests, arrived, endings, delays),
         *_check_endings(endings),
         *_check_statements(runs, by_id),
         *_check_accounts(runs, by_id, configurations),
@@ -44,15 +46,22 @@
     ]
 
 
-def _check_answers(requests, arrived, endings):
+def _check_answers(requests, arrived, endings, delays):
     """Yield requests without a whole answer, except at processes that were killed."""
     for request in requests:
-        waited_s = request.ended_at - request.sent_at
+        kills = _find_kills(request, endings)
         if request.end == clients.SILENT:
+            waited_s = request.ended_at - request.sent_at
             detail = f"nothing in {waited_s:.1f} s: {describe(request, endings)}"
             yield history.Violation("requests end in time", detail)
-        if request.end != clients.CLOSED or _is_killed(request, endings):
+        if request.end != clients.CLOSED or "SIGKILL" in kills.values():
             continue
+        ended_at = min([request.ended_at, *kills])
+        late_s = sum(
+            max(0.0, min(end, ended_at) - max(start, request.sent_at))
+            for start, end in delays
+        )
+        waited_s = ended_at - request.sent_at - late_s
         has_arrived = request.request_id in arrived
         if has_arrived or waited_s > LOSS_SLACK_S:
             place = "at a member" if has_arrived else "not at a member"
@@ -62,15 +71,16 @@
             yield history.Violation("requests are answered", detail)
 
 
-def _is_killed(request, endings):
-    """Return whether the process was killed while the request was outstanding."""
-    return any(
-        ending.instance == request.instance
-        and name == "SIGKILL"
-        and request.sent_at - LOSS_SLACK_S <= at <= request.ended_at + LOSS_SLACK_S
+def _find_kills(request, endings):
+    """Return the kills of the process that a request was sent to, by their time."""
+    return {
+        at: name
         for ending in endings
         for at, name in ending.signals
-    )
+        if ending.instance == request.instance
+        and name.startswith("SIGKILL")
+        and request.connected_at <= at <= request.ended_at
+    }
 
 
 def describe(request, endings):
--- a/soak/stop_run.py
+++ b/soak/stop_run.py
@@ -69,17 +69,20 @@
         )
         seen = (self.group.requests, self.fleet.show_trace())
         endings = self.processes.endings
+        late_s = sum(end - start for start, end in self.group.delays)
         late = sum(found.was_late for found in endings)
         self.remarks.append(
             f"{len(endings)} processes ended, {late} of them by a kill after the grace "
-            f"period; longest delay of the clients {self.group.longest_delay_s:.3f} s"
+            f"period; the clients were late for {late_s:.1f} s"
         )
         configurations = self.administrator.configurations
-        violations.extend(stop_checks.check(*seen, configurations, endings))
+        violations.extend(
+            stop_checks.check(*seen, configurations, endings, self.group.delays)
+        )
         if violations and self.logs:
             directory = pathlib.Path(self.logs) / f"seed-{self.seed}"
             directory.mkdir(parents=True, exist_ok=True)
             seen = stop_checks.dump(*seen, configurations, endings)
-            seen["longest_delay_s"] = self.group.longest_delay_s
+            seen["delays"] = self.group.delays
             (directory / "seen.json").write_text(json.dumps(seen))
         return violations
