Kill an owner of the first primary's connections in the soak, and less often

Only instances in the primary's data centre own connections to it. With the restart of a process taking up to 1 s at a load of 25, 0.5 s after its launch was too early for it to have opened transactions.

--- a/soak/stops.py
+++ b/soak/stops.py
@@ -88,10 +88,10 @@
         faults.append(plan.Fault(start_s, duration_s, kind, rng.randrange(instances)))
         start_s += duration_s
     if with_disruptions:
-        # An owner that starts again at once, and numbers its transactions anew.
+        # In the first primary's data centre, whose instances own its connections.
         start_s = rng.uniform(0.1, 0.6) * seconds
-        duration_s = rng.uniform(0.5, 1.5)
-        number = rng.randrange(instances)
+        duration_s = rng.uniform(1.0, 2.5)
+        number = rng.randrange(0, instances, len(host.ZONES))
         faults.append(plan.Fault(start_s, duration_s, "kill_series", number))
     return sorted(faults, key=lambda fault: fault.start_s)
 
