--- a/soak/run.py
+++ b/soak/run.py
@@ -131,12 +131,14 @@
                 ports = processes.free_ports(4)
                 slot = InstanceSlot(number, ports, link, sources=self.other_sources)
                 self.slots.append(slot)
-            for slot in self.slots:
-                self._start(slot)
             stack.callback(self._resume_processes)
             violations = []
-            for slot in self.slots:
-                violations.extend(self._check_recovery(slot, START_TIMEOUT_S))
+            for first in range(0, self.instances, INSTANCE_COUNT):
+                group = self.slots[first : first + INSTANCE_COUNT]
+                for slot in group:
+                    self._start(slot)
+                for slot in group:
+                    violations.extend(self._check_recovery(slot, START_TIMEOUT_S))
             background = self._make_background()
             threads = self._make_callers()
             for thread in (*background, *threads):
