--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -105,13 +105,17 @@
 def _check_endings(endings):
     """Yield processes that ended otherwise than they were asked to.
 
-    One that runs until the end of the grace period is killed by the platform.
+    One that runs until the end of the grace period is killed by the platform. The
+    interpreter handles no signals before the start, and after the end of the work.
     """
     for ending in endings:
         names = [name for _, name in ending.signals if name != "SIGHUP"]
         expected = {0} if "SIGTERM" in names else set()
+        is_repeated = names.count("SIGTERM") > 1
         if "SIGTERM" in names and not ending.has_started:
             expected.add(-signal.SIGTERM)
+        if is_repeated and ending.has_stopped:
+            expected.add(-signal.SIGTERM)
         if any(name.startswith("SIGKILL") for name in names):
             expected.add(-signal.SIGKILL)
         if not names or ending.code not in expected:
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -214,8 +214,8 @@
     ----------
     instance : int
         Number of the instance.
-    has_started : bool
-        Whether it has logged its start.
+    has_started, has_stopped : bool
+        Whether it has logged its start, and the end of its work.
     signals : list of tuple
         Monotonic time and name of each signal that it was sent, in order.
     code : int
@@ -226,6 +226,7 @@
 
     instance: int
     has_started: bool
+    has_stopped: bool
     signals: list
     code: int
     ended_at: float
@@ -256,7 +257,7 @@
         self.slots = slots
         self._start = start
         self.signals = {slot.number: [] for slot in slots}
-        self.starts = dict.fromkeys(self.signals, 0)
+        self.log_sizes = dict.fromkeys(self.signals, 0)
         self.locks = {slot.number: threading.Lock() for slot in slots}
         self.endings = []
         self.threads = []
@@ -269,7 +270,7 @@
 
     def start(self, slot):
         """Start a process."""
-        self.starts[slot.number] = _count_starts(slot)
+        self.log_sizes[slot.number] = slot.instance.log_path.stat().st_size
         self._start(slot)
 
     def wait(self):
@@ -335,11 +336,9 @@
             child.kill()
             code = child.wait(timeout=KILL_TIMEOUT_S)
         now = time.monotonic()
-        has_started = _count_starts(slot) > self.starts[slot.number]
-        self.endings.append(Ending(slot.number, has_started, signals, code, now))
-
-
-def _count_starts(slot):
-    """Return how many processes of an instance have logged their start."""
-    log = slot.instance.read_log()
-    return sum(record["name"] == events.Event.DAEMON_STARTED.name for record in log)
+        log = slot.instance.log_path.read_bytes()[self.log_sizes[slot.number] :]
+        has_started = events.Event.DAEMON_STARTED.name.encode() in log
+        has_stopped = events.Event.DAEMON_STOPPED.name.encode() in log
+        self.endings.append(
+            Ending(slot.number, has_started, has_stopped, signals, code, now)
+        )
--- a/tests/soak/test_stop_checks.py
+++ b/tests/soak/test_stop_checks.py
@@ -84,7 +84,7 @@
             (2, 101.0, "SIGKILL", [*self.broken]),
         ):
             code = 0 if name == "SIGTERM" else -9
-            ending = stops.Ending(instance, True, [(at, name)], code, at)
+            ending = stops.Ending(instance, True, True, [(at, name)], code, at)
             self.assertEqual(expected, self.check([CUT_OFF], endings=[ending]))
 
     def test_time_in_which_the_clients_were_late_does_not_count(self):
@@ -93,7 +93,7 @@
         self.assertEqual([*self.broken], self.check([CUT_OFF], [], delays=late))
 
     def test_request_that_was_sent_just_before_a_late_kill_may_not_have_been_read(self):
-        ending = stops.Ending(2, True, [(100.1, stops.LATE_KILL)], -9, 100.2)
+        ending = stops.Ending(2, True, True, [(100.1, stops.LATE_KILL)], -9, 100.2)
         self.assertEqual([], self.check([CUT_OFF], [], endings=[ending]))
 
     def test_request_without_an_answer_or_an_end(self):
@@ -102,9 +102,9 @@
 
 
 class EndingTests(StopCheckTestCase):
-    def check_ending(self, code, *names, has_started=True):
+    def check_ending(self, code, *names, has_started=True, has_stopped=True):
         signals = [(100.0 + number, name) for number, name in enumerate(names)]
-        ending = stops.Ending(1, has_started, signals, code, 105.0)
+        ending = stops.Ending(1, has_started, has_stopped, signals, code, 105.0)
         return self.check([], [], endings=[ending])
 
     def test_process_that_ends_as_asked(self):
@@ -114,6 +114,14 @@
         self.assertEqual([], self.check_ending(-9, "SIGTERM", stops.LATE_KILL))
         self.assertEqual([], self.check_ending(-15, "SIGTERM", has_started=False))
 
+    def test_second_signal_after_the_end_of_the_work(self):
+        twice = ("SIGTERM", "SIGTERM")
+        self.assertEqual([], self.check_ending(-15, *twice))
+        self.assertEqual(
+            ["processes end as asked"],
+            self.check_ending(-15, *twice, has_stopped=False),
+        )
+
     def test_process_that_ends_otherwise(self):
         broken = ["processes end as asked"]
         self.assertEqual(broken, self.check_ending(1, "SIGTERM"))
