Hold SIGHUP back until its handler is installed

Seen by the platform: a process that is told of a changed settings file while it starts ends by itself. The handler was installed once the event loop ran; until then SIGHUP had its default action, which ends the process. A start takes several hundred milliseconds for the modules alone.

The program now blocks the signal first, and unblocks it with the handler. A signal that came meanwhile is delivered then, so that the PostgreSQL side also loads certificates again that changed after it had read them. Not covered: the start of the interpreter, and on the PostgreSQL side the import of the modules.

Both new tests failed before: the first process was ended by the signal, the second one did not hear of it within 20 s.

--- a/pomelograde/daemon/main.py
+++ b/pomelograde/daemon/main.py
@@ -3,7 +3,7 @@
 import click
 from absl import flags, logging
 
-from pomelograde.daemon import composition, reference, runner
+from pomelograde.daemon import composition, hangup, reference, runner
 from pomelograde.daemon import settings as settings_module
 from pomelograde.net import faults, steady_reactor
 
@@ -30,6 +30,7 @@
       pomelograded --settings instance.json
       pomelograded --reference
     """
+    hangup.hold()
     if show_reference:
         click.echo(reference.render(), nl=False)
         return
--- a/pomelograde/daemon/runner.py
+++ b/pomelograde/daemon/runner.py
@@ -1,11 +1,11 @@
 """Runs a daemon in the reactor, from its start to the end of the process."""
 
-import signal
 import sys
 
 import click
 from twisted.internet import defer
 
+from pomelograde.daemon import hangup
 from pomelograde.net import events
 
 EXIT_INVALID_SETTINGS = 2
@@ -58,7 +58,7 @@
         reactor.callFromThread(on_hangup)
 
     reactor.callWhenRunning(start)
-    reactor.callWhenRunning(signal.signal, signal.SIGHUP, on_signal)
+    reactor.callWhenRunning(hangup.handle, on_signal)
     reactor.addSystemEventTrigger(
         "before", "shutdown", lambda: defer.ensureDeferred(daemon.stop())
     )
--- a/pomelograded.py
+++ b/pomelograded.py
@@ -3,6 +3,8 @@
 import gc
 import importlib
 
+from pomelograde.daemon import hangup
+
 
 def main():
     """Run an instance.
@@ -13,6 +15,7 @@
     collections meanwhile would take a fifth of the processor time of a start.
     The objects are then left out of all later collections.
     """
+    hangup.hold()
     gc.disable()
     hosted = importlib.import_module("pomelograde.daemon.hosted")
     gc.freeze()
--- a/tests/daemon/test_program.py
+++ b/tests/daemon/test_program.py
@@ -7,6 +7,7 @@
 import testtools
 
 ROOT = pathlib.Path(__file__).parents[2]
+TIMEOUT_S = 20.0  # for a program that only starts and ends
 
 # Replaces the daemon by one that prints the state of the garbage collector.
 STUB = """
@@ -18,6 +19,30 @@
 pomelograded.main()
 """
 
+# Replaces the daemon by one that gets SIGHUP before it can have a handler.
+EARLY_HANGUP_STUB = """
+import os, signal, sys, types
+daemon = types.ModuleType("hosted")
+daemon.main = lambda: (os.kill(os.getpid(), signal.SIGHUP), print("runs"))
+sys.modules["pomelograde.daemon.hosted"] = daemon
+import pomelograded
+pomelograded.main()
+"""
+
+# Runs a daemon that ends with the first SIGHUP that it hears of.
+HELD_HANGUP_STUB = """
+import os, signal, types
+from pomelograde.daemon import hangup, runner
+from pomelograde.net import steady_reactor
+async def do_nothing():
+    pass
+hangup.hold()
+os.kill(os.getpid(), signal.SIGHUP)
+reactor = steady_reactor.install()
+daemon = types.SimpleNamespace(start=do_nothing, stop=do_nothing)
+runner.run(reactor, daemon, lambda: (print("reloads"), reactor.stop()))
+"""
+
 
 class ProgramTests(testtools.TestCase):
     def run_python(self, *arguments):
@@ -28,6 +53,7 @@
             capture_output=True,
             text=True,
             check=True,
+            timeout=TIMEOUT_S,
         )
         return result.stdout.strip()
 
@@ -36,3 +62,9 @@
 
     def test_daemon_runs_with_garbage_collection(self):
         self.assertEqual("True True", self.run_python("-c", STUB))
+
+    def test_hangup_before_the_daemon_runs_does_not_end_the_process(self):
+        self.assertEqual("runs", self.run_python("-c", EARLY_HANGUP_STUB))
+
+    def test_hangup_before_the_daemon_runs_is_handled_once_it_does(self):
+        self.assertEqual("reloads", self.run_python("-c", HELD_HANGUP_STUB))
