Let a stop wait for answers that callers have not read yet

Seen by a caller that reads slowly: its statement ran, and its connection was closed by a stopping process in the middle of the answer.

Cause: once a session was closed, nothing waited for what its connection had still to send. The process ended as soon as there were no sessions, about 3 s after the signal although it has 6, and dropped what the sockets had not taken.

The stop now waits, no longer than for sessions, until the connections that the instance closes have been sent everything. The PostgreSQL side does so already (`CallerListener.lingering`).

--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -122,15 +122,25 @@
 
     @property
     def is_busy(self):
-        """Whether sessions, requests of other instances or takeovers are running."""
-        return self.proxy.is_busy or bool(self.takeovers.running)
+        """Whether sessions, requests of other instances or takeovers are running.
+
+        Notes
+        -----
+        Also while a caller has not been sent all of its last answer.
+        """
+        return (
+            self.proxy.is_busy
+            or bool(self.takeovers.running)
+            or bool(self.callers.closing)
+        )
 
     async def stop(self):
         """Shut down gracefully.
 
         Notes
         -----
-        Sessions, requests of other instances and takeovers may finish until
+        Sessions with their last answers, requests of other instances and takeovers
+        may finish until
         `STOP_MARGIN_S` before the platform kills the process.
         """
         self.readiness.is_stopping = True
