Report a failed connect to a member that has gone as such

Seen in a play with real processes: after a member had crashed and its row was removed, five INTERNAL_FAULT lines (KeyError) in one process. No request was lost by it.

Cause: after an attempt to connect without an answer, the pool of the member was looked up by name. If the member had gone meanwhile there was none, and if it had another address there was another pool. The error hid the failed attempt, which was then not logged as UPSTREAM_OPEN_FAILED.

The attempt now asks its own pool, and a closed pool reports nothing about a member. The new test failed before with the KeyError.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -559,7 +559,7 @@
                     self.context.reactor, service, spec, role, host
                 )
             except pools.UpstreamOpenError as error:
-                if not error.refused and not self.pools[spec.name].open:
+                if not (error.refused or pool.closed or pool.open):
                     self.cold_starts.presume_restart(service, spec.name)
                 raise
             self.cold_starts.watch(connection)
--- a/pomelograde/net/pools.py
+++ b/pomelograde/net/pools.py
@@ -273,10 +273,11 @@
         )
         failure = retries.Failure(retries.ErrorKind.UPSTREAM_UNREACHABLE, text)
         now = self.context.now()
-        if self.on_open_failed is not None:
+        if self.on_open_failed is not None and not self.closed:
             self.on_open_failed(self, reason.value)
         if not reason.value.is_full:
-            if self.on_unreachable is not None and not reason.value.refused:
+            is_silent = not (reason.value.refused or self.closed)
+            if is_silent and self.on_unreachable is not None:
                 self.on_unreachable(self)
             self._execute_all(self.core.open_failed(role, failure, now))
             return
--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -4,9 +4,10 @@
 import types
 
 import testtools
+from twisted.internet import defer
 
-from pomelograde.core import configuration, membership, placement
-from pomelograde.net import metrics
+from pomelograde.core import configuration, membership, placement, pooling
+from pomelograde.net import metrics, pools
 from pomelograde.net.hosted import proxy
 
 PRIMARY = placement.Member("p", "a-x", role=placement.Role.PRIMARY)
@@ -34,6 +35,7 @@
     def setUp(self):
         super().setUp()
         context = types.SimpleNamespace(
+            reactor=None,
             now=lambda: 100.0,
             members=types.SimpleNamespace(own=INSTANCES[0]),
             peers=types.SimpleNamespace(handlers={}),
@@ -98,6 +100,25 @@
         self.proxy.configuration = configuration.FleetConfiguration()
         self.assertEqual("", self.proxy.positions._choose_role(PRIMARY))
 
+    def test_failed_attempt_to_connect_to_a_member_that_has_gone_is_no_fault(self):
+        # It was looked up among the pools that are left.
+        opening = defer.Deferred()
+        self.proxy.open_connection = lambda *arguments: opening
+        pool = self.proxy.pools["p"] = self.proxy._make_pool("s", PRIMARY)
+        reported = []
+        pool.on_unreachable = reported.append
+        waiter = pooling.Waiter("a", "a", 200.0, types.SimpleNamespace())
+        waiter.context.on_refused = reported.append
+        pool.request(waiter)
+        (attempt,) = pool.opening
+        self.proxy._update_pools()
+        pool.refuse_waiters()
+        opening.errback(pools.UpstreamOpenError("no answer", refused=False))
+        failures = []
+        attempt.addErrback(failures.append)
+        self.assertEqual([], failures)
+        self.assertEqual(["p"], [found.detail for found in reported])
+
     def test_pool_limits_statements_only_where_members_are_shared(self):
         member = placement.Member("p", "a-x", slots=5)
         self.assertIsNone(self.proxy._make_pool("s", member).core.room)
