--- a/pomelograde/net/callers.py
+++ b/pomelograde/net/callers.py
@@ -117,10 +117,10 @@
         caller may then never receive what was written last. Only the sending
         side is closed at first, and incoming data is discarded for `LINGER_S`.
         """
+        self.listener.lingering.add(self)
         if self.secure:
             self.transport.loseConnection()
             return
-        self.listener.lingering.add(self)
         self.transport.loseWriteConnection()
         self.context.reactor.callLater(LINGER_S, self.transport.loseConnection)
 
