Accept no callers once a stop has begun during the start

Cause: the start waits for the store while the stop runs, and looked at nothing when the store had answered. The stop now ends the wait, and the start ends there.

The new test failed before: the caller port was opened.

--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -109,6 +109,8 @@
             )
         )
         await self.sync.start()
+        if self.readiness.is_stopping:
+            return
         self.proxy.start()
         self.takeovers.start()
         self.evacuations.start()
@@ -147,6 +149,8 @@
         self.context.log.write(
             events.Event.DAEMON_STOPPING, sessions=len(self.proxy.sessions)
         )
+        if not self.readiness.has_started:
+            self.sync.stop()
         self.proxy.begin_stop()
         deadline = self.context.now() + self.context.settings.grace_s - STOP_MARGIN_S
         while self.is_busy and self.context.now() < deadline:
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -203,6 +203,8 @@
                     break
                 self._record_outcomes(registered)
             await self._sleep(STARTUP_RETRY_INTERVAL_S)
+        if self.is_stopped:
+            return
         self.loop = timers.start_loop(
             self.context, SYNC_INTERVAL_S, self._sync_once, now=False
         )
--- a/tests/daemon/test_hosted.py
+++ b/tests/daemon/test_hosted.py
@@ -5,7 +5,7 @@
 import types
 
 import testtools
-from twisted.internet import defer, task
+from twisted.internet import defer, testing
 
 from pomelograde.daemon import hosted
 
@@ -43,43 +43,80 @@
     def __init__(self, **attributes):
         self.__dict__.update(attributes)
 
+    def start(self):
+        pass
+
     def stop(self):
         pass
 
 
 class StopTests(testtools.TestCase):
-    def test_stop_waits_for_answers_that_a_caller_reads_slowly(self):
-        # The process ended, and with it what the socket had not taken yet.
-        clock = task.Clock()
-        logged = []
-        sync = Part(leave=lambda: defer.succeed(None))
-        relay = Part(pending=set())
+    def setUp(self):
+        super().setUp()
+        self.clock = testing.MemoryReactorClock()
+        self.logged = []
+        self.started = defer.Deferred()
+        sync = Part(
+            start=lambda: self.started,
+            leave=lambda: defer.succeed(None),
+            configuration=Part(version=1),
+        )
         proxy = Part(
             sessions=set(),
             is_busy=False,
             begin_stop=lambda: None,
-            relay=relay,
+            relay=Part(pending=set()),
             stopped_sessions=0,
             stopped_statements=0,
         )
+        settings = types.SimpleNamespace(
+            grace_s=6.0,
+            host="127.0.0.1",
+            data_centre="x",
+            store="s",
+            ready_port=1,
+            metrics_port=2,
+            peer_port=3,
+            caller_port=4,
+        )
         context = types.SimpleNamespace(
-            reactor=clock,
-            now=clock.seconds,
-            settings=types.SimpleNamespace(grace_s=6.0),
+            reactor=self.clock,
+            now=self.clock.seconds,
+            settings=settings,
             log=types.SimpleNamespace(
-                write=lambda event, **fields: logged.append(event.name)
+                write=lambda event, **fields: self.logged.append(event.name)
             ),
-            peers=Part(),
+            members=Part(own=Part(build="")),
+            peers=Part(listen=lambda host, port: Part(stopListening=lambda: None)),
         )
-        slow_caller = object()
-        callers = Part(closing={slow_caller})
-        daemon = hosted.HostedDaemon(
-            context, sync, proxy, Part(running={}), Part(), Part(), callers
+        self.callers = Part(closing=set())
+        self.daemon = hosted.HostedDaemon(
+            context,
+            sync,
+            proxy,
+            Part(running={}),
+            Part(),
+            Part(has_started=False, is_stopping=False, render=None),
+            self.callers,
         )
-        stopped = defer.ensureDeferred(daemon.stop())
-        clock.pump([0.05] * 60)
-        self.assertEqual(["DAEMON_STOPPING"], logged)
-        callers.closing.discard(slow_caller)
-        clock.pump([0.05] * 2)
-        self.assertEqual(["DAEMON_STOPPING", "DAEMON_STOPPED"], logged)
+
+    def test_stop_waits_for_answers_that_a_caller_reads_slowly(self):
+        # The process ended, and with it what the socket had not taken yet.
+        slow_caller = object()
+        self.callers.closing.add(slow_caller)
+        stopped = defer.ensureDeferred(self.daemon.stop())
+        self.clock.pump([0.05] * 60)
+        self.assertEqual(["DAEMON_STOPPING"], self.logged)
+        self.callers.closing.discard(slow_caller)
+        self.clock.pump([0.05] * 2)
+        self.assertEqual(["DAEMON_STOPPING", "DAEMON_STOPPED"], self.logged)
         self.assertTrue(stopped.called)
+
+    def test_start_that_ends_after_the_stop_began_accepts_no_callers(self):
+        starting = defer.ensureDeferred(self.daemon.start())
+        self.callers.closing.add(object())
+        defer.ensureDeferred(self.daemon.stop())
+        self.started.callback(None)
+        self.assertTrue(starting.called)
+        self.assertEqual([1, 2], [server[0] for server in self.clock.tcpServers])
+        self.assertEqual(["DAEMON_STARTED", "DAEMON_STOPPING"], self.logged)
