--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -109,6 +109,8 @@
             )
         )
         await self.sync.start()
+        if self.readiness.is_stopping:
+            return
         self.proxy.start()
         self.takeovers.start()
         self.evacuations.start()
@@ -122,21 +124,33 @@
 
     @property
     def is_busy(self):
-        """Whether sessions, requests of other instances or takeovers are running."""
-        return self.proxy.is_busy or bool(self.takeovers.running)
+        """Whether sessions, requests of other instances or takeovers are running.
+
+        Notes
+        -----
+        Also while a caller has not been sent all of its last answer.
+        """
+        return (
+            self.proxy.is_busy
+            or bool(self.takeovers.running)
+            or bool(self.callers.closing)
+        )
 
     async def stop(self):
         """Shut down gracefully.
 
         Notes
         -----
-        Sessions, requests of other instances and takeovers may finish until
+        Sessions with their last answers, requests of other instances and takeovers
+        may finish until
         `STOP_MARGIN_S` before the platform kills the process.
         """
         self.readiness.is_stopping = True
         self.context.log.write(
             events.Event.DAEMON_STOPPING, sessions=len(self.proxy.sessions)
         )
+        if not self.readiness.has_started:
+            self.sync.stop()
         self.proxy.begin_stop()
         deadline = self.context.now() + self.context.settings.grace_s - STOP_MARGIN_S
         while self.is_busy and self.context.now() < deadline:
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -634,8 +634,7 @@
                 )
             except pools.UpstreamOpenError as error:
                 self.contradictions.record_refusal(service, spec, error)
-                pool = self.pools.get(spec.name)
-                if not error.refused and (pool is None or not pool.open):
+                if not (error.refused or pool.closed or pool.open):
                     self.cold_starts.presume_restart(service, spec.name)
                 raise
             self.contradictions.record_answer(service, spec)
