Ignore a second SIGTERM during a stop

Cause: the reactor's handler asks it to stop again, which it refuses with an error.

The new test failed before: the fault was logged.

--- a/pomelograde/daemon/runner.py
+++ b/pomelograde/daemon/runner.py
@@ -1,5 +1,6 @@
 """Runs a daemon in the reactor, from its start to the end of the process."""
 
+import signal
 import sys
 
 import click
@@ -57,11 +58,14 @@
     def on_signal(number, frame):
         reactor.callFromThread(on_hangup)
 
+    def stop():
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, signal.SIG_IGN)  # the reactor can stop only once
+        return defer.ensureDeferred(daemon.stop())
+
     reactor.callWhenRunning(start)
     reactor.callWhenRunning(hangup.handle, on_signal)
-    reactor.addSystemEventTrigger(
-        "before", "shutdown", lambda: defer.ensureDeferred(daemon.stop())
-    )
+    reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
     if failures:
         sys.exit(1)
--- a/tests/daemon/test_program.py
+++ b/tests/daemon/test_program.py
@@ -43,6 +43,24 @@
 runner.run(reactor, daemon, lambda: (print("reloads"), reactor.stop()))
 """
 
+# Runs a daemon that gets SIGTERM again while it stops.
+SECOND_STOP_STUB = """
+import os, signal, types
+from pomelograde.daemon import runner
+from pomelograde.net import faults, steady_reactor
+reactor = steady_reactor.install()
+from twisted.internet import task
+async def start():
+    os.kill(os.getpid(), signal.SIGTERM)
+async def stop():
+    os.kill(os.getpid(), signal.SIGTERM)
+    await task.deferLater(reactor, 0.1)
+    print("stopped")
+log = types.SimpleNamespace(write=lambda event, **fields: print(event.name))
+faults.install(log)
+runner.run(reactor, types.SimpleNamespace(start=start, stop=stop), None)
+"""
+
 
 class ProgramTests(testtools.TestCase):
     def run_python(self, *arguments):
@@ -68,3 +86,6 @@
 
     def test_hangup_before_the_daemon_runs_is_handled_once_it_does(self):
         self.assertEqual("reloads", self.run_python("-c", HELD_HANGUP_STUB))
+
+    def test_second_signal_to_stop_is_no_fault(self):
+        self.assertEqual("stopped", self.run_python("-c", SECOND_STOP_STUB))
