Read no half-written record from an instance's log in tests

A test that looks for a record while the instance writes one failed with JSONDecodeError ("Unterminated string starting at: line 1 column 69"), once in 7 trials of test_taken_back_while_the_takeover_runs on, with pauses of all processes: an instance was stopped in the middle of writing a line.

A line without its end is now left for the next read.

--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -127,9 +127,13 @@
     log_path: object
 
     def read_log(self):
-        """Return the JSON records of the log."""
-        lines = self.log_path.read_text().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+        """Return the JSON records of the log, without one that is being written."""
+        lines = self.log_path.read_text().splitlines(keepends=True)
+        return [
+            json.loads(line)
+            for line in lines
+            if line.startswith("{") and line.endswith("\n")
+        ]
 
 
 class Fleet:
