--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -613,9 +613,11 @@
         group = self.groups.get(service)
         return None if group is None else group.members.get(name)
 
-    def _connect_anew(self, service, member):
-        """Return a coroutine of a connection to a member that is in no pool."""
-        return self.open_connection(
+    async def _connect_anew(self, service, member):
+        """Return a connection to a member that is in no pool."""
+        if member.data_centre in self.evacuation_deadlines:
+            raise pools.UpstreamOpenError("evacuated")
+        return await self.open_connection(
             self.context.reactor,
             service,
             member,
