Leave out of the soak's checks the time in which an instance had no processor

Rules with a time bound hold for processes that run.

The waits of all instances are read from schedstat, and taken off the time that a request without an answer has waited. A request that has reached a member counts however long anything waited.

--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -27,7 +27,8 @@
     endings : list of Ending
         Ends of the processes.
     delays : list of tuple
-        Start and end of each time in which the clients were late.
+        Start and end of each time in which a process waited for a processor, after
+        the number of the instance; None for the clients.
     """
     executions = [
         {**found, "member": member}
@@ -57,9 +58,9 @@
         if request.end != clients.CLOSED or "SIGKILL" in kills.values():
             continue
         ended_at = min([request.ended_at, *kills])
-        late_s = sum(
-            max(0.0, min(end, ended_at) - max(start, request.sent_at))
-            for start, end in delays
+        late_s = max(
+            _sum_delays(delays, number, request.sent_at, ended_at)
+            for number in (None, request.instance)
         )
         waited_s = ended_at - request.sent_at - late_s
         has_arrived = request.request_id in arrived
@@ -71,6 +72,15 @@
             yield history.Violation("requests are answered", detail)
 
 
+def _sum_delays(delays, number, start_at, end_at):
+    """Return for how long an instance, or the clients, waited in a time."""
+    return sum(
+        max(0.0, min(end, end_at) - max(start, start_at))
+        for delayed, start, end in delays
+        if delayed == number
+    )
+
+
 def _find_kills(request, endings):
     """Return the kills of the process that a request was sent to, by their time."""
     return {
--- a/soak/stop_run.py
+++ b/soak/stop_run.py
@@ -27,7 +27,7 @@
     def _make_background(self):
         self.processes = stops.Processes(self.slots, self._start)
         self.administrator = stops.Administrator(self.fleet, self.seed)
-        return [self.administrator]
+        return [self.administrator, self.processes.run_delays]
 
     def _make_callers(self):
         for zone in run.host.ZONES:
@@ -69,20 +69,23 @@
         )
         seen = (self.group.requests, self.fleet.show_trace())
         endings = self.processes.endings
+        run_delays = self.processes.run_delays.delays
+        delays = [(None, start, end) for start, end in self.group.delays]
+        delays.extend(run_delays)
         late_s = sum(end - start for start, end in self.group.delays)
+        longest_s = max((end - start for _, start, end in run_delays), default=0.0)
         late = sum(found.was_late for found in endings)
         self.remarks.append(
             f"{len(endings)} processes ended, {late} of them by a kill after the grace "
-            f"period; the clients were late for {late_s:.1f} s"
+            f"period; the clients were late for {late_s:.1f} s, an instance waited "
+            f"{longest_s:.1f} s for a processor"
         )
         configurations = self.administrator.configurations
-        violations.extend(
-            stop_checks.check(*seen, configurations, endings, self.group.delays)
-        )
+        violations.extend(stop_checks.check(*seen, configurations, endings, delays))
         if violations and self.logs:
             directory = pathlib.Path(self.logs) / f"seed-{self.seed}"
             directory.mkdir(parents=True, exist_ok=True)
             seen = stop_checks.dump(*seen, configurations, endings)
-            seen["delays"] = self.group.delays
+            seen["delays"] = delays
             (directory / "seen.json").write_text(json.dumps(seen))
         return violations
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -1,6 +1,8 @@
 """Planned stops in series and overlapping, and changes of the configuration."""
 
 import copy
+import os
+import pathlib
 import random
 import signal
 import subprocess
@@ -16,6 +18,8 @@
 LATE_KILL = "SIGKILL after the grace period"
 GRACE_S = 6.0  # `graceS` of the instances' settings
 KILL_TIMEOUT_S = 5.0
+DELAY_INTERVAL_S = 0.05
+LEAST_DELAY_S = 0.1
 # Time between two actions on one instance: a stop, and the start after it.
 ACTION_S = GRACE_S + 1.0
 SPACINGS_S = (0.0, 0.03, 0.1, 1.0, 2.0)  # between the stops of a series
@@ -237,6 +241,48 @@
         return any(name == LATE_KILL for _, name in self.signals)
 
 
+class RunDelays(threading.Thread):
+    """Thread that notes when the processes of instances wait for a processor.
+
+    Parameters
+    ----------
+    slots : list of InstanceSlot
+        Instances.
+
+    Attributes
+    ----------
+    delays : list of tuple
+        Number of the instance, start and end of each wait, in monotonic seconds.
+    """
+
+    def __init__(self, slots):
+        super().__init__(daemon=True)
+        self.slots = slots
+        self.delays = []
+        self.waited_s = {}
+        self.lock = threading.Lock()
+        self.stop_requested = threading.Event()
+
+    def run(self):
+        """Read the times of all processes until `stop_requested` is set."""
+        while not self.stop_requested.wait(DELAY_INTERVAL_S):
+            for slot in self.slots:
+                self.note(slot.number, slot.instance.child.pid)
+
+    def note(self, number, pid):
+        """Note a wait of a process since the last call."""
+        with self.lock:
+            try:
+                fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+            except OSError:  # it has ended
+                return
+            waited_s, now = int(fields[1]) / 1e9, time.monotonic()
+            new_s = waited_s - self.waited_s.get(pid, waited_s)
+            self.waited_s[pid] = waited_s
+            if new_s > LEAST_DELAY_S:
+                self.delays.append((number, now - new_s, now))
+
+
 class Processes:
     """Signals, ends and starts the processes of the instances.
 
@@ -251,11 +297,14 @@
     ----------
     endings : list of Ending
         Ends of all processes so far.
+    run_delays : RunDelays
+        Notes when they wait for a processor.
     """
 
     def __init__(self, slots, start):
         self.slots = slots
         self._start = start
+        self.run_delays = RunDelays(slots)
         self.signals = {slot.number: [] for slot in slots}
         self.log_sizes = dict.fromkeys(self.signals, 0)
         self.locks = {slot.number: threading.Lock() for slot in slots}
@@ -334,6 +383,9 @@
         except subprocess.TimeoutExpired:
             signals.append((time.monotonic(), LATE_KILL))
             child.kill()
+            # The times of a process can be read until it is waited for.
+            os.waitid(os.P_PID, child.pid, os.WEXITED | os.WNOWAIT)
+            self.run_delays.note(slot.number, child.pid)
             code = child.wait(timeout=KILL_TIMEOUT_S)
         now = time.monotonic()
         log = slot.instance.log_path.read_bytes()[self.log_sizes[slot.number] :]
