Write odd rows among those of the members in the soak with stops

Another writer's rows (a number of 400 digits, deep nesting, a port out of range, a field missing, a value cut off) are there for 0.5 to 4 s, every 2 to 8 s.

--- a/soak/stop_run.py
+++ b/soak/stop_run.py
@@ -53,11 +53,16 @@
     def _begin_fault(self, fault):
         if fault.kind in ACTIONS:
             self.processes.begin(fault)
+        elif fault.kind == "odd_row":
+            row = stops.make_odd_row(fault.instance)
+            self.fleet.put("servers", f"odd-{fault.instance}", row)
         else:
             super()._begin_fault(fault)
 
     def _end_fault(self, fault):
-        if fault.kind not in ACTIONS:
+        if fault.kind == "odd_row":
+            self.fleet.put("servers", f"odd-{fault.instance}", None)
+        elif fault.kind not in ACTIONS:
             super()._end_fault(fault)
 
     def _check_final_state(self):
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -1,6 +1,7 @@
 """Planned stops in series and overlapping, and changes of the configuration."""
 
 import copy
+import json
 import os
 import pathlib
 import random
@@ -37,6 +38,7 @@
     "store_link_silent",
     "store_link_slow",
 )
+ODD_ROW_INTERVAL_S = (2.0, 8.0)
 CHANGE_INTERVAL_S = (1.0, 2.0)
 ACCOUNTS = ("desk", "training", "depot", "audit")
 RATES_PER_S = {"training": 20}  # below what its clients ask for
@@ -97,9 +99,47 @@
         duration_s = rng.uniform(1.0, 2.5)
         number = rng.randrange(0, instances, len(host.ZONES))
         faults.append(plan.Fault(start_s, duration_s, "kill_series", number))
+    faults.extend(_plan_odd_rows(seed, seconds))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
+def _plan_odd_rows(seed, seconds):
+    """Yield the rows of another writer, each with its number for `make_odd_row`."""
+    rng = random.Random(f"{seed}/odd rows")
+    start_s = plan.INITIAL_DELAY_S
+    while (start_s := start_s + rng.uniform(*ODD_ROW_INTERVAL_S)) < seconds:
+        yield plan.Fault(start_s, rng.uniform(0.5, 4.0), "odd_row", rng.randrange(1000))
+
+
+def make_odd_row(number):
+    """Return the value of a row among the members' rows that names no member."""
+    row = {
+        "service": host.SERVICE,
+        "address": "127.0.0.1:9",
+        "zone": host.ZONES[0],
+        "version": "v1",
+        "slots": 3,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "dbRole": "replica",
+        "seq": 1,
+        "born": 1,
+    }
+    kind, depth = number % 5, 100 + number % 900
+    if kind == 0:
+        row["coldRemainingMs"] = int("9" * 400)
+    elif kind == 1:
+        row["address"] = "127.0.0.1:99999"
+    elif kind == 2:
+        del row["address"]
+    value = json.dumps(row)
+    if kind == 3:
+        value = value.replace("v1", "\\u0041").replace(
+            "{", '{"more": ' + "[" * depth + "]" * depth + ", "
+        )
+    return value[:-1] if kind == 4 else value
+
+
 @attrs.define
 class Configuration:
     """A configuration and when it was written.
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -1,5 +1,7 @@
 """Tests of the plan of stops and of the changes of the configuration."""
 
+import json
+
 import testtools
 
 from soak import plan, stops
@@ -10,6 +12,7 @@
     *stops.MEMBER_KINDS,
     *stops.DISRUPTIONS,
     "kill_series",
+    "odd_row",
 }
 
 
@@ -59,6 +62,17 @@
                     end_s = fault.start_s + fault.duration_s
 
 
+class OddRowTests(testtools.TestCase):
+    def test_rows_are_unreadable_in_one_way_each(self):
+        rows = [stops.make_odd_row(number) for number in range(5)]
+        self.assertEqual(400, len(str(json.loads(rows[0])["coldRemainingMs"])))
+        self.assertIn(":99999", rows[1])
+        self.assertNotIn("address", json.loads(rows[2]))
+        self.assertEqual("A", json.loads(rows[3])["version"])
+        self.assertIn("[" * 103, rows[3])
+        self.assertRaises(ValueError, json.loads, rows[4])
+
+
 class AdministratorTests(testtools.TestCase):
     def test_keys_move_and_are_withdrawn_and_given_back(self):
         written = []
