Renew the primary leases as soon as an instance has started

What callers saw: an instance that had just started had no primary for up to 0.5 s.

The new test failed before (leases of negative infinity).

--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -200,6 +200,7 @@
                 registered = await self._attempt(self._register)
                 if registered.is_ok():
                     self.freshness.record_members_read(self.members_as_of)
+                    self._notify(self.on_refreshed)
                     break
                 self._record_outcomes(registered)
             await self._sleep(STARTUP_RETRY_INTERVAL_S)
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -136,6 +136,18 @@
         self.source.calls[-1].callback(([self.own, other], []))
         self.assertIsNotNone(self.sync.loop)
 
+    def test_primary_leases_are_renewed_as_soon_as_an_instance_has_started(self):
+        leases = []
+        freshness = self.sync.freshness
+        self.sync.on_refreshed = lambda: leases.append(freshness.primary_lease_until())
+        self.source.register = self.source.call
+        document, members = self.source.calls
+        document.callback(source.ConfigurationDocument("7", 7, 9, 99.0))
+        members.callback(self.read_members(99.0))
+        self.source.calls[-1].callback(self.own)
+        self.source.calls[-1].callback(([self.own], []))
+        self.assertTrue(leases[-1] > self.clock.seconds(), leases)
+
     def test_members_are_not_recent_before_the_takeovers_were_read(self):
         # Another instance would use a primary that a takeover holds.
         self.source.register = self.source.call
