Keep a fault of one session or service from the others

An exception in one of them left all others without an answer, and in a stop the process ended with their statements unanswered. The check of the primaries ended with the first service that raised, ten times a second, so that no other one was taken over, and a takeover that raised was started again at once.

Each call has a boundary now, as the readers of the tables have. Three new tests failed before (0 of 2 callers answered, no takeover begun).

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -5,7 +5,7 @@
 import attrs
 
 from pomelograde.core import configuration, placement, pooling, retries
-from pomelograde.net import events, pools, timers
+from pomelograde.net import events, faults, pools, timers
 from pomelograde.net.hosted import (
     cold_starts,
     contradictions,
@@ -160,19 +160,26 @@
         """Stop the periodic work, and close all sessions and pools."""
         self.is_refusing = True
         if self.health is not None:
-            self.health.stop()
+            self._run(self.health.stop)
         for loop in self.loops:
             if loop.running:
                 loop.stop()
         if self.startup_timer is not None and self.startup_timer.active():
             self.startup_timer.cancel()
-        self.rates.stop()
-        self.contradictions.stop()
+        self._run(self.rates.stop)
+        self._run(self.contradictions.stop)
         for task in list(self.sessions):
-            self.stopped_sessions += 1
-            self.stopped_statements += task.stop(retries.Failure(_KIND.DRAINING))
+            self._run(self._stop_session, task)
         for pool in self.pools.values():
-            pool.close()
+            self._run(pool.close)
+
+    def _stop_session(self, task):
+        self.stopped_sessions += 1
+        self.stopped_statements += task.stop(retries.Failure(_KIND.DRAINING))
+
+    def _run(self, function, *arguments):
+        """Call a function whose failure must not keep others from being called."""
+        faults.run(self.context, function, *arguments)
 
     def set_configuration(self, new):
         """Apply a configuration."""
@@ -184,11 +191,15 @@
             self.cold_starts.configure(group)
         self.cold_starts.update()
         for task in list(self.sessions):
-            failure = self._check_access(task.database, task.key)
-            if failure is not None and task.is_idle:
-                task.end(failure)
+            self._run(self._check_session, task)
         self._resize_pools()
 
+    def _check_session(self, task):
+        """End an idle session whose database or key the configuration has not."""
+        failure = self._check_access(task.database, task.key)
+        if failure is not None and task.is_idle:
+            task.end(failure)
+
     def set_instances(self, instances):
         """Update the registered instances."""
         self.rates.set_instances(instances)
@@ -327,7 +338,7 @@
         group.is_fenced = True
         for task in list(self.sessions):
             if task.core.uses_primary(service):
-                task.perform(task.core.on_primary_fenced())
+                self._run(_fence_session, task)
 
     def renew_primary_leases(self):
         """Extend the primary leases after the state was refreshed."""
@@ -538,13 +549,13 @@
         self.is_refusing = True
         for task in list(self.sessions):
             if task.is_idle:
-                task.end(retries.Failure(_KIND.DRAINING))
+                self._run(task.end, retries.Failure(_KIND.DRAINING))
 
     def _end_transactions(self):
         """End open transactions, each once no statement of it is running."""
         self.is_ending_transactions = True
         for task in list(self.sessions):
-            task.end_transaction()
+            self._run(task.end_transaction)
 
     def _check_access(self, database, key):
         """Return the Failure for an unknown database or a withdrawn key, or None."""
@@ -703,19 +714,19 @@
         now = self.context.now()
         idle_s = self.configuration.transaction_idle_s
         for task in list(self.timed_sessions):
-            task.sweep(now, idle_s)
+            self._run(task.sweep, now, idle_s)
         for pool in self.pools.values():
-            pool.expire(now)
+            self._run(pool.expire, now)
         if self.health is not None:
-            self.health.check_silence(now)
-        self.relay.probe()
-        self.relay.sweep(now, idle_s)
+            self._run(self.health.check_silence, now)
+        self._run(self.relay.probe)
+        self._run(self.relay.sweep, now, idle_s)
         self.rates.update_part()
 
     def _refresh_positions(self):
         """Update the log positions of primaries."""
         now = self.context.now()
-        self.cold_starts.update()
+        self._run(self.cold_starts.update)
         for group in self.groups.values():
             if group.update_primary(now):
                 self._log_primary(group)
@@ -757,3 +768,7 @@
             primary=group.primary,
             age_s=round(self.context.now() - self.freshness.members_at, 3),
         )
+
+
+def _fence_session(task):
+    task.perform(task.core.on_primary_fenced())
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -7,9 +7,10 @@
 """
 
 from twisted.internet import defer, task
+from twisted.python import failure
 
 from pomelograde.core import configuration, placement, sessions, takeovers
-from pomelograde.net import events, peer_messages, peers, pools, timers
+from pomelograde.net import events, faults, peer_messages, peers, pools, timers
 from pomelograde.net.hosted import state_sync
 
 CHECK_INTERVAL_S = 0.1  # short against the time that detecting a failure takes
@@ -118,21 +119,27 @@
         for service, group in self.proxy.groups.items():
             if service in self.running or now < self.retry_at.get(service, now):
                 continue
-            if not self._may_start(service, now):
-                continue
-            reason = takeovers.find_takeover_reason(self._collect_health(group, now))
-            takeover = self.sync.fleet.takeovers.get(service)
-            is_evacuation = reason is takeovers.Reason.EVACUATED
-            if takeover is not None and not takeover.is_done and not is_evacuation:
-                # A takeover that was not completed still holds the primary, so one
-                # is run again whatever the primary's health. It is logged as ABSENT
-                # even if the primary is registered.
-                reason = takeovers.Reason.ABSENT
-            if is_evacuation and len(self.running) >= MAX_EVACUATION_TAKEOVERS:
-                continue
-            if reason is not None:
-                self.running.add(service)
-                defer.ensureDeferred(self._run(group, reason))
+            if not faults.run(self.context, self._check_service, group, now):
+                self.retry_at[service] = now + RETRY_DELAY_S
+
+    def _check_service(self, group, now):
+        """Start a takeover of a service if there is a reason."""
+        service = group.name
+        if not self._may_start(service, now):
+            return
+        reason = takeovers.find_takeover_reason(self._collect_health(group, now))
+        takeover = self.sync.fleet.takeovers.get(service)
+        is_evacuation = reason is takeovers.Reason.EVACUATED
+        if takeover is not None and not takeover.is_done and not is_evacuation:
+            # A takeover that was not completed still holds the primary, so one
+            # is run again whatever the primary's health. It is logged as ABSENT
+            # even if the primary is registered.
+            reason = takeovers.Reason.ABSENT
+        if is_evacuation and len(self.running) >= MAX_EVACUATION_TAKEOVERS:
+            return
+        if reason is not None:
+            self.running.add(service)
+            defer.ensureDeferred(self._run(group, reason))
 
     def _collect_health(self, group, now):
         """Return the PrimaryHealth of a service's primary."""
@@ -180,7 +187,8 @@
         takeover = self.sync.fleet.takeovers.get(service)
         unchanged_for_s = 0.0
         if takeover is not None:
-            unchanged_for_s = now - self.row_version_since[service][1]
+            _, since = self.row_version_since.get(service, (0, now))
+            unchanged_for_s = now - since
         incarnations = {
             found.name: found.incarnation for found in self.sync.fleet.registered
         }
@@ -232,6 +240,9 @@
             self.promoter.UnavailableError,
         ) as error:
             outcome = f"unavailable: {error}"
+        except Exception:
+            faults.log_failure(self.context.log, failure.Failure(), self._run)
+            outcome = "fault"
         finally:
             self.running.discard(service)
         now = self.context.now()
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -270,6 +270,35 @@
         self.assertTrue(upstream.is_closed)
 
 
+class IsolationTests(SessionTestCase):
+    """A fault of one session, and what the others get."""
+
+    def call_twice(self):
+        """Return two callers, each with a statement that waits for its member."""
+        found = [self.call(), self.call()]
+        for caller in found:
+            self.send(caller, "READ k")
+        return found
+
+    def count_errors(self, found):
+        return sum(
+            any("ERROR" in line for line in self.read(caller)) for caller in found
+        )
+
+    def test_stop_answers_the_others(self):
+        found = self.call_twice()
+        next(iter(self.proxy.sessions)).core.on_stopped = lambda: 1 / 0
+        self.proxy.stop()
+        self.assertEqual(1, self.count_errors(found))
+
+    def test_time_limits_apply_to_the_others(self):
+        found = self.call_twice()
+        next(iter(self.proxy.timed_sessions)).core.expire = lambda *_: 1 / 0
+        self.clock.advance(3.0)
+        self.proxy._sweep()
+        self.assertEqual(1, self.count_errors(found))
+
+
 class FatalErrorTests(SessionTestCase):
     """Statements behind one that ends the session had no answer."""
 
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -111,6 +111,14 @@
         self.task._check()
         self.assertEqual([("g", "reader/1", 0)], self.source.begun)
 
+    def test_fault_of_one_service_does_not_end_the_check_of_the_others(self):
+        other = placement.Group("a")
+        other.update([make_primary()], 100.0)
+        other.is_closed = lambda name, now: 1 / 0
+        self.task.proxy.groups = {"a": other, **self.task.proxy.groups}
+        self.task._check()
+        self.assertEqual([("g", "reader/1", 0)], self.source.begun)
+
     def test_takeover_that_another_instance_runs_is_not_restarted(self):
         self.learn(takeovers.Takeover("g", "other/1", "", 7, 7))
         self.task._check()
