Keep the time of a leaving member whose row is missing for a while

A leaving primary got the whole time again for new statements if its row was missing in one read of the members: after a return of the store from an older copy, an expired heartbeat, or a check of its id. Found by a review; the new test failed before (the member at 20.0 s in place of none). The time is kept for 60 s after the last row.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -21,6 +21,7 @@
 COLD_COST_FACTOR = 8.0
 # Time after which the row of a member shows whether it has started again.
 RESTART_CONFIRM_S = 1.5
+LEFT_MEMORY_S = 60.0  # for a leaving member whose row is missing for a while
 STALENESS_MARGIN_S = 0.1  # covers the transit of a read to the replica, up to 25 ms
 
 
@@ -150,6 +151,9 @@
     floors : FloorHistory
         Primary positions by the time of the request; each covers all commits
         that were acknowledged before that time.
+    left : dict of str to tuple of float
+        Time until which each member that leaves, or has left, may get new
+        statements, and time of the last update that had its row.
     evacuated : frozenset of str
         Data centres whose members get nothing more.
     outliers : Outliers or None
@@ -178,6 +182,7 @@
         self.term = 0
         self.term_start = None
         self.floors = _floors.FloorHistory()
+        self.left = {}
         self.evacuated = frozenset()
         self.outliers = None
         self.expected = None
@@ -207,9 +212,11 @@
         for member in members:
             current = self.members.get(member.name)
             if member.leaving:
-                member.leaving_until = leaving_until
-                if current is not None and current.leaving:
-                    member.leaving_until = current.leaving_until
+                until, _ = self.left.get(member.name, (leaving_until, now))
+                member.leaving_until = until
+                self.left[member.name] = (until, now)
+            else:
+                self.left.pop(member.name, None)
             if current is not None and current.address == member.address:
                 current.role = member.role
                 current.leaving = member.leaving
@@ -222,6 +229,11 @@
                 self.expected.estimates.pop(member.name, None)
             registered[member.name] = member
         self.members = registered
+        self.left = {
+            name: (until, seen_at)
+            for name, (until, seen_at) in self.left.items()
+            if name in registered or now < seen_at + LEFT_MEMORY_S
+        }
         if self.outliers is not None:
             self.outliers.retain(registered)
         if self.expected is not None:
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -49,6 +49,17 @@
         self.group.update(rows, 10.0, leaving_until=9.0)
         self.assertEqual("d", self.group.primary)
 
+    def test_leaving_member_whose_row_comes_back_gets_no_new_time(self):
+        primary = placement.Role.PRIMARY
+        self.update(primary, leaving=True, until=20.0)
+        self.group.update([member("a")], 15.0, leaving_until=25.0)
+        self.update(primary, leaving=True, until=26.0)
+        self.assertIsNone(self.group.usable_primary(20.0))
+        self.update(primary, leaving=False, until=40.0)
+        self.group.update([member("a")], 16.0)
+        self.update(primary, leaving=True, until=45.0)
+        self.assertEqual("c", self.group.usable_primary(44.0).name)
+
     def test_promotion_of_a_leaving_member_does_not_extend_its_time(self):
         self.update(placement.Role.REPLICA, leaving=True, until=20.0)
         self.update(placement.Role.PRIMARY, leaving=True, until=30.0)
