Check the row of a closed primary by no connection, and of a moved member anew

Found by a review, each with a test that failed before: the check of a leaving primary's id connected to members of an evacuated data centre; a member that had answered at one address counted as having answered wherever its row moved, and was then checked on every refusal; an exception in a check ended the checks of its row.

--- a/pomelograde/net/hosted/contradictions.py
+++ b/pomelograde/net/hosted/contradictions.py
@@ -7,8 +7,9 @@
 
 import attrs
 from twisted.internet import defer
+from twisted.python import failure
 
-from pomelograde.net import events, pools
+from pomelograde.net import events, faults, pools
 
 FIRST_CHECK_S = 1.0  # until a member that was left out is asked again
 MAX_CHECK_S = 8.0  # the interval doubles up to this
@@ -103,6 +104,10 @@
         for name in list(self.found):
             self._forget(name)
 
+    def has_answered(self, service, member):
+        """Return whether a member has answered under its id at its address."""
+        return self.answered.get(member.name) == _identify(service, member)
+
     def record_answer(self, service, member):
         """Record that a member has answered under its id."""
         self.answered[member.name] = _identify(service, member)
@@ -122,7 +127,7 @@
     def _record_misdirected(self, service, member):
         identity = _identify(service, member)
         name = member.name
-        if self.is_stopped or self.answered.get(name) == identity:
+        if self.is_stopped or self.has_answered(service, member):
             return
         if name not in self.found:
             self.found[name] = _Contradiction(identity, member)
@@ -139,7 +144,7 @@
         now = self.context.now()
         name = member.name
         due_at = self.checked_at.get(name, float("-inf")) + SUSPICION_INTERVAL_S
-        if self.answered.get(name) == _identify(service, member) or now < due_at:
+        if self.has_answered(service, member) or now < due_at:
             return
         self.checked_at[name] = now
         defer.ensureDeferred(self._check(service, member))
@@ -151,6 +156,9 @@
         except pools.UpstreamOpenError as error:
             self.record_refusal(service, member, error)
             return error.is_full
+        except Exception:
+            faults.log_failure(self.context.log, failure.Failure(), self._check)
+            return False
         connection.close()
         self.record_answer(service, member)
         return True
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -614,8 +614,6 @@
         -----
         Otherwise the loss of a member would make all instances connect to it.
         """
-        if name in self.contradictions.answered:
-            return
         member = self._find_row(service, name)
         if member is not None:
             self.contradictions.record_answer(service, member)
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -940,11 +940,14 @@
 
         Notes
         -----
-        A position shows that it has answered under the row's id.
+        A position shows that it has answered under the row's id. One that an
+        evacuation has closed may not be asked.
         """
         primary = group.members.get(group.primary)
         if primary is None or primary.position is not None:
             return False
+        if group.is_closed(primary.name, self.context.now()):
+            return False
         known = self.proxy.contradictions
         try:
             connection = await self._connect(group, primary)
--- a/tests/net/hosted/test_contradictions.py
+++ b/tests/net/hosted/test_contradictions.py
@@ -140,6 +140,21 @@
         self.calls[-1].errback(MISDIRECTED)
         self.assertEqual([], self.select(self.member))
 
+    def test_check_that_fails_unexpectedly_is_made_again(self):
+        self.contradict()
+        for _ in range(2):
+            self.clock.advance(contradictions.MAX_CHECK_S)
+            self.calls[-1].errback(OverflowError())
+        self.assertEqual(2, len(self.calls))
+        self.assertEqual([], self.select(self.member))
+
+    def test_member_that_has_moved_has_not_answered_there(self):
+        self.known.record_answer("g", self.member)
+        moved = make_member("m", port=2)
+        self.assertFalse(self.known.has_answered("g", moved))
+        self.known.record_answer("g", moved)
+        self.assertTrue(self.known.has_answered("g", moved))
+
     def test_member_that_has_answered_is_not_suspected(self):
         self.known.record_answer("g", self.member)
         self.known.suspect("g", self.member)
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -257,6 +257,20 @@
         self.assertTrue(defer.ensureDeferred(checking).result)
         self.assertEqual([], asked)
 
+    def test_row_of_a_leaving_primary_that_is_closed_is_not_checked(self):
+        opened = []
+
+        def open_connection(reactor, service, member, *arguments):
+            opened.append(member.name)
+            return defer.fail(pools.UpstreamOpenError("no answer"))
+
+        self.task.proxy.open_connection = open_connection
+        self.group.update([make_primary(), placement.Member("r", "y")], 100.0)
+        self.group.members["p"].leaving = True
+        self.evacuate("x", until=100.0)
+        self.task._check()
+        self.assertNotIn("p", opened)
+
     def find_candidates(self, positions, is_closed=False, known=(1, 9)):
         """Return the candidates to replace p, whose log ends at 1.9, after 2 s."""
         members = [make_primary()]
