Take only IPv4 addresses in the rows of members and in the settings

The platform gives addresses as numbers. The test of the rows expects a host name and an incomplete address as invalid; both were accepted before.

--- a/pomelograde/platform/settings.py
+++ b/pomelograde/platform/settings.py
@@ -1,5 +1,6 @@
 """Parser of the settings file that the platform writes for each process."""
 
+import ipaddress
 import json
 import os
 import re
@@ -9,7 +10,6 @@
 from pomelograde.daemon import hosted_settings
 
 PATH_VARIABLE = "POMELOGRADE_NODE_FILE"
-_HOST = re.compile(r"[A-Za-z0-9._-]{1,253}")
 _PORT = re.compile(r"[0-9]{1,5}")
 
 
@@ -88,11 +88,8 @@
     host, _, port = address.rpartition(":")
     if not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise ValueError("expected HOST:PORT with a port from 1 to 65535")
-    return require_host(host), int(port)
-
-
-def require_host(value):
-    """Return a value that must be an IPv4 address or a host name."""
-    if type(value) is not str or not _HOST.fullmatch(value):
-        raise ValueError("expected an IPv4 address or a host name")
-    return value
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ValueError("expected HOST:PORT with an IPv4 address") from None
+    return host, int(port)
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -115,6 +115,8 @@
                 "::1:80",
                 "é:80",
                 "x" * 254 + ":80",
+                "member-1.zone_a.example:80",
+                "1.2.3:80",
                 8080,
                 None,
                 ["10.0.0.1", 80],
@@ -159,7 +161,7 @@
     def test_allowed_variants_are_accepted(self):
         for fields in (
             {"coldRemainingMs": 7400.5},
-            {"address": "member-1.zone_a.example:65535"},
+            {"address": "10.0.0.1:65535"},
             {"zone": "zone a"},
             {"slots": (1 << 16) - 1, "born": (1 << 63) - 1},
             {"seq": LARGE, "version": None, "added": [True]},
