--- a/pomelograde/net/admission.py
+++ b/pomelograde/net/admission.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from pomelograde.core import limits
-from pomelograde.net import faults, peer_messages, peers, platform, rates
+from pomelograde.net import peer_messages, peers, platform, rates, timers
 
 POLL_INTERVAL_S = 1.0
 NO_SHARE_POLL_INTERVAL_S = 0.2
@@ -140,7 +140,7 @@
 
     def _on_poll_failed(self, reason):
         # A stop of the daemon waits for the poll.
-        faults.log_failure(self.context.log, reason, self.poll)
+        timers.log_fault(self.context.log, self.poll, reason)
 
     async def _read_table(self):
         answer = await self.client.rows(limits.TABLE_PREFIX, self.table_version)
--- a/pomelograde/net/faults.py
+++ b/pomelograde/net/faults.py
@@ -53,31 +53,11 @@
     try:
         function(*arguments)
     except Exception:
-        log_failure(context.log, failure.Failure(), function)
+        timers.log_fault(context.log, function, failure.Failure())
         return False
     return True
 
 
-def log_failure(log, reason, function):
-    """Log the failure of a function as an event.
-
-    Parameters
-    ----------
-    log : Log
-        Event log.
-    reason : Failure
-        The failure.
-    function : callable
-        Function that failed.
-    """
-    log.write(
-        events.Event.INTERNAL_FAULT,
-        where=getattr(function, "__qualname__", ""),
-        error=reason.type.__name__,
-        place=timers.format_location(reason),
-    )
-
-
 def install(log):
     """Start to log unhandled failures as events."""
     logger.globalLogBeginner.beginLoggingTo(
--- a/pomelograde/net/hosted/contradictions.py
+++ b/pomelograde/net/hosted/contradictions.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 from twisted.python import failure
 
-from pomelograde.net import events, faults, pools
+from pomelograde.net import events, pools, timers
 
 FIRST_CHECK_S = 1.0  # until a member that was left out is asked again
 MAX_CHECK_S = 8.0  # the interval doubles up to this
@@ -157,7 +157,7 @@
             self.record_refusal(service, member, error)
             return error.is_full
         except Exception:
-            faults.log_failure(self.context.log, failure.Failure(), self._check)
+            timers.log_fault(self.context.log, self._check, failure.Failure())
             return False
         connection.close()
         self.record_answer(service, member)
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -17,7 +17,7 @@
 from twisted.python import failure
 
 from pomelograde.core import configuration, membership, placement, takeovers
-from pomelograde.net import events, peer_messages, peers, timers
+from pomelograde.net import events, faults, peer_messages, peers, timers
 
 SYNC_INTERVAL_S = 0.5  # keys and primary leases need a refresh within 3 s
 LONG_POLL_S = 1.0  # an answer without a change still proves that state is current
@@ -276,10 +276,7 @@
 
     def _run(self, function, *arguments):
         """Call a function that uses what was read; an exception is logged."""
-        try:
-            function(*arguments)
-        except Exception:
-            timers.log_fault(self.context.log, function, failure.Failure())
+        faults.run(self.context, function, *arguments)
 
     def _notify(self, callback, *arguments):
         if callback is not None:
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -241,7 +241,7 @@
         ) as error:
             outcome = f"unavailable: {error}"
         except Exception:
-            faults.log_failure(self.context.log, failure.Failure(), self._run)
+            timers.log_fault(self.context.log, self._run, failure.Failure())
             outcome = "fault"
         finally:
             self.running.discard(service)
