--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -572,7 +572,9 @@
             ]
 
         self.assertTrue(wait_until(find))
-        (done,) = find()
+        found = find()
+        self.assertEqual(1, len(found), found)
+        (done,) = found
         self.assertEqual(
             ("upstream_failed", PRIMARY, 1),
             (done["outcome"], done["member"], done["attempts"]),
