Close only the sending side until a caller has its last answers

On a hosting platform a caller that reads slowly got a cut-off answer and then a reset connection, although the answer had been written in full, if its next request arrived after its session had been closed. An instance that stops does this to each caller whose request is on its way.

Cause: the connection was closed with `loseConnection`, which stops reading. Closing a socket with unread bytes resets the connection, and the system drops what it has not sent yet. `closing`, for which a stop waits, also lacked callers whose answer was in the system's buffer only.

Evidence: an answer of 900,000 bytes, read at about 300 kB/s, the session closed 1 s after it was announced as ended, the next request 0.2 s later: 480,922 bytes arrived, then ECONNRESET.

Why it works: only the sending side is closed after the last answer; reading is resumed, should the caller's slowness have paused it, and input is discarded. The connection stays in `closing` until the caller closes its end, or for 0.2 s after its host has confirmed all bytes (SIOCOUTQ), so that a stop does not wait for callers that merely keep their end open. A caller that has not taken its answers after 30 s is dropped; such a caller kept its connection for ever. The session ends, as before, when all data has been passed to the system. A caller that closes its end while it is served has disconnected, as before.

The tests of sessions looked for `transport.disconnecting`, which is now set only at the end of a close; they look for the end of the sending side instead, which is as strict: nothing is sent after it.

--- a/pomelograde/platform/callers.py
+++ b/pomelograde/platform/callers.py
@@ -1,11 +1,19 @@
 """Caller connections: decodes statements and encodes their answers."""
 
-from twisted.internet import protocol
+import fcntl
+import struct
+import termios
+
+from twisted.internet import interfaces, protocol
+from zope import interface
 
 from pomelograde.core import retries
 from pomelograde.platform import _line_protocol
 
 START_TIMEOUT_S = 5.0  # callers time out after 2 s
+CLOSE_TIMEOUT_S = 30.0  # for a caller to read its last answers
+CLOSE_LINGER_S = 0.2  # for a caller that has got them to close its end
+CLOSE_CHECK_INTERVAL_S = 0.05
 
 _KIND = retries.ErrorKind
 
@@ -24,7 +32,8 @@
     on_refused : callable
         Called with the Failure when a session is refused.
     closing : set of CallerProtocol
-        Connections that this instance closes, but that have data to send yet.
+        Connections that this instance closes, but that the caller has not closed
+        yet.
 
     Attributes
     ----------
@@ -41,6 +50,11 @@
         Whether it handles requests that have arrived together.
     is_closing : bool
         Whether this instance closes the connection.
+    close_timer : IDelayedCall or None
+        Drops a caller that does not read its last answers; None before this
+        instance closes its side.
+    check_timer : IDelayedCall or None
+        Next step of the close, once all data has been passed to the socket.
     """
 
     def __init__(self, reactor, open_session, on_refused, closing):
@@ -56,6 +70,8 @@
         self.is_status_due = False
         self.is_reading = False
         self.is_closing = False
+        self.close_timer = None
+        self.check_timer = None
 
     def connectionMade(self):  # noqa: N802
         """Start the time limit for the start message."""
@@ -66,7 +82,9 @@
         )
 
     def dataReceived(self, data):  # noqa: N802
-        """Handle data from the caller."""
+        """Handle data from the caller; discard it once this side is closed."""
+        if self.close_timer is not None:
+            return
         try:
             lines = self.reader.feed(data)
         except _line_protocol.LineTooLongError:
@@ -85,10 +103,20 @@
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Tell the session that the caller has disconnected."""
         self._cancel_start_timer()
+        for timer in (self.close_timer, self.check_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         self.closing.discard(self)
-        session, self.session = self.session, None
-        if session is not None:
-            session.on_closed()
+        self._end_session()
+
+    def writeConnectionLost(self):  # noqa: N802
+        """Close the connection once the caller's host has got everything."""
+        self._end_session()
+        self._check_sent()
+
+    def readConnectionLost(self):  # noqa: N802
+        """Close the connection after a caller that sends nothing more."""
+        self.transport.loseConnection()
 
     def pauseProducing(self):  # noqa: N802
         """Stop reading from a caller that does not read its answers."""
@@ -145,6 +173,14 @@
 
         The requests that have arrived together with the one that is being handled
         get their answers first.
+
+        Notes
+        -----
+        Closing a socket with unread bytes resets the connection, and the system
+        drops what it has not sent yet. Only the sending side is closed at first,
+        and incoming data is discarded until the caller closes its end, or
+        `CLOSE_LINGER_S` after its host has confirmed everything. A caller whose
+        host has not done so after `CLOSE_TIMEOUT_S` is dropped.
         """
         self.closing.add(self)
         self.is_closing = True
@@ -152,9 +188,31 @@
             self._close()
 
     def _close(self):
-        if not self.transport.disconnecting:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+        if self.close_timer is not None:
+            return
+        self.close_timer = self.reactor.callLater(
+            CLOSE_TIMEOUT_S, self.transport.abortConnection
+        )
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        # Only now: a caller that closes its sending side earlier has disconnected.
+        interface.alsoProvides(self, interfaces.IHalfCloseableProtocol)
+        self.transport.loseWriteConnection()
+
+    def _check_sent(self):
+        if _count_unconfirmed(self.transport.getHandle()):
+            self.check_timer = self.reactor.callLater(
+                CLOSE_CHECK_INTERVAL_S, self._check_sent
+            )
+        else:
+            self.check_timer = self.reactor.callLater(
+                CLOSE_LINGER_S, self.transport.loseConnection
+            )
+
+    def _end_session(self):
+        session, self.session = self.session, None
+        if session is not None:
+            session.on_closed()
 
     def _handle_line(self, line):
         if self.session is None:
@@ -242,3 +300,10 @@
         return CallerProtocol(
             self.reactor, self.open_session, self.on_refused, self.closing
         )
+
+
+def _count_unconfirmed(connected_socket):
+    """Return the number of sent bytes that the other host has not confirmed."""
+    # On sockets Linux calls this request SIOCOUTQ.
+    packed = fcntl.ioctl(connected_socket, termios.TIOCOUTQ, bytes(4))
+    return struct.unpack("i", packed)[0]
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -17,11 +17,23 @@
 
 
 class Transport(testing.StringTransport):
-    """Transport of a caller's connection."""
+    """Transport of a caller's connection.
+
+    Attributes
+    ----------
+    is_ended : bool
+        Whether this side of the connection has been closed.
+    """
+
+    is_ended = False
 
     def setTcpNoDelay(self, enabled):  # noqa: N802
         """Do nothing."""
 
+    def loseWriteConnection(self):  # noqa: N802
+        """Record that nothing more is sent."""
+        self.is_ended = True
+
 
 class Upstream:
     """Connection to the primary; the test answers its statements."""
@@ -237,7 +249,7 @@
         self.stop_after(0.9)
         self.read(caller)
         self.proxy.stop()
-        self.assertTrue(caller.transport.disconnecting)
+        self.assertTrue(caller.transport.is_ended)
         self.assertTrue((upstream or self.pool.opened[-1]).is_closed)
         return [line.split(" ")[:2] for line in self.read(caller)]
 
@@ -320,7 +332,7 @@
             + [["ERROR", "DENIED"], ["READY", "I"]] * 2,
             self.answers(caller),
         )
-        self.assertTrue(caller.transport.disconnecting)
+        self.assertTrue(caller.transport.is_ended)
 
     def send_at_once(self, caller, *texts):
         """Send statements in one piece; returns the answers."""
@@ -334,14 +346,14 @@
         self.configure(red={"key-2"})
         answers = self.send_at_once(caller, "READ k", "WRITE k 2", "COMMIT")
         self.assertEqual([["ERROR", "DENIED"], ["READY", "E"]] * 3, answers)
-        self.assertTrue(caller.transport.disconnecting)
+        self.assertTrue(caller.transport.is_ended)
         self.assertEqual(set(), self.proxy.sessions)
 
     def test_statements_behind_the_end_that_the_caller_asked_for_are_dropped(self):
         caller = self.call()
         caller.dataReceived(b"TERMINATE\r\nQUERY q1 READ k\r\n")
         self.assertEqual([], self.answers(caller))
-        self.assertTrue(caller.transport.disconnecting)
+        self.assertTrue(caller.transport.is_ended)
 
     def test_statements_behind_one_that_a_stop_refuses_are_answered(self):
         caller = self.wait("READ k", "READ l", "READ m")
@@ -353,7 +365,7 @@
             + [["ERROR", "RETRY"], ["READY", "I"]] * 2,
             self.answers(caller),
         )
-        self.assertTrue(caller.transport.disconnecting)
+        self.assertTrue(caller.transport.is_ended)
 
 
 class CutOffTests(SessionTestCase):
