Answer the statements before input that ends a session

On a hosting platform a caller that sent a malformed line, a line that is too long or a 65th waiting statement behind statements without an answer got the error for that input as the answer to its first statement, and none for the others. So a write that had been sent to its member was answered with MALFORMED.

Cause: the session was refused and closed at once, while a member ran the first statement. The complete lines that arrived in one piece with a line that is too long were dropped, too.

Evidence (new tests on the code before): with a write at its member and a read queued, a malformed line and a stop, the caller got MALFORMED only; now it gets INDOUBT, RETRY, MALFORMED. With 70 reads sent, it got MALFORMED before any answer; now 65 answers and then MALFORMED.

Why it works: the session keeps the error until the statements before it have been answered, within their time limits, and drops all later input. What ends the session meanwhile answers the queue and then the input. Session state and metrics now count a line that is too long as well.

--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -46,6 +46,9 @@
         When its processing started.
     queued : deque of Statement
         Statements received before the answer to an earlier one.
+    fault : Failure or None
+        Answer to input that ends the session, once the statements before it have
+        been answered; None without such input.
     waiter : Waiter or None
         Request for a connection that the pool has not answered yet.
     session_id : int
@@ -67,6 +70,7 @@
         self._set_account(proxy.find_account(key))
         self.core.tries_other_members = context.settings.shares_members
         self.queued = collections.deque()
+        self.fault = None
         self.statement = None
         self.started_at = 0.0
         self.waiter = None
@@ -100,12 +104,16 @@
 
     def receive(self, statement):
         """Run a statement of the caller, or queue it behind an earlier one."""
-        if self.statement is not None:
-            if len(self.queued) >= MAX_QUEUED_STATEMENTS:
-                self.on_malformed()
-                return
-            self.queued.append(statement)
+        if self.fault is not None:
             return
+        if self.statement is None:
+            self._start(statement)
+        elif len(self.queued) < MAX_QUEUED_STATEMENTS:
+            self.queued.append(statement)
+        else:
+            self.on_malformed(retries.Failure(retries.ErrorKind.MALFORMED_FRAME))
+
+    def _start(self, statement):
         now = self.context.now()
         account = self.proxy.find_account(self.key)
         if account != self.account and self.core.is_idle:
@@ -115,18 +123,33 @@
         self.proxy.timed_sessions.add(self)
         self.perform(self.core.on_statement(statement, now))
 
-    def on_malformed(self):
-        """End the session because of invalid input.
+    def on_malformed(self, failure):
+        """End the session because of invalid input, after earlier statements.
+
+        Parameters
+        ----------
+        failure : Failure
+            Answer to the input.
 
         Notes
         -----
-        This is also called for too many queued statements.
+        This is also called for too many queued statements. Later input is dropped.
         """
-        failure = retries.Failure(retries.ErrorKind.MALFORMED_FRAME)
-        self.proxy.record_refusal(self, failure)
-        self.caller.refuse(failure, self.core.status)
+        if self.fault is None:
+            self.fault = failure
+            if self.statement is None:
+                self._end_on_fault()
+
+    def _end_on_fault(self):
+        self._refuse_fault()
         self.close("error")
 
+    def _refuse_fault(self):
+        fault, self.fault = self.fault, None
+        if fault is not None:
+            self.caller.refuse(fault, self.core.status)
+            self.proxy.record_refusal(self, fault)
+
     def on_closed(self, reason="caller"):
         """Release all resources after the caller has disconnected.
 
@@ -190,20 +213,23 @@
             Number of statements that were answered.
         """
         queued, self.queued = self.queued, collections.deque()
+        fault, self.fault = self.fault, None
         count = len(queued) + (self.statement is not None)
         self.ended_at = self.context.now()  # The answers tell, not an announcement.
         self.perform(self.core.on_stopped())
         self.queued = queued
+        self.fault = fault
         self.refuse_queued(failure)
         self.close("stop")
         return count
 
     def refuse_queued(self, failure):
-        """Answer the statements that are queued with an error."""
+        """Answer the statements that are queued, and input behind them, with errors."""
         while self.queued:
             self.queued.popleft()
             self.caller.refuse(failure, self.core.status)
             self.proxy.record_refusal(self, failure)
+        self._refuse_fault()
 
     def sweep(self, now, transaction_idle_s):
         """Apply the time limits of the operation and of the end of the session."""
@@ -269,7 +295,9 @@
         if self.statement is not None or self.closed:
             return
         if self.queued:
-            self.receive(self.queued.popleft())
+            self._start(self.queued.popleft())
+        elif self.fault is not None:
+            self._end_on_fault()
         elif self.proxy.is_ending_transactions and self.core.transaction is not None:
             self.end_transaction()
         elif self.proxy.is_refusing and self.is_idle:
--- a/pomelograde/platform/_line_protocol.py
+++ b/pomelograde/platform/_line_protocol.py
@@ -101,15 +101,26 @@
             data = self.buffer + data
         lines = data.split(LINE_END)
         self.buffer = lines.pop()
+        for number, line in enumerate(lines):
+            if len(line) > MAX_LINE_BYTES:
+                raise LineTooLongError(lines[:number])
         if len(self.buffer) > MAX_LINE_BYTES:
-            raise LineTooLongError
-        if any(len(line) > MAX_LINE_BYTES for line in lines):
-            raise LineTooLongError
+            raise LineTooLongError(lines)
         return lines
 
 
 class LineTooLongError(Exception):
-    """A line is longer than `MAX_LINE_BYTES`."""
+    """A line is longer than `MAX_LINE_BYTES`.
+
+    Parameters
+    ----------
+    lines : list of bytes
+        Lines before it that have been completed at the same time.
+    """
+
+    def __init__(self, lines):
+        super().__init__("line too long")
+        self.lines = lines
 
 
 class MalformedLineError(Exception):
--- a/pomelograde/platform/callers.py
+++ b/pomelograde/platform/callers.py
@@ -27,8 +27,8 @@
         Reactor.
     open_session : callable
         Called with this protocol, the database name and the API key. Returns a
-        session with `receive(statement)`, `on_malformed()` and `on_closed()`, or
-        a Failure.
+        session with `receive(statement)`, `on_malformed(failure)` and
+        `on_closed()`, or a Failure.
     on_refused : callable
         Called with the Failure when a session is refused.
     closing : set of CallerProtocol
@@ -48,6 +48,8 @@
         state of the session.
     is_reading : bool
         Whether it handles requests that have arrived together.
+    is_input_over : bool
+        Whether all further input is discarded, as a line was too long.
     is_closing : bool
         Whether this instance closes the connection.
     close_timer : IDelayedCall or None
@@ -69,6 +71,7 @@
         self.end_status = b""
         self.is_status_due = False
         self.is_reading = False
+        self.is_input_over = False
         self.is_closing = False
         self.close_timer = None
         self.check_timer = None
@@ -83,19 +86,20 @@
 
     def dataReceived(self, data):  # noqa: N802
         """Handle data from the caller; discard it once this side is closed."""
-        if self.close_timer is not None:
+        if self.close_timer is not None or self.is_input_over:
             return
         try:
             lines = self.reader.feed(data)
-        except _line_protocol.LineTooLongError:
-            self.refuse(retries.Failure(_KIND.FRAME_TOO_LARGE), b"I")
-            self.close_gracefully()
-            return
+        except _line_protocol.LineTooLongError as error:
+            lines = error.lines
+            self.is_input_over = True
         self.is_reading = True
         for line in lines:
             if self.is_closing and self.end_failure is None:
                 break
             self._handle_line(line)
+        if self.is_input_over:
+            self._refuse_long_line()
         self.is_reading = False
         if self.is_closing:
             self._close()
@@ -227,10 +231,23 @@
         try:
             statement = _line_protocol.decode_statement(line)
         except _line_protocol.MalformedLineError:
-            self.session.on_malformed()
+            self.session.on_malformed(retries.Failure(_KIND.MALFORMED_FRAME))
             return
         self.session.receive(statement)
 
+    def _refuse_long_line(self):
+        failure = retries.Failure(_KIND.FRAME_TOO_LARGE)
+        if self.end_failure is not None:
+            self._refuse_after_end()
+            self.close_gracefully()
+        elif self.is_closing:
+            return
+        elif self.session is not None:
+            self.session.on_malformed(failure)
+        else:
+            self.refuse(failure, b"I")
+            self.close_gracefully()
+
     def _refuse_after_end(self):
         if self.is_status_due:
             self.is_status_due = False
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -368,6 +368,66 @@
         self.assertTrue(caller.transport.is_ended)
 
 
+class InvalidInputTests(SessionTestCase):
+    """Statements before input that ends the session had no answer.
+
+    The first of them got the error for that input as its answer.
+    """
+
+    def answers(self, caller):
+        return [line.split(" ")[:2] for line in self.read(caller)]
+
+    def check_answers(self, caller, code, statements_before=2):
+        """Answer the statements before the input, and check what the caller got."""
+        self.assertEqual([], self.answers(caller))
+        self.assertFalse(caller.transport.is_ended)
+        for _ in range(statements_before):
+            self.pool.opened[-1].answer(b"I")
+        self.assertEqual(
+            [["COMPLETE", "d"], ["READY", "I"]] * statements_before
+            + [["ERROR", code], ["READY", "I"]],
+            self.answers(caller),
+        )
+        self.assertTrue(caller.transport.is_ended)
+        self.assertEqual(set(), self.proxy.sessions)
+
+    def test_statements_before_too_many_are_answered(self):
+        caller = self.call()
+        self.send(caller, *["READ k"] * 70)
+        self.check_answers(caller, "MALFORMED", 65)
+
+    def test_statements_before_a_malformed_line_are_answered(self):
+        caller = self.call()
+        self.send(caller, "READ k", "READ l")
+        caller.dataReceived(b"nonsense\r\nQUERY q3 READ m\r\n")
+        self.check_answers(caller, "MALFORMED")
+
+    def test_statements_before_a_line_that_is_too_long_are_answered(self):
+        caller = self.call()
+        self.send(caller, "READ k")
+        caller.dataReceived(b"QUERY q1 READ l\r\n" + b"x" * 1_100_000)
+        caller.dataReceived(b"\r\nQUERY q2 READ m\r\n")
+        self.check_answers(caller, "TOOLARGE")
+
+    def test_line_that_is_too_long_is_answered_in_an_idle_session(self):
+        caller = self.call()
+        caller.dataReceived(b"x" * 1_100_000)
+        self.assertEqual([["ERROR", "TOOLARGE"], ["READY", "I"]], self.answers(caller))
+        self.assertTrue(caller.transport.is_ended)
+        self.assertEqual(set(), self.proxy.sessions)
+
+    def test_stop_answers_all_in_order(self):
+        caller = self.call()
+        self.send(caller, "WRITE k 1", "READ k")
+        caller.dataReceived(b"nonsense\r\n")
+        self.proxy.stop()
+        codes = ["INDOUBT", "RETRY", "MALFORMED"]
+        expected = [
+            part for code in codes for part in (["ERROR", code], ["READY", "I"])
+        ]
+        self.assertEqual(expected, self.answers(caller))
+
+
 class CutOffTests(SessionTestCase):
     """What is known of statements that had no answer when their session ended.
 
--- a/tests/platform/test_line_protocol.py
+++ b/tests/platform/test_line_protocol.py
@@ -37,6 +37,17 @@
         reader.feed(b"x" * _line_protocol.MAX_LINE_BYTES)
         self.assertRaises(_line_protocol.LineTooLongError, reader.feed, b"x")
 
+    def test_lines_before_an_overlong_one_are_returned(self):
+        long_line = b"x" * (_line_protocol.MAX_LINE_BYTES + 1)
+        for data in (b"a\r\nb\r\n" + long_line, b"a\r\nb\r\n" + long_line + b"\r\nc"):
+            reader = _line_protocol.LineReader()
+            try:
+                reader.feed(data)
+            except _line_protocol.LineTooLongError as error:
+                self.assertEqual([b"a", b"b"], error.lines)
+            else:
+                self.fail("not rejected")
+
 
 class StatementTests(testtools.TestCase):
     def decode(self, text):
