--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -239,7 +239,8 @@
         self.addCleanup(self.fleet.change_member, "i-palermo-a", lag_s=0.02)
         caller = self.call(1, database="meters-own")
         for number in range(5):
-            caller.query(f"WRITE lag {number}")
+            written = caller.query(f"WRITE lag {number}")
+            self.assertTrue(written[0].startswith("COMPLETE"), written)
             self.assertEqual(f"DATAROW {number}", caller.query("READ lag")[0])
 
     def test_silent_owner_is_replaced_within_three_seconds(self):
