Show that a replica whose row has lapsed is not asked for its commits

Tried: with syncReplicas 1, one replica is cut from the store for 5 s, the other one receives nothing for 6 s, and the primary crashes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # files of the standard library alone, so this only compiles them.
 set -e
 cd "$(dirname "$0")"
-python3 -m py_compile lib2/world.py 6/case.py 7/case.py 9/case.py
+python3 -m py_compile lib2/world.py 6/case.py 7/case.py 9/case.py 10/case.py
