--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -286,6 +286,7 @@
         self.lives = 0
         self.slots = asyncio.Semaphore(SLOTS)
         self.connections = set()
+        self.open = set()
         self.seq = 0
         self.beat_at = 0.0
 
@@ -304,6 +305,16 @@
         self.is_dark = True
         self.lives += 1
 
+    def silence(self):
+        """Let all open connections go silent for good; new ones work.
+
+        The member drops them, as it hears nothing from the far end either.
+        """
+        for connection in self.open:
+            connection.is_silent = True
+            self.world.silent.append(connection)
+        return len(self.open)
+
     async def return_after_crash(self):
         """Start again with the log, as a replica if another one was promoted."""
         self.is_dark = False
@@ -349,6 +360,7 @@
         host = writer.get_extra_info("peername")[0]
         connection = Connection(self, host, reader, writer)
         self.connections.add(writer)
+        self.open.add(connection)
         try:
             await connection.run()
         except (
@@ -359,7 +371,9 @@
             pass
         finally:
             self.connections.discard(writer)
-            writer.transport.abort()
+            self.open.discard(connection)
+            if not connection.is_silent:
+                writer.transport.abort()
 
 
 class Connection:
@@ -376,6 +390,7 @@
         self.prepared = {}
         self.writes = None
         self.is_read_only = False
+        self.is_silent = False
         zone = member.world.zone_of(host)
         self.delay_s = IN_ZONE_S if zone == member.zone else BETWEEN_REGIONS_S
 
@@ -385,6 +400,9 @@
         await asyncio.sleep(self.delay_s)
         while self.member.is_dark or self.host in self.member.cut_hosts:
             await asyncio.sleep(0.01)
+        if self.is_silent:
+            await asyncio.sleep(DROP_DARK_S)
+            raise ConnectionError
         is_dropped = time.monotonic() - since > DROP_DARK_S
         if self.life != self.member.lives or is_dropped:
             raise ConnectionError
@@ -664,6 +682,7 @@
         self.runs = []
         self.promotions = []
         self.faults = []
+        self.silent = []
         self.counted_from = math.inf
         self.digests = itertools.count(1)
         self.tasks = set()
