--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,14 +11,15 @@
 
 import world as standins  # noqa: E402
 
-WARM_UP_S = 4.0
+WARM_UP_S = 3.0
 PRIMARY_CUT_S = 5.0
+REPLACED_AFTER_S = 3.5  # at the latest, if the primary is replaced at all
 CUT_INSTANCES = 3  # 0.45 of the instances, rounded down
 STORE_CUT_AFTER_S = 1.05
 BEFORE_CHECK_IN_S = 1.0  # from the cut to the successor's last check-in
 STORE_CUT_S = 5.0
 WATCH_S = 12.0
-ROUNDS = 3
+ROUNDS = 2
 
 
 async def write_regularly(world, instance, number):
@@ -63,14 +64,15 @@
     await asyncio.sleep(STORE_CUT_AFTER_S)
     successor.is_store_cut = True
     world.record.write(f"{successor.name} is cut from the store for {STORE_CUT_S} s")
-    await asyncio.sleep(PRIMARY_CUT_S - STORE_CUT_AFTER_S)
+    await asyncio.sleep(REPLACED_AFTER_S - STORE_CUT_AFTER_S)
+    if not world.promotions:
+        raise standins.RedrawError("the primary was not replaced")
+    await asyncio.sleep(PRIMARY_CUT_S - REPLACED_AFTER_S)
     primary.cut_hosts, primary.cut_members = set(), set()
     # Commits of senders whose link was disrupted in the last `thawSlackMs` don't count.
     slack_s = standins.BOUNDS["thawSlackMs"] / 1000.0
     world.counted_from = time.monotonic() + slack_s
     world.record.write(f"{primary.name} is reached again")
-    if not world.promotions:
-        raise standins.RedrawError("the primary was not replaced")
     await asyncio.sleep(STORE_CUT_AFTER_S + STORE_CUT_S - PRIMARY_CUT_S)
     successor.is_store_cut = False
     world.record.write(f"{successor.name} reaches the store again")
