--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -1081,7 +1081,11 @@
             world.stop()
 
     loop = asyncio.new_event_loop()
-    code = loop.run_until_complete(run())
+    try:
+        code = loop.run_until_complete(run())
+    except Exception as error:
+        record.write(f"the case could not run: {error!r}")
+        code = 2
     text = {0: "held", 1: "broken", 2: "could not run"}[code]
     record.write(text)
     print(text, flush=True)
