Wait until a promoted member is seen to lead

Cause: the wait for the promoted member also ended when its connection was lost, when its row lapsed, and when its time was over. Each was recorded as the end of the takeover, after which all instances take the successor for the primary for 2.5 s without its row saying so.

A lost connection is opened again; a member that isn't reached is asked through other instances, whose answers now have its role and term. The row of a takeover tells the term that its successor was seen to lead. Without one, the successor is no primary until its row says so.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -403,7 +403,9 @@
             and now < self.primary_lease_until
         )
 
-    def set_takeover(self, is_primary_blocked, successor, now):
+    def set_takeover(
+        self, is_primary_blocked, successor, now, is_successor_confirmed=True
+    ):
         """Update the state of the service's takeover.
 
         Parameters
@@ -414,6 +416,9 @@
             Member that was promoted last; empty if none is known.
         now : float
             Monotonic seconds.
+        is_successor_confirmed : bool
+            Whether the successor was seen to lead. Otherwise it isn't the primary
+            until it is registered as such.
 
         Returns
         -------
@@ -428,7 +433,9 @@
         if successor != self.successor:
             self.successor = successor
             self.successor_has_led = False
-            self.successor_expected_until = now + SUCCESSOR_GRACE_S
+            self.successor_expected_until = float("-inf")
+            if is_successor_confirmed:
+                self.successor_expected_until = now + SUCCESSOR_GRACE_S
         return self.update_primary(now)
 
     def on_position(self, name, position, asked_at):
--- a/pomelograde/core/takeovers/__init__.py
+++ b/pomelograde/core/takeovers/__init__.py
@@ -17,6 +17,7 @@
 Takeover = _takeover.Takeover
 choose_successor = _decide.choose_successor
 find_takeover_reason = _decide.find_takeover_reason
+make_promotion = _takeover.make_promotion
 may_start = _takeover.may_start
 
 __all__ = [
@@ -30,5 +31,6 @@
     "Takeover",
     "choose_successor",
     "find_takeover_reason",
+    "make_promotion",
     "may_start",
 ]
--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -39,6 +39,10 @@
     row_version : int
         Current revision of the row. It increases with each write, also if the
         store has returned from an older copy meanwhile.
+    term : int
+        Term in which the successor was seen to lead, or the lowest one that it can
+        be; 0 if it was not seen to lead. Takeovers are compared by a digest of
+        their texts, which has only the fields that earlier builds know.
     """
 
     service: str
@@ -46,6 +50,7 @@
     successor: str
     fence: int
     row_version: int
+    term: int = attrs.field(default=0, repr=False)
 
     @property
     def is_done(self):
@@ -58,6 +63,24 @@
         return bool(self.holder)
 
 
+def make_promotion(takeover, successor):
+    """Return a takeover with a successor, and the lowest term that it can lead.
+
+    Parameters
+    ----------
+    takeover : Takeover
+        Takeover in progress.
+    successor : str
+        Member whose promotion the platform has accepted.
+
+    Notes
+    -----
+    Each promotion begins a term, except that of a member that leads already.
+    """
+    lowest = takeover.term if successor == takeover.successor else takeover.term + 1
+    return attrs.evolve(takeover, successor=successor, term=max(1, lowest))
+
+
 def may_start(takeover, holder, incarnations, unchanged_for_s, era_age_s=float("inf")):
     """Return whether an instance may start a takeover.
 
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -315,7 +315,9 @@
             return
         was_blocked = group.is_primary_blocked
         now = self.context.now()
-        changed = group.set_takeover(takeover.blocks_primary, takeover.successor, now)
+        changed = group.set_takeover(
+            takeover.blocks_primary, takeover.successor, now, takeover.term > 0
+        )
         if changed or was_blocked != group.is_primary_blocked:
             self.context.log.write(
                 events.Event.PRIMARY_HELD,
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -6,6 +6,7 @@
 have expired, and promotes the replica that has received the most of the log.
 """
 
+import attrs
 from twisted.internet import defer, task
 from twisted.python import failure
 
@@ -32,6 +33,8 @@
 SETTLE_TIME_S = 0.3
 RECORD_INTERVAL_S = 0.3  # between attempts to record the end of a takeover
 MAX_WITNESSES = 2  # near a member, and elsewhere
+ROLE_PRIMARY = placement.Role.PRIMARY.value
+ROLE_REPLICA = placement.Role.REPLICA.value
 
 
 class TakeoverTask:
@@ -274,21 +277,18 @@
             return "somebody else began"
         old_primary = group.primary
         known = self.sync.fleet.takeovers.get(service)
-        row_version = 0 if known is None else known.row_version
+        if known is None:
+            known = takeovers.Takeover(service, "", "", 0, 0)
         self.context.log.write(
             events.Event.TAKEOVER_STARTED,
             service=service,
             reason=reason.value,
             primary=old_primary,
-            row_version=row_version,
+            row_version=known.row_version,
             age_s=round(self.context.now() - self.sync.freshness.members_at, 3),
         )
-        takeover = await source.begin_takeover(
-            service,
-            _format_holder(self.context.members.own),
-            row_version,
-            "" if known is None else known.successor,
-        )
+        holder = _format_holder(self.context.members.own)
+        takeover = await source.begin_takeover(known, holder)
         if takeover is None:
             # Read the store again without delay, to learn of that takeover.
             self.sync.members_asked_at = float("-inf")
@@ -296,12 +296,12 @@
         begun_at = self.context.now()
         self.sync.apply_takeover(takeover)
         await self._release_old_primary(takeover, reason.is_planned, begun_at)
-        successor = await self._promote(group, takeover, old_primary, reason, begun_at)
+        promoted = await self._promote(group, takeover, old_primary, reason, begun_at)
         # Without a promotion, the member that was promoted last stays the successor.
-        await self._record_end(takeover, successor or takeover.successor)
-        return "promoted" if successor else "no candidate"
+        await self._record_end(promoted or takeover)
+        return "promoted" if promoted else "no candidate"
 
-    async def _record_end(self, takeover, successor):
+    async def _record_end(self, takeover):
         """Record the end of a takeover, unless another one has replaced it.
 
         Notes
@@ -313,7 +313,7 @@
         source = self.sync.source
         while not self.sync.is_stopped:
             try:
-                ended = await source.end_takeover(takeover, successor)
+                ended = await source.end_takeover(takeover, takeover.successor)
                 if ended is not None:
                     self.sync.apply_takeover(ended)
                     self._announce_end(ended)
@@ -411,7 +411,12 @@
                 self.context.peers.send(instance, message)
 
     async def _promote(self, group, takeover, old_primary, reason, begun_at):
-        """Choose a member and promote it; returns its name, or None.
+        """Choose a member and promote it.
+
+        Returns
+        -------
+        Takeover or None
+            The takeover with its successor; None if nobody was promoted.
 
         Notes
         -----
@@ -464,8 +469,8 @@
                 old_primary, self.context.now()
             ):
                 connections[old_primary].step_down(term + 1, _ignore)
-            await self._wait_until_primary(group, chosen.name, connections)
-            return chosen.name
+            promotion = takeovers.make_promotion(takeover, chosen.name)
+            return await self._confirm_promotion(group, promotion, connections)
         finally:
             for name, connection in connections.items():
                 is_closed = group.is_closed(name, self.context.now())
@@ -477,29 +482,68 @@
             for connection in connections.values():
                 self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
 
-    async def _wait_until_primary(self, group, name, connections):
-        """Wait until a promoted member reports that it is the primary.
+    async def _confirm_promotion(self, group, promotion, connections):
+        """Wait until a promoted member leads.
+
+        Parameters
+        ----------
+        group : Group
+            Database service.
+        promotion : Takeover
+            The takeover with its successor, and the lowest term that it can lead.
+        connections : dict of str to UpstreamConnection
+            Connection to each member; one that is lost is opened again.
+
+        Returns
+        -------
+        Takeover
+            With the term that the successor leads; 0 if it was not seen to lead in
+            time.
 
         Notes
         -----
         Until then it acts as a replica, and serves reads from the part of the
-        log that it has applied. If this instance doesn't reach it, its
-        registration tells.
+        log that it has applied. If this instance doesn't reach it, another one or
+        its registration tells.
         """
-        connection = connections.get(name)
+        name = promotion.successor
+        # Its row may lapse while it becomes the primary.
+        member = group.members[name]
+        was_registered = member.role is placement.Role.PRIMARY
         until = self.context.now() + PROMOTION_TIMEOUT_S
         while self.context.now() < until:
+            connection = connections.get(name)
+            if connection is None or connection.is_lost:
+                connection = await self._try_open(group, member)
+                if connection is not None:
+                    connections[name] = connection
             if connection is None:
-                member = group.members.get(name)
-                if member is None or member.role is placement.Role.PRIMARY:
-                    return
-            elif connection.is_lost:
-                return
+                term = await self._query_led_term(group, member)
+                member = group.members.get(name, member)
+                if member.role is placement.Role.PRIMARY and not was_registered:
+                    term = max(term, promotion.term)
             else:
                 status = await self._request_status(connection, "ask_status", ())
-                if status is not None and status[0]:
-                    return
+                term = status[1] if status is not None and status[0] else 0
+            if term >= promotion.term:
+                return attrs.evolve(promotion, term=term)
             await self._sleep(POLL_INTERVAL_S)
+        self.context.log.write(
+            events.Event.TAKEOVER_STEP,
+            service=group.name,
+            step="not seen to lead",
+            fence=promotion.fence,
+            member=name,
+        )
+        return attrs.evolve(promotion, term=0)
+
+    async def _query_led_term(self, group, member):
+        """Return the term that a member leads as other instances find it, or 0."""
+        answers = await self._query_witnesses(group, member)
+        return max(
+            (answer.term for answer in answers if answer.role == ROLE_PRIMARY),
+            default=0,
+        )
 
     async def _open_connections(self, group, old_primary):
         """Return a connection to each member by name; None if there is none.
@@ -619,6 +663,17 @@
 
     async def _query_position(self, group, member):
         """Return the position of a member as other instances find it, or None."""
+        return max(
+            (
+                sessions.Position(answer.log_term, answer.log_index)
+                for answer in await self._query_witnesses(group, member)
+                if answer.has_position
+            ),
+            default=None,
+        )
+
+    async def _query_witnesses(self, group, member):
+        """Return the answers of instances that reach a member, near ones first."""
         message = peer_messages.WitnessRequest(group.name, member.name)
         own = self.context.members.own.name
         others = [found for found in self.sync.fleet.registered if found.name != own]
@@ -630,14 +685,7 @@
                 for instance in near[:MAX_WITNESSES] + far[:MAX_WITNESSES]
             ]
         )
-        return max(
-            (
-                sessions.Position(answer.log_term, answer.log_index)
-                for answer in answers
-                if getattr(answer, "has_position", False)
-            ),
-            default=None,
-        )
+        return [found for found in answers if getattr(found, "reachable", False)]
 
     async def _knows_logs(self, group):
         """Return whether enough replicas answer to tell which commits may be lost.
@@ -980,18 +1028,26 @@
         A member that refuses the connection, for example because its
         connection limit is reached, is alive.
         """
-        asked_at = self.context.now()
-        if group.is_closed(member.name, asked_at):
+        if group.is_closed(member.name, self.context.now()):
             return True  # it may not be asked, so it is not reported as failed
+        answers, _ = await self._request_member_status(group, member)
+        return answers
+
+    async def _request_member_status(self, group, member):
+        """Return whether a member answers on a new connection, and its status or None.
+
+        A position that it tells is recorded.
+        """
+        asked_at = self.context.now()
         try:
             connection = await self._connect(group, member)
         except pools.UpstreamOpenError as error:
-            return error.refused
+            return error.refused, None
         status = await self._request_status(connection, "ask_status", ())
         connection.close()
         if status is not None:
             group.on_position(member.name, status[2], asked_at)
-        return status is not None
+        return status is not None, status
 
     def _on_witness_request(self, message, envelope):
         return defer.ensureDeferred(self._check_as_witness(message))
@@ -1001,13 +1057,16 @@
         member = None if group is None else group.members.get(message.member)
         if member is None:
             return peer_messages.WitnessAnswer(False)
-        asked_at = self.context.now()
-        answers = await self._check_member(group, member)
-        position = member.position
-        if not answers or position is None or member.position_at < asked_at:
+        if group.is_closed(member.name, self.context.now()):
+            return peer_messages.WitnessAnswer(True)
+        answers, status = await self._request_member_status(group, member)
+        if status is None:
             return peer_messages.WitnessAnswer(answers)
+        is_primary, term, position = status
         return peer_messages.WitnessAnswer(
             answers,
+            ROLE_PRIMARY if is_primary else ROLE_REPLICA,
+            term,
             log_term=position.term,
             log_index=position.index,
             has_position=True,
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -326,6 +326,7 @@
     successor: str
     fence: int
     row_version: int
+    term: int = 0
 
 
 @attrs.frozen
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -213,6 +213,7 @@
   successor @2 :Text;
   fence @3 :UInt64;
   rowVersion @4 :UInt64;
+  term @5 :UInt64;
 }
 
 struct HoldRequest {
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -17,6 +17,7 @@
 STATUS_EVACUATION_PREFIX = "evacuation/"  # followed by a data centre
 EVACUATION_PREFIX = "evacuate/"  # followed by a data centre; the row is the request
 INSTANCES_TABLE = "instances"  # written by the instances themselves
+MAX_NUMBER = 2**63 - 1  # of a term or a log position
 TAKEOVER_PREFIX = "takeover/"  # names of instances contain no slash
 
 
@@ -230,28 +231,26 @@
             [entry for entry in entries if isinstance(entry, takeovers.Takeover)],
         )
 
-    async def begin_takeover(self, service, holder, row_revision, successor):
+    async def begin_takeover(self, known, holder):
         """Record the start of a takeover, which replaces a primary.
 
         Parameters
         ----------
-        service, holder : str
-            Database service of the primary, and instance that replaces it.
-        row_revision : int
-            Revision of the service's last known takeover; 0 if there is none.
-        successor : str
-            Member that was promoted last; empty if none is known.
+        known : Takeover
+            Last takeover of the service.
+        holder : str
+            Instance that replaces the primary.
 
         Returns
         -------
         Takeover or None
             None if the row has changed meanwhile.
         """
-        fields = {"holder": holder, "successor": successor}
-        revision = await self._write_takeover(service, row_revision, fields)
+        begun = attrs.evolve(known, holder=holder)
+        revision = await self._write_takeover(begun, with_fence=False)
         if revision is None:
             return None
-        return takeovers.Takeover(service, holder, successor, revision, revision)
+        return attrs.evolve(begun, fence=revision, row_version=revision)
 
     async def end_takeover(self, takeover, successor):
         """Record the end of a takeover.
@@ -264,17 +263,13 @@
         Takeover or None
             None if the row has changed meanwhile.
         """
-        fields = {"holder": "", "successor": successor, "fence": takeover.fence}
-        revision = await self._write_takeover(
-            takeover.service, takeover.row_version, fields
-        )
+        ended = attrs.evolve(takeover, holder="", successor=successor)
+        revision = await self._write_takeover(ended)
         if revision is None:
             return None
-        return attrs.evolve(
-            takeover, holder="", successor=successor, row_version=revision
-        )
+        return attrs.evolve(ended, row_version=revision)
 
-    async def _write_takeover(self, service, known_revision, fields):
+    async def _write_takeover(self, takeover, with_fence=True):
         """Replace the row of a service's takeover, unless a newer one is known.
 
         Returns
@@ -283,11 +278,21 @@
             Revision of the new row; None if the row has changed, or has not been
             read since the store was restored.
         """
-        key = TAKEOVER_PREFIX + service
-        expected = self._expected_version(key, known_revision)
+        key = TAKEOVER_PREFIX + takeover.service
+        expected = self._expected_version(key, takeover.row_version)
         if expected is None:
             return None
-        value = json.dumps({**fields, "era": self.era}).encode()
+        row = _TakeoverRow(
+            holder=takeover.holder,
+            successor=takeover.successor,
+            fence=takeover.fence if with_fence else None,
+            era=self.era,
+            term=takeover.term,
+        )
+        fields = attrs.asdict(row)
+        if not with_fence:
+            del fields["fence"]  # the revision that this row gets
+        value = json.dumps(fields).encode()
         revision = await self.store_client.commit(
             INSTANCES_TABLE, {key: expected}, {key: value}
         )
@@ -422,6 +427,7 @@
     successor: str = ""
     fence: int | None = None
     era: int = 0
+    term: int = 0
 
 
 def _decode_row(row):
@@ -460,9 +466,14 @@
         successor=fields.successor,
         fence=_json.read({"fence": fence}, "fence", _json.require_integer, revision),
         row_version=revision,
+        term=_read_number("term", fields.term),
     )
 
 
+def _read_number(name, value):
+    return _json.read({name: value}, name, _json.require_integer, MAX_NUMBER)
+
+
 def _structure_row(row, cls):
     """Return the content of a row as an attrs class; raises ValueError.
 
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -141,6 +141,14 @@
         self.assertTrue(self.group.update_primary(13.6))
         self.assertIsNone(self.group.primary)
 
+    def test_promoted_member_that_was_not_seen_to_lead_is_not_primary(self):
+        primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
+        self.group.set_takeover(True, "", 10.0)
+        self.group.set_takeover(False, "a", 11.0, is_successor_confirmed=False)
+        self.assertIsNone(self.group.primary)
+        self.assertIsNone(self.register(11.5, a=replica, p=primary))
+        self.assertEqual("a", self.register(12.0, a=primary, p=primary))
+
     def test_promoted_member_that_restarted_as_replica_is_not_primary(self):
         primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
         self.group.set_takeover(False, "a", 11.0)
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -35,8 +35,8 @@
     def __init__(self):
         self.begun = []
 
-    def begin_takeover(self, service, holder, row_version, successor):
-        self.begun.append((service, holder, row_version))
+    def begin_takeover(self, known, holder):
+        self.begun.append((known.service, holder, known.row_version))
         return defer.Deferred()
 
 
@@ -130,8 +130,8 @@
         held = []
         ended = []
 
-        async def begin(service, holder, row_version, successor):
-            return takeovers.Takeover(service, holder, successor, 9, 9)
+        async def begin(known, holder):
+            return attrs.evolve(known, holder=holder, fence=9, row_version=9)
 
         async def release(takeover, planned, begun_at):
             held.append(self.group.primary)
@@ -139,8 +139,8 @@
         async def promote(group, takeover, old_primary, reason, begun_at):
             return None
 
-        async def record_end(takeover, successor):
-            ended.append(successor)
+        async def record_end(takeover):
+            ended.append(takeover.successor)
 
         def set_takeover(takeover):
             blocks = takeover.blocks_primary
@@ -377,12 +377,13 @@
         self.assertFalse(self.answers(pools.UpstreamOpenError("no answer")))
 
     def ask_as_witness(self, position):
-        async def check(group, member):
-            if position is not None:
-                group.on_position("p", position, self.task.context.now())
-            return position is not None
+        async def request_status(group, member):
+            if position is None:
+                return False, None
+            group.on_position("p", position, self.task.context.now())
+            return True, (True, 2, position)
 
-        self.task._check_member = check
+        self.task._request_member_status = request_status
         self.group.members["p"].position = sessions.Position(1, 5)
         self.group.members["p"].position_at = 99.0
         request = peer_messages.WitnessRequest("g", "p")
@@ -399,6 +400,7 @@
                 answer.has_position,
             ),
         )
+        self.assertEqual(("primary", 2), (answer.role, answer.term))
         self.assertEqual(peer_messages.WitnessAnswer(False), self.ask_as_witness(None))
 
     def confirm(self, here, elsewhere, after_s):
@@ -500,6 +502,17 @@
         self.connections -= 1
 
 
+class Link:
+    """Connection to a FakeMember that can be lost while others stay open."""
+
+    def __init__(self, member):
+        self.member = member
+        self.is_lost = False
+
+    def __getattr__(self, name):
+        return getattr(self.member, name)
+
+
 class PromotionTests(testtools.TestCase):
     """Takeovers of a service with three members, the former primary among them."""
 
@@ -513,6 +526,7 @@
             now=self.clock.seconds,
             peers=types.SimpleNamespace(handlers={}),
             log=types.SimpleNamespace(write=lambda event, **_: None),
+            members=types.SimpleNamespace(own=make_instance("reader")),
             settings=types.SimpleNamespace(host="127.0.0.1"),
         )
         self.group = placement.Group("g")
@@ -552,9 +566,16 @@
         """Start a takeover; returns the list that its outcome is added to."""
         takeover = takeovers.Takeover(group.name, "reader/1", "", 7, 7)
         reason = takeovers.Reason.ABSENT
+        return self.watch(self.task._promote(group, takeover, old_primary, reason, 0.0))
+
+    def watch(self, promoting):
+        """Return the list that the promoted member's name, or None, is added to."""
         found = []
-        promoting = self.task._promote(group, takeover, old_primary, reason, 0.0)
-        defer.ensureDeferred(promoting).addCallback(found.append)
+
+        def add(promoted):
+            found.append(None if promoted is None else promoted.successor)
+
+        defer.ensureDeferred(promoting).addCallback(add)
         return found
 
     def run_takeover(self):
@@ -593,6 +614,74 @@
         self.clock.advance(1.0)
         self.assertEqual(6, old.step_down_term)
 
+    def promote_in_steps(self):
+        """Let promotions take 0.3 s; returns the list of opened connections."""
+        opened = []
+        promote = self.promote
+
+        async def open_connection(reactor, service, member, account, host):
+            opened.append(Link(self.members[member.name]))
+            return opened[-1]
+
+        async def accept(service, name, fence):
+            self.clock.callLater(
+                0.3, lambda: defer.ensureDeferred(promote("", name, 0))
+            )
+            return True
+
+        self.task.proxy.open_connection = open_connection
+        self.task.promoter.promote = accept
+        return opened
+
+    async def refuse_connection(self, reactor, service, member, account, host):
+        raise pools.UpstreamOpenError("no answer in time")
+
+    def advance(self, duration_s):
+        self.clock.pump([0.01] * round(duration_s * 100))
+
+    def test_reset_during_a_promotion_does_not_end_the_wait_for_it(self):
+        # All instances sent reads to a member that was still a replica.
+        opened = self.promote_in_steps()
+        found = self.begin_promotion(self.group, None)
+        self.advance(0.1)
+        for link in opened:
+            link.is_lost = True
+        self.advance(0.1)
+        self.assertEqual([], found)
+        self.assertFalse(self.members["c"].is_primary)
+        self.advance(0.2)
+        self.assertTrue(self.members["c"].is_primary)
+        self.assertEqual(["c"], found)
+
+    def test_promoted_member_without_a_row_is_waited_for(self):
+        # The end of a takeover was recorded as soon as the successor's row lapsed.
+        opened = self.promote_in_steps()
+        open_connection = self.task.proxy.open_connection
+        found = self.begin_promotion(self.group, None)
+        self.advance(0.1)
+        for link in opened:
+            link.is_lost = True
+        self.task.proxy.open_connection = self.refuse_connection
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.1)
+        self.advance(0.3)
+        self.assertEqual([], found)
+        self.task.proxy.open_connection = open_connection
+        self.advance(0.1)
+        self.assertEqual(["c"], found)
+
+    def test_term_is_recorded_only_of_a_member_that_was_seen_to_lead(self):
+        takeover = takeovers.Takeover("g", "reader/1", "a", 7, 7, term=1)
+        promotion = takeovers.make_promotion(takeover, "c")
+        for led_term in (0, 1, 2):
+            self.members["c"].is_primary = led_term > 0
+            self.members["c"].term = led_term
+            found = []
+            confirming = self.task._confirm_promotion(self.group, promotion, {})
+            defer.ensureDeferred(confirming).addCallback(found.append)
+            self.advance(3.0)
+            expected = led_term if led_term == 2 else 0
+            self.assertEqual(attrs.evolve(promotion, term=expected), found[0])
+
     def test_replicas_receive_after_a_refused_promotion(self):
         self.promotes = False
         self.assertIsNone(self.run_takeover())
@@ -613,8 +702,8 @@
         )
         self.unreached = set()
         self.witnesses = {}
-        own = make_instance("reader")
-        self.task.context.members = types.SimpleNamespace(own=own)
+        self.leaders = {}
+        own = self.task.context.members.own
         self.task.context.peers.request = self.ask_witness
         self.task.sync.fleet.registered = [own, make_instance("other")]
         self.asked = []
@@ -631,17 +720,22 @@
         position = self.witnesses.get(message.member)
         if position is None:
             return peer_messages.WitnessAnswer(False)
+        led_term = self.leaders.get(message.member, 0)
         return peer_messages.WitnessAnswer(
-            True, log_term=1, log_index=position, has_position=True
+            True,
+            "primary" if led_term else "replica",
+            max(1, led_term),
+            log_term=1,
+            log_index=position,
+            has_position=True,
         )
 
     def start_takeover(self):
         """Start a takeover; returns the list that gets the promoted member."""
         takeover = takeovers.Takeover("g", "reader/1", "", 7, 7)
         reason = takeovers.Reason.SILENT
-        found = []
         promoting = self.task._promote(self.group, takeover, None, reason, 0.0)
-        defer.ensureDeferred(promoting).addCallback(found.append)
+        found = self.watch(promoting)
         self.clock.advance(0.1)
         return found
 
@@ -663,6 +757,15 @@
         self.clock.advance(0.1)
         self.assertEqual(["c"], found)
 
+    def test_member_that_only_others_reach_is_seen_to_lead_by_them(self):
+        self.unreached = {"c"}
+        self.witnesses = {"c": 103}
+        found = self.start_takeover()
+        self.assertEqual([], found)
+        self.leaders = {"c": 2}
+        self.clock.advance(0.1)
+        self.assertEqual(["c"], found)
+
     def test_replica_that_only_others_reach_lets_another_one_be_promoted(self):
         self.unreached = {"a"}
         self.witnesses = {"a": 101}
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 from twisted.internet import defer
 
-from pomelograde.core import membership
+from pomelograde.core import membership, takeovers
 from pomelograde.net import peer_messages
 from pomelograde.net.hosted import state_sync
 from pomelograde.platform import _rows, source, store
@@ -129,6 +129,8 @@
             "takeover/b": {"holder": "a/1", "fence": 10**400},
             "takeover/c": {"holder": "a/1", "fence": 1.5},
             "takeover/d": {"holder": "a/1", "era": True},
+            "takeover/f": {"holder": "a/1", "term": -1},
+            "takeover/g": {"holder": "a/1", "term": 10**400},
             "takeover/e": {"holder": ["s3cret"]},
         }
         rows = [
@@ -149,7 +151,8 @@
         client.commit = lambda *call: commits.append(call) or done(9)
         platform_source = source.PlatformSource(client)
         run(platform_source.fetch_instances())
-        begun = run(platform_source.begin_takeover("g", "a/2", known_revision, ""))
+        known = takeovers.Takeover("g", "", "", known_revision, known_revision)
+        begun = run(platform_source.begin_takeover(known, "a/2"))
         self.assertEqual(9, begun.fence)
         ((_, conditions, _),) = commits
         return conditions
@@ -204,12 +207,14 @@
         client.commit = commit
         platform_source = source.PlatformSource(client)
         run(platform_source.fetch_instances())
-        begun = run(platform_source.begin_takeover("g", "a/7", 0, "p"))
+        known = takeovers.Takeover("g", "", "p", 0, 0, term=4)
+        begun = run(platform_source.begin_takeover(known, "a/7"))
         ((key, value),) = written
         client.rows = store.ReadResult([store.Row(key, value, 31)], 31, 6.0)
         _, listed = run(platform_source.fetch_instances())
         self.assertEqual([begun], listed)
         self.assertEqual(("p", "a/7", 31), (begun.successor, begun.holder, begun.fence))
+        self.assertEqual([4], [found.term for found in listed])
 
 
 class EvacuationTests(testtools.TestCase):
