Don't use a replaced primary while its successor has no row

Cause: the member that was promoted last was the primary only while it had a row; without one, any member whose row says primary was. A row doesn't tell a term, and a replaced primary that can't reach its successor goes on saying so.

Once a takeover has a successor, no other member counts as the primary.

The new test fails without the change (17 passed, 1 failed).

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -604,27 +604,35 @@
         Notes
         -----
         The member that was promoted last is the primary, even while another
-        one is still registered as such. If it has been registered as primary
-        and is a replica now, it has restarted, and there is no primary until
-        the next promotion.
+        one is still registered as such: that one has been replaced, also if its
+        successor's registration has lapsed. If the successor has been registered
+        as primary and is a replica now, it has restarted. Then, and without its
+        registration, there is no primary until the next promotion.
         """
-        primaries = [
-            member for member in self.members.values() if member.role is Role.PRIMARY
-        ]
-        primaries.sort(key=lambda found: (_term_of(found), now < found.leaving_until))
-        name = primaries[-1].name if primaries else None
-        successor = self.members.get(self.successor)
-        if successor is not None:
-            is_primary = successor.role is Role.PRIMARY
-            self.successor_has_led = self.successor_has_led or is_primary
-            expected = (
-                not self.successor_has_led and now < self.successor_expected_until
+        if self.successor:
+            name = self._find_successor(now)
+        else:
+            primaries = [
+                found for found in self.members.values() if found.role is Role.PRIMARY
+            ]
+            primaries.sort(
+                key=lambda found: (_term_of(found), now < found.leaving_until)
             )
-            name = successor.name if is_primary or expected else None
+            name = primaries[-1].name if primaries else None
         changed = name != self.primary
         self.primary = name
         return changed
 
+    def _find_successor(self, now):
+        """Return the successor's name if it is the primary, or None."""
+        successor = self.members.get(self.successor)
+        if successor is None:
+            return None
+        is_primary = successor.role is Role.PRIMARY
+        self.successor_has_led = self.successor_has_led or is_primary
+        expected = not self.successor_has_led and now < self.successor_expected_until
+        return successor.name if is_primary or expected else None
+
 
 def _is_in(member, regions):
     return regions is None or member.region in regions
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -141,6 +141,16 @@
         self.assertTrue(self.group.update_primary(13.6))
         self.assertIsNone(self.group.primary)
 
+    def test_replaced_primary_is_not_used_while_its_successor_has_no_row(self):
+        # Its commits were acknowledged, and rolled back once it followed.
+        primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
+        self.group.set_takeover(True, "", 10.0)
+        self.group.set_takeover(False, "a", 11.0)
+        self.assertEqual("a", self.register(11.5, a=primary, p=primary))
+        self.assertIsNone(self.register(12.0, p=primary, r=replica))
+        self.assertIsNone(self.register(18.0, p=primary, r=replica))
+        self.assertEqual("a", self.register(19.0, a=primary, p=primary))
+
     def test_promoted_member_that_was_not_seen_to_lead_is_not_primary(self):
         primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
         self.group.set_takeover(True, "", 10.0)
