Record the member to promote, and go on with it in a repeated takeover

Cause: a takeover without a recorded end is run again, but what it had decided was known only to the process that ran it. The second run took the member that the first one had promoted for the primary to replace, left it out, and told it to step down. A holder that is killed after the promotion has the same effect.

The choice, with its log position, is written to the row of the takeover before the platform is asked. Whoever runs the takeover again ends it if that member leads, and otherwise asks for the same promotion again; another member is chosen only if that one is refused, has lost its log, or is evacuated.

--- a/pomelograde/core/takeovers/__init__.py
+++ b/pomelograde/core/takeovers/__init__.py
@@ -14,9 +14,12 @@
 STORE_SETTLE_TIME_S = _decide.STORE_SETTLE_TIME_S
 PLANNED_GRACE_S = _takeover.PLANNED_GRACE_S
 PROMOTE_DEADLINE_S = _takeover.PROMOTE_DEADLINE_S
+Step = _takeover.Step
 Takeover = _takeover.Takeover
 choose_successor = _decide.choose_successor
 find_takeover_reason = _decide.find_takeover_reason
+find_step = _takeover.find_step
+make_choice = _takeover.make_choice
 make_promotion = _takeover.make_promotion
 may_start = _takeover.may_start
 
@@ -28,9 +31,12 @@
     "LogRequirement",
     "PrimaryHealth",
     "Reason",
+    "Step",
     "Takeover",
     "choose_successor",
+    "find_step",
     "find_takeover_reason",
+    "make_choice",
     "make_promotion",
     "may_start",
 ]
--- a/pomelograde/core/takeovers/_takeover.py
+++ b/pomelograde/core/takeovers/_takeover.py
@@ -1,9 +1,12 @@
 """The record of a takeover in the store."""
 
+import enum
 import re
 
 import attrs
 
+from pomelograde.core.sessions import _bookmark
+
 # Latest time for a promotion after the start of a takeover. The leases on the old
 # primary expire within 3.2 s (`PRIMARY_LEASE_S` and a margin of 0.2 s), and members
 # answer within 1 s.
@@ -19,6 +22,14 @@
 _INCARNATION = re.compile("[0-9]{1,19}")
 
 
+class Step(enum.Enum):
+    """How to go on with a takeover that has a candidate."""
+
+    CHOOSE = "choose"  # another member
+    PROMOTE = "promote"  # the candidate, once more
+    END = "end"  # the candidate leads
+
+
 @attrs.frozen
 class Takeover:
     """The last takeover of a service, in progress or ended.
@@ -41,8 +52,18 @@
         store has returned from an older copy meanwhile.
     term : int
         Term in which the successor was seen to lead, or the lowest one that it can
-        be; 0 if it was not seen to lead. Takeovers are compared by a digest of
-        their texts, which has only the fields that earlier builds know.
+        be; 0 if it was not seen to lead.
+    candidate : str
+        Member whose promotion has been decided on; empty if none is. The platform
+        may have been asked for it, and it may have taken effect.
+    log_term, log_index : int
+        Log position that the candidate had received when it was chosen, or the
+        successor if there is no candidate; 0 if it is unknown.
+
+    Notes
+    -----
+    Instances compare their takeovers by a digest of the texts, which therefore
+    have only the fields that earlier builds know.
     """
 
     service: str
@@ -51,6 +72,9 @@
     fence: int
     row_version: int
     term: int = attrs.field(default=0, repr=False)
+    candidate: str = attrs.field(default="", repr=False)
+    log_term: int = attrs.field(default=0, repr=False)
+    log_index: int = attrs.field(default=0, repr=False)
 
     @property
     def is_done(self):
@@ -62,6 +86,24 @@
         """Whether new statements to the old primary are held back."""
         return bool(self.holder)
 
+    @property
+    def log_position(self):
+        """Position of `log_term` and `log_index`; None if it is unknown."""
+        if not self.log_term:
+            return None
+        return _bookmark.Position(self.log_term, self.log_index)
+
+
+def make_choice(takeover, candidate):
+    """Return a takeover in progress with the Candidate that is to be promoted."""
+    position = candidate.position
+    return attrs.evolve(
+        takeover,
+        candidate=candidate.name,
+        log_term=position.term,
+        log_index=position.index,
+    )
+
 
 def make_promotion(takeover, successor):
     """Return a takeover with a successor, and the lowest term that it can lead.
@@ -78,7 +120,39 @@
     Each promotion begins a term, except that of a member that leads already.
     """
     lowest = takeover.term if successor == takeover.successor else takeover.term + 1
-    return attrs.evolve(takeover, successor=successor, term=max(1, lowest))
+    return attrs.evolve(
+        takeover, successor=successor, candidate="", term=max(1, lowest)
+    )
+
+
+def find_step(takeover, led_term, position):
+    """Return how to go on with a takeover that has a candidate.
+
+    Parameters
+    ----------
+    takeover : Takeover
+        The takeover, whose candidate may have been promoted already.
+    led_term : int
+        Term that the candidate leads; 0 if it doesn't, or doesn't answer.
+    position : Position or None
+        Last log position that it has received; None if it doesn't answer.
+
+    Returns
+    -------
+    Step
+        How to go on.
+
+    Notes
+    -----
+    The promotion may have taken effect although nobody saw its answer. The
+    candidate may then have committed, so another member may be chosen only once
+    the platform has refused to promote it.
+    """
+    if led_term >= make_promotion(takeover, takeover.candidate).term:
+        return Step.END
+    known = takeover.log_position
+    has_lost_log = None not in (position, known) and position < known
+    return Step.CHOOSE if has_lost_log else Step.PROMOTE
 
 
 def may_start(takeover, holder, incarnations, unchanged_for_s, era_age_s=float("inf")):
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -272,18 +272,17 @@
         """Run the steps of a takeover; returns the outcome for the log."""
         source = self.sync.source
         service = group.name
+        known = await self._find_latest(service)
         # Another instance may have started one while the primary was checked.
         if not self._may_start(service, self.context.now()):
             return "somebody else began"
-        old_primary = group.primary
-        known = self.sync.fleet.takeovers.get(service)
-        if known is None:
-            known = takeovers.Takeover(service, "", "", 0, 0)
+        old_primary = group.primary if group.primary != known.candidate else None
         self.context.log.write(
             events.Event.TAKEOVER_STARTED,
             service=service,
             reason=reason.value,
             primary=old_primary,
+            candidate=known.candidate,
             row_version=known.row_version,
             age_s=round(self.context.now() - self.sync.freshness.members_at, 3),
         )
@@ -296,10 +295,28 @@
         begun_at = self.context.now()
         self.sync.apply_takeover(takeover)
         await self._release_old_primary(takeover, reason.is_planned, begun_at)
-        promoted = await self._promote(group, takeover, old_primary, reason, begun_at)
-        # Without a promotion, the member that was promoted last stays the successor.
-        await self._record_end(promoted or takeover)
-        return "promoted" if promoted else "no candidate"
+        ended, is_promoted = await self._promote(
+            group, takeover, old_primary, reason, begun_at
+        )
+        await self._record_end(ended)
+        return "promoted" if is_promoted else "no candidate"
+
+    async def _find_latest(self, service):
+        """Return the last Takeover of a service, an empty one if there is none.
+
+        Notes
+        -----
+        One that was not completed is read from the store: instances of an earlier
+        build tell of it without its candidate.
+        """
+        known = self.sync.fleet.takeovers.get(service)
+        if known is None:
+            return takeovers.Takeover(service, "", "", 0, 0)
+        if known.is_done:
+            return known
+        _, listed = await self._fetch_takeovers()
+        latest = [listed.get(service), self.sync.fleet.takeovers[service]]
+        return max(filter(None, latest), key=lambda found: found.row_version)
 
     async def _record_end(self, takeover):
         """Record the end of a takeover, unless another one has replaced it.
@@ -411,12 +428,15 @@
                 self.context.peers.send(instance, message)
 
     async def _promote(self, group, takeover, old_primary, reason, begun_at):
-        """Choose a member and promote it.
+        """Promote the takeover's candidate, or choose a member and promote it.
 
         Returns
         -------
-        Takeover or None
-            The takeover with its successor; None if nobody was promoted.
+        ended : Takeover
+            The takeover as its end is to be recorded. Without a promotion, the
+            member that was promoted last stays the successor.
+        is_promoted : bool
+            Whether a member was promoted.
 
         Notes
         -----
@@ -425,53 +445,21 @@
         """
         opened = await self._open_connections(group, old_primary)
         connections = {name: found for name, found in opened.items() if found}
-        promoted = None
+        promotion = None
         try:
-            candidates, primary_position, term = await self._find_candidates(
-                group, connections, old_primary, reason
-            )
-            requirement = self._make_requirement(group, old_primary, primary_position)
-            if requirement.synchronous_replicas:
-                known = {found.name for found in candidates}
-                candidates += await self._find_remote(group, {*known, old_primary})
-            chosen = takeovers.choose_successor(candidates, requirement)
-            if chosen is None:
-                self.context.log.write(
-                    events.Event.TAKEOVER_STEP,
-                    service=group.name,
-                    step="none chosen",
-                    fence=takeover.fence,
-                    candidates=sorted(found.name for found in candidates),
-                    members=sorted(group.members),
-                    synchronous=requirement.synchronous_replicas,
+            if takeover.candidate:
+                promotion = await self._resume_promotion(
+                    group, takeover, old_primary, connections
                 )
-                return None
-            self.context.log.write(
-                events.Event.TAKEOVER_STEP,
-                service=group.name,
-                step="chosen",
-                fence=takeover.fence,
-                member=chosen.name,
-                position=f"{chosen.position.term}.{chosen.position.index}",
-                candidates=len(candidates),
-            )
-            if not await self._is_in_force(takeover):
-                return None
-            now = self.context.now()
-            if now - begun_at > takeovers.PROMOTE_DEADLINE_S:
-                return None
-            if _is_evacuated(group, chosen.name):
-                return None  # since it was chosen
-            if not await self.promoter.promote(group.name, chosen.name, takeover.fence):
-                return None
-            promoted = chosen.name
-            if old_primary in connections and not group.is_closed(
-                old_primary, self.context.now()
-            ):
-                connections[old_primary].step_down(term + 1, _ignore)
-            promotion = takeovers.make_promotion(takeover, chosen.name)
-            return await self._confirm_promotion(group, promotion, connections)
+            if promotion is None:
+                takeover, promotion = await self._promote_best(
+                    group, takeover, old_primary, reason, begun_at, connections
+                )
+            if promotion is None:
+                return takeover, False
+            return await self._confirm_promotion(group, promotion, connections), True
         finally:
+            promoted = None if promotion is None else promotion.successor
             for name, connection in connections.items():
                 is_closed = group.is_closed(name, self.context.now())
                 if name not in (old_primary, promoted) and not (
@@ -482,6 +470,125 @@
             for connection in connections.values():
                 self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
 
+    async def _resume_promotion(self, group, takeover, old_primary, connections):
+        """Promote the candidate of a takeover that was not completed.
+
+        Returns
+        -------
+        Takeover or None
+            The promotion; None if another member is to be chosen.
+        """
+        name = takeover.candidate
+        led_term, position = 0, None
+        if name in connections:
+            statuses = await self._request_statuses(
+                {name: connections[name]}, "ask_status"
+            )
+            if name in statuses:
+                is_primary, term, position = statuses[name]
+                led_term = term if is_primary else 0
+        step = takeovers.find_step(takeover, led_term, position)
+        if step is takeovers.Step.PROMOTE and _is_evacuated(group, name):
+            step = takeovers.Step.CHOOSE
+        self.context.log.write(
+            events.Event.TAKEOVER_STEP,
+            service=group.name,
+            step="resumed",
+            fence=takeover.fence,
+            member=name,
+            answers=position is not None,
+            next=step.value,
+        )
+        if step is takeovers.Step.CHOOSE:
+            return None
+        if step is takeovers.Step.PROMOTE and not await self.promoter.promote(
+            group.name, name, takeover.fence
+        ):
+            return None
+        promotion = takeovers.make_promotion(takeover, name)
+        self._step_down(group, old_primary, promotion.term, connections)
+        return promotion
+
+    async def _promote_best(
+        self, group, takeover, old_primary, reason, begun_at, connections
+    ):
+        """Choose a member and promote it.
+
+        Returns
+        -------
+        takeover : Takeover
+            The takeover as it is recorded.
+        promotion : Takeover or None
+            The takeover with its successor; None if nobody was promoted.
+        """
+        candidates, primary_position, term = await self._find_candidates(
+            group, connections, old_primary, reason
+        )
+        requirement = self._make_requirement(group, old_primary, primary_position)
+        if requirement.synchronous_replicas:
+            known = {found.name for found in candidates}
+            candidates += await self._find_remote(group, {*known, old_primary})
+        chosen = takeovers.choose_successor(candidates, requirement)
+        if chosen is None:
+            self.context.log.write(
+                events.Event.TAKEOVER_STEP,
+                service=group.name,
+                step="none chosen",
+                fence=takeover.fence,
+                candidates=sorted(found.name for found in candidates),
+                members=sorted(group.members),
+                synchronous=requirement.synchronous_replicas,
+            )
+            return takeover, None
+        self.context.log.write(
+            events.Event.TAKEOVER_STEP,
+            service=group.name,
+            step="chosen",
+            fence=takeover.fence,
+            member=chosen.name,
+            position=f"{chosen.position.term}.{chosen.position.index}",
+            candidates=len(candidates),
+        )
+        recorded = await self._record_choice(takeover, chosen)
+        if recorded is None:
+            return takeover, None
+        takeover = recorded
+        if self.context.now() - begun_at > takeovers.PROMOTE_DEADLINE_S:
+            return takeover, None
+        if _is_evacuated(group, chosen.name):
+            return takeover, None  # since it was chosen
+        if not await self.promoter.promote(group.name, chosen.name, takeover.fence):
+            return takeover, None
+        self._step_down(group, old_primary, term + 1, connections)
+        return takeover, takeovers.make_promotion(takeover, chosen.name)
+
+    async def _record_choice(self, takeover, chosen):
+        """Record a Candidate before the platform is asked to promote it.
+
+        Returns
+        -------
+        Takeover or None
+            None if the takeover is not in force any more.
+
+        Notes
+        -----
+        The answer to a promotion may be late or lost, and this process may end.
+        Whoever runs the takeover again then has to go on with the same member.
+        """
+        if not await self._is_in_force(takeover):
+            return None
+        choice = takeovers.make_choice(takeover, chosen)
+        recorded = await self.sync.source.record_choice(choice)
+        if recorded is not None:
+            self.sync.apply_takeover(recorded)
+        return recorded
+
+    def _step_down(self, group, old_primary, term, connections):
+        """Tell the old primary, if it is reached, that a term has begun."""
+        is_closed = group.is_closed(old_primary, self.context.now())
+        if old_primary in connections and not is_closed:
+            connections[old_primary].step_down(term, _ignore)
+
     async def _confirm_promotion(self, group, promotion, connections):
         """Wait until a promoted member leads.
 
@@ -508,23 +615,15 @@
         """
         name = promotion.successor
         # Its row may lapse while it becomes the primary.
-        member = group.members[name]
-        was_registered = member.role is placement.Role.PRIMARY
+        member = group.members.get(name)
+        was_registered = member is not None and member.role is placement.Role.PRIMARY
         until = self.context.now() + PROMOTION_TIMEOUT_S
         while self.context.now() < until:
-            connection = connections.get(name)
-            if connection is None or connection.is_lost:
-                connection = await self._try_open(group, member)
-                if connection is not None:
-                    connections[name] = connection
-            if connection is None:
-                term = await self._query_led_term(group, member)
-                member = group.members.get(name, member)
-                if member.role is placement.Role.PRIMARY and not was_registered:
-                    term = max(term, promotion.term)
-            else:
-                status = await self._request_status(connection, "ask_status", ())
-                term = status[1] if status is not None and status[0] else 0
+            member = group.members.get(name, member)
+            term = await self._find_led_term(group, member, connections)
+            is_registered = member is not None and member.role is placement.Role.PRIMARY
+            if name not in connections and is_registered and not was_registered:
+                term = max(term, promotion.term)
             if term >= promotion.term:
                 return attrs.evolve(promotion, term=term)
             await self._sleep(POLL_INTERVAL_S)
@@ -537,6 +636,25 @@
         )
         return attrs.evolve(promotion, term=0)
 
+    async def _find_led_term(self, group, member, connections):
+        """Return the term that a member leads, or 0.
+
+        Notes
+        -----
+        A connection that is lost is opened again. Other instances are asked only
+        if the member can't be reached from here.
+        """
+        if member is None:
+            return 0
+        connection = connections.pop(member.name, None)
+        if connection is None or connection.is_lost:
+            connection = await self._try_open(group, member)
+        if connection is None:
+            return await self._query_led_term(group, member)
+        connections[member.name] = connection
+        status = await self._request_status(connection, "ask_status", ())
+        return status[1] if status is not None and status[0] else 0
+
     async def _query_led_term(self, group, member):
         """Return the term that a member leads as other instances find it, or 0."""
         answers = await self._query_witnesses(group, member)
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -327,6 +327,9 @@
     fence: int
     row_version: int
     term: int = 0
+    candidate: str = ""
+    log_term: int = 0
+    log_index: int = 0
 
 
 @attrs.frozen
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -252,6 +252,24 @@
             return None
         return attrs.evolve(begun, fence=revision, row_version=revision)
 
+    async def record_choice(self, takeover):
+        """Record the candidate of a takeover before it is promoted.
+
+        Parameters
+        ----------
+        takeover : Takeover
+            Takeover in progress, with its candidate.
+
+        Returns
+        -------
+        Takeover or None
+            None if the row has changed meanwhile.
+        """
+        revision = await self._write_takeover(takeover)
+        return (
+            None if revision is None else attrs.evolve(takeover, row_version=revision)
+        )
+
     async def end_takeover(self, takeover, successor):
         """Record the end of a takeover.
 
@@ -263,7 +281,7 @@
         Takeover or None
             None if the row has changed meanwhile.
         """
-        ended = attrs.evolve(takeover, holder="", successor=successor)
+        ended = attrs.evolve(takeover, holder="", successor=successor, candidate="")
         revision = await self._write_takeover(ended)
         if revision is None:
             return None
@@ -288,6 +306,9 @@
             fence=takeover.fence if with_fence else None,
             era=self.era,
             term=takeover.term,
+            candidate=takeover.candidate,
+            log_term=takeover.log_term,
+            log_index=takeover.log_index,
         )
         fields = attrs.asdict(row)
         if not with_fence:
@@ -428,6 +449,9 @@
     fence: int | None = None
     era: int = 0
     term: int = 0
+    candidate: str = ""
+    log_term: int = 0
+    log_index: int = 0
 
 
 def _decode_row(row):
@@ -457,7 +481,7 @@
     era = _json.read({"era": fields.era}, "era", _json.require_integer, store.MAX_ERA)
     revision = store.make_revision(era, row.version)
     fence = revision if fields.fence is None else fields.fence
-    for name in ("holder", "successor"):
+    for name in ("holder", "successor", "candidate"):
         if not getattr(fields, name).isprintable():
             raise ValueError(f"{name}: expected printable characters")
     return takeovers.Takeover(
@@ -467,6 +491,9 @@
         fence=_json.read({"fence": fence}, "fence", _json.require_integer, revision),
         row_version=revision,
         term=_read_number("term", fields.term),
+        candidate=fields.candidate,
+        log_term=_read_number("log_term", fields.log_term),
+        log_index=_read_number("log_index", fields.log_index),
     )
 
 
--- a/tests/core/takeovers/test_decide.py
+++ b/tests/core/takeovers/test_decide.py
@@ -215,3 +215,36 @@
 
     def test_primary_is_not_replaced_again_soon(self):
         self.assertIsNone(self.find(since_failing_s=29.0))
+
+
+class UnfinishedTakeoverTests(testtools.TestCase):
+    """A takeover that has chosen m with log position 3.7, after a primary of term 3."""
+
+    def find_step(self, led_term=0, position=None):
+        begun = takeovers.Takeover("g", "x/1", "p", 5, 5, term=3)
+        candidate = takeovers.Candidate("m", sessions.Position(3, 7))
+        choice = takeovers.make_choice(begun, candidate)
+        return takeovers.find_step(choice, led_term, position)
+
+    def test_candidate_that_leads_is_the_successor(self):
+        position = sessions.Position(4, 1)
+        self.assertEqual(takeovers.Step.END, self.find_step(4, position))
+
+    def test_candidate_that_leads_an_earlier_term_is_promoted(self):
+        position = sessions.Position(3, 9)
+        self.assertEqual(takeovers.Step.PROMOTE, self.find_step(3, position))
+
+    def test_candidate_may_have_been_promoted_though_it_does_not_answer(self):
+        self.assertEqual(takeovers.Step.PROMOTE, self.find_step())
+
+    def test_candidate_that_has_lost_its_log_is_given_up(self):
+        behind, equal = sessions.Position(3, 6), sessions.Position(3, 7)
+        self.assertEqual(takeovers.Step.CHOOSE, self.find_step(0, behind))
+        self.assertEqual(takeovers.Step.PROMOTE, self.find_step(0, equal))
+
+    def test_present_primary_stays_in_its_term(self):
+        ended = takeovers.Takeover("g", "", "p", 5, 6, term=3)
+        self.assertEqual(3, takeovers.make_promotion(ended, "p").term)
+        self.assertEqual(4, takeovers.make_promotion(ended, "m").term)
+        unknown = attrs.evolve(ended, term=0)
+        self.assertEqual(1, takeovers.make_promotion(unknown, "p").term)
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -131,6 +131,8 @@
             "takeover/d": {"holder": "a/1", "era": True},
             "takeover/f": {"holder": "a/1", "term": -1},
             "takeover/g": {"holder": "a/1", "term": 10**400},
+            "takeover/h": {"holder": "a/1", "candidate": "s3cret\r\n"},
+            "takeover/i": {"holder": "a/1", "log_index": 0.5},
             "takeover/e": {"holder": ["s3cret"]},
         }
         rows = [
@@ -216,6 +218,46 @@
         self.assertEqual(("p", "a/7", 31), (begun.successor, begun.holder, begun.fence))
         self.assertEqual([4], [found.term for found in listed])
 
+    def test_choice_is_recorded_until_the_takeover_ends(self):
+        client = FakeStoreClient()
+        written = []
+
+        async def commit(table, conditions, writes):
+            ((key, value),) = writes.items()
+            written.append((conditions[key], value))
+            return 31 + len(written)
+
+        client.commit = commit
+        platform_source = source.PlatformSource(client)
+        run(platform_source.fetch_instances())
+        begun = takeovers.Takeover("g", "a/7", "p", 31, 31)
+        choice = attrs.evolve(begun, candidate="c", log_term=3, log_index=1207)
+        recorded = run(platform_source.record_choice(choice))
+        self.assertEqual(attrs.evolve(choice, row_version=32), recorded)
+        row = store.Row("takeover/g", written[0][1], 32)
+        client.rows = store.ReadResult([row], 32, 6.0)
+        _, listed = run(platform_source.fetch_instances())
+        self.assertEqual([recorded], listed)
+        self.assertEqual(
+            recorded, state_sync.decode_takeover(state_sync.encode_takeover(recorded))
+        )
+        ended = run(platform_source.end_takeover(recorded, "c"))
+        self.assertEqual(("c", "", 33), (ended.successor, ended.candidate, 33))
+        self.assertEqual((3, 1207), (ended.log_term, ended.log_index))
+        self.assertEqual([31, 32], [expected for expected, _ in written])
+
+    def test_choice_is_not_recorded_over_a_row_of_another_takeover(self):
+        client = FakeStoreClient()
+
+        async def commit(table, conditions, writes):
+            return None
+
+        client.commit = commit
+        platform_source = source.PlatformSource(client)
+        run(platform_source.fetch_instances())
+        choice = takeovers.Takeover("g", "a/7", "p", 31, 31, candidate="c")
+        self.assertIsNone(run(platform_source.record_choice(choice)))
+
 
 class EvacuationTests(testtools.TestCase):
     def read(self, client, *rows, revision=30):
