Require the log that the last successor had received of the next one

Cause: the requirement counts the replicas that have answered. A primary that received acknowledged commits as the only replica, and is lost before the others have caught up, leaves a replica that counts as all of them once the row of the primary before has lapsed.

The row of a takeover has the log position with which its successor was chosen. With synchronous replicas, the next successor needs it at least. Without them nothing changes.

--- a/pomelograde/core/takeovers/_decide.py
+++ b/pomelograde/core/takeovers/_decide.py
@@ -91,11 +91,16 @@
     primary_position : Position or None
         End of the old primary's log, asked once no instance used it any more; None
         if it has not answered.
+    promoted_position : Position or None
+        Log position with which the last successor was chosen. It covers commits
+        that were acknowledged in earlier terms, which that member may hold alone
+        until others have caught up.
     """
 
     synchronous_replicas: int = 0
     replica_count: int | None = None
     primary_position: object = None
+    promoted_position: object = None
 
     def find_required(self, positions):
         """Return the position that a successor must have received at least.
@@ -121,11 +126,16 @@
         if furthest is None:
             return None
         if self.primary_position is not None and furthest >= self.primary_position:
-            return self.primary_position
-        if self.replica_count is None:
+            required = self.primary_position
+        elif self.replica_count is None:
             return None
-        missing = self.replica_count - len(positions)
-        return furthest if missing < self.synchronous_replicas else None
+        elif self.replica_count - len(positions) < self.synchronous_replicas:
+            required = furthest
+        else:
+            return None
+        if self.promoted_position is None:
+            return required
+        return max(required, self.promoted_position)
 
 
 ANY_LOG = LogRequirement()
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -524,7 +524,9 @@
         candidates, primary_position, term = await self._find_candidates(
             group, connections, old_primary, reason
         )
-        requirement = self._make_requirement(group, old_primary, primary_position)
+        requirement = self._make_requirement(
+            group, takeover, old_primary, primary_position
+        )
         if requirement.synchronous_replicas:
             known = {found.name for found in candidates}
             candidates += await self._find_remote(group, {*known, old_primary})
@@ -732,7 +734,7 @@
         taken = (pool.try_acquire(role, needs_room=False) for role in roles)
         return next((found for found in taken if found is not None), None)
 
-    def _make_requirement(self, group, old_primary, primary_position):
+    def _make_requirement(self, group, takeover, old_primary, primary_position):
         """Return the LogRequirement for the old primary's successor.
 
         Notes
@@ -744,7 +746,10 @@
         if not self._are_registrations_complete():
             replica_count = None
         return takeovers.LogRequirement(
-            self._count_synchronous(group.name), replica_count, primary_position
+            self._count_synchronous(group.name),
+            replica_count,
+            primary_position,
+            None if takeover is None else takeover.log_position,
         )
 
     def _are_registrations_complete(self):
@@ -831,7 +836,8 @@
             if name in group.members
         ]
         candidates += await self._find_remote(group, {*states, group.primary})
-        requirement = self._make_requirement(group, group.primary, None)
+        takeover = self.sync.fleet.takeovers.get(group.name)
+        requirement = self._make_requirement(group, takeover, group.primary, None)
         return takeovers.choose_successor(candidates, requirement) is not None
 
     async def _find_candidates(self, group, connections, old_primary, reason):
--- a/tests/core/takeovers/test_decide.py
+++ b/tests/core/takeovers/test_decide.py
@@ -1,5 +1,7 @@
 """Tests of the decisions about replacing a primary."""
 
+import functools
+
 import attrs
 import testtools
 
@@ -139,6 +141,14 @@
         self.assertEqual("b", self.choose({"b": 9}, primary_position=end))
         self.assertIsNone(self.choose({"a": 8}, primary_position=end))
 
+    def test_commits_that_the_last_successor_had_received_are_required(self):
+        promoted = sessions.Position(3, 8)
+        for found, expected in (({"a": 7}, None), ({"a": 8}, "a")):
+            choose = functools.partial(self.choose, found, promoted_position=promoted)
+            self.assertEqual(expected, choose(replica_count=1))
+            end = sessions.Position(3, 7)
+            self.assertEqual(expected, choose(primary_position=end))
+
     def test_evacuated_replica_that_is_ahead_lets_nobody_lead(self):
         found = {"a": 7, "b": 9}
         self.assertIsNone(self.choose(found, {"b"}, replica_count=2))
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -934,6 +934,37 @@
         self.group.set_evacuations({"y": 9.0})
         self.assertEqual(["c"], self.start_takeover())
 
+    def test_other_member_is_promoted_once_the_platform_refuses_the_chosen_one(self):
+        # The chosen one may hold commits that no other replica has received.
+        parent = super()
+        self.members["b"].received = 103
+        parent.test_other_member_is_promoted_once_the_platform_refuses_the_chosen_one()
+
+    def test_chosen_member_that_has_lost_its_log_is_not_promoted(self):
+        # Nor is another one that lacks a part of that log.
+        self.lose_answer(has_effect=False)
+        self.members["c"].received = 0
+        self.task.promoter.promote = self.promote
+        self.assertEqual([None], self.resume())
+        self.members["b"].received = 103
+        self.assertEqual(["b"], self.resume())
+
+    def test_replica_that_lacks_commits_of_an_earlier_term_is_not_promoted(self):
+        # The old primary's row had lapsed, and a replica without its last commits
+        # followed the successor that alone had received them.
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        chosen = takeovers.Candidate("b", sessions.Position(1, 102))
+        begun = takeovers.Takeover("g", "reader/1", "b", 7, 7)
+        takeover = attrs.evolve(takeovers.make_choice(begun, chosen), candidate="")
+        for received, expected in ((101, None), (102, "a")):
+            self.members["a"].received = received
+            promoting = self.task._promote(
+                self.group, takeover, "b", takeovers.Reason.ABSENT, 0.0
+            )
+            found = self.watch(promoting)
+            self.advance(1.0)
+            self.assertEqual([expected], found)
+
     def count_connections(self):
         return [found.connections for found in self.members.values()]
 
