Let an instance that has just started go by the row of the successor

An instance took the successor of any takeover that it learned of for the primary for 2.5 s, also right after its start, when the takeover may have ended long before. If that member had started again as a replica since, reads of primary routes would have been sent to a replica (STALE).

Only an instance that has seen the takeover in progress uses the successor before its row says that it leads.

Evidence: test_instance_that_has_just_started_goes_by_the_row_of_the_successor fails without the change.

--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -307,7 +307,8 @@
         Notes
         -----
         While it is in progress, the old primary is held: no new statements are
-        sent to it.
+        sent to it. An instance that has not seen it in progress does not know how
+        long ago it ended: its successor may have started again as a replica since.
         """
         self.takeovers[takeover.service] = takeover
         group = self.groups.get(takeover.service)
@@ -316,7 +317,10 @@
         was_blocked = group.is_primary_blocked
         now = self.context.now()
         changed = group.set_takeover(
-            takeover.blocks_primary, takeover.successor, now, takeover.term > 0
+            takeover.blocks_primary,
+            takeover.successor,
+            now,
+            is_successor_confirmed=was_blocked and takeover.term > 0,
         )
         if changed or was_blocked != group.is_primary_blocked:
             self.context.log.write(
--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -3,10 +3,17 @@
 import random
 import types
 
+import attrs
 import testtools
 from twisted.internet import defer
 
-from pomelograde.core import configuration, membership, placement, pooling
+from pomelograde.core import (
+    configuration,
+    membership,
+    placement,
+    pooling,
+    takeovers,
+)
 from pomelograde.net import metrics, pools
 from pomelograde.net.hosted import proxy
 
@@ -31,26 +38,32 @@
         self.is_closed = True
 
 
+def make_proxy():
+    """Return the proxy of the first instance."""
+    context = types.SimpleNamespace(
+        reactor=None,
+        now=lambda: 100.0,
+        members=types.SimpleNamespace(own=INSTANCES[0]),
+        peers=types.SimpleNamespace(handlers={}),
+        metrics=metrics.Metrics(),
+        random=random.Random(1),
+        log=types.SimpleNamespace(write=lambda event, **_: None),
+        settings=types.SimpleNamespace(
+            rate_excess=0.1,
+            rate_slack=20.0,
+            host="127.0.0.1",
+            shares_members=False,
+        ),
+    )
+    found = proxy.Proxy(context, configuration.Freshness(5.0), None)
+    found.relay.set_instances(INSTANCES)
+    return found
+
+
 class OwnershipTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        context = types.SimpleNamespace(
-            reactor=None,
-            now=lambda: 100.0,
-            members=types.SimpleNamespace(own=INSTANCES[0]),
-            peers=types.SimpleNamespace(handlers={}),
-            metrics=metrics.Metrics(),
-            random=random.Random(1),
-            log=types.SimpleNamespace(write=lambda event, **_: None),
-            settings=types.SimpleNamespace(
-                rate_excess=0.1,
-                rate_slack=20.0,
-                host="127.0.0.1",
-                shares_members=False,
-            ),
-        )
-        self.proxy = proxy.Proxy(context, configuration.Freshness(5.0), None)
-        self.proxy.relay.set_instances(INSTANCES)
+        self.proxy = make_proxy()
         accounts = {
             f"account-{number}": configuration.ClientAccount(
                 f"account-{number}", (), 10.0, 10.0
@@ -132,3 +145,33 @@
         # Two owners, and a quarter of the connections reserved.
         self.assertEqual((12.0, 12.0), (limiter.maximum, limiter.limit))
         self.assertEqual(2.5, limiter.floor)
+
+
+class TakeoverTests(testtools.TestCase):
+    """The primary of a service after a takeover whose successor is r."""
+
+    def setUp(self):
+        super().setUp()
+        self.proxy = make_proxy()
+        self.group = self.proxy.groups["s"] = placement.Group("s")
+        self.group.update([PRIMARY, placement.Member("r", "a-x")], 99.0)
+
+    def learn(self, revision, **fields):
+        takeover = takeovers.Takeover("s", "", "", revision, revision)
+        self.proxy.set_takeover(attrs.evolve(takeover, **fields))
+        return self.group.primary
+
+    def test_successor_that_was_seen_to_lead_is_used_before_its_row_says_so(self):
+        self.learn(7, holder="a1/5")
+        self.assertEqual("r", self.learn(8, successor="r", term=2))
+
+    def test_successor_that_was_not_seen_to_lead_is_not_used(self):
+        self.learn(7, holder="a1/5")
+        self.assertIsNone(self.learn(8, successor="r"))
+
+    def test_instance_that_has_just_started_goes_by_the_row_of_the_successor(self):
+        # The successor may have started again as a replica since the takeover.
+        self.assertIsNone(self.learn(8, successor="r", term=2))
+        leader = placement.Member("r", "a-x", role=placement.Role.PRIMARY)
+        self.group.update([PRIMARY, leader], 100.0)
+        self.assertEqual("r", self.group.primary)
