Take no position from before a promotion for the primary's

Cause: the position of a member counted as a floor if the member was the primary when the position was recorded. It may have been requested before, here or by another instance that tells its last one, when the member was a replica and behind.

Only a position that was requested since this instance knows the member to lead is a floor now. A position from before is requested again at once.

The new test fails without the change.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -123,6 +123,8 @@
         Members by name.
     primary : str or None
         Name of the current primary.
+    primary_since : float
+        Monotonic time since which it is known to be the primary.
     max_connections : int
         Connections that each member accepts from all instances together.
     primary_lease_until : float
@@ -171,6 +173,7 @@
         self.name = name
         self.members = {}
         self.primary = None
+        self.primary_since = float("-inf")
         self.max_connections = 0
         self.primary_lease_until = float("-inf")
         self.is_primary_blocked = False
@@ -453,14 +456,15 @@
         Notes
         -----
         Only a position of the primary that was requested while this instance's
-        lease on the primary was valid is recorded as a floor.
+        lease on the primary was valid is recorded as a floor. One that was requested
+        before the member was known to lead may be that of a lagging replica.
         """
         member = self.members.get(name)
         if member is None:
             return
         member.position = position
         member.position_at = asked_at
-        if name != self.primary or asked_at >= self.primary_lease_until:
+        if not self.leads_since(name, asked_at) or asked_at >= self.primary_lease_until:
             return
         if position.term > self.term:
             self.term = position.term
@@ -469,6 +473,10 @@
         if position.term == self.term:
             self.floors.add(asked_at, position)
 
+    def leads_since(self, name, at):
+        """Return whether a member is the primary, and was at a time known to be it."""
+        return name == self.primary and at >= self.primary_since
+
     def on_behind(self, name, now):
         """Back off from a replica that had not reached a required position."""
         member = self.members.get(name)
@@ -620,6 +628,8 @@
             )
             name = primaries[-1].name if primaries else None
         changed = name != self.primary
+        if changed:
+            self.primary_since = now
         self.primary = name
         return changed
 
--- a/pomelograde/net/hosted/positions.py
+++ b/pomelograde/net/hosted/positions.py
@@ -43,7 +43,10 @@
         sources = {}
         for group in self.proxy.groups.values():
             primary = group.usable_primary(now)
-            if primary is None or now - primary.position_at <= INTERVAL_S:
+            if primary is None:
+                continue
+            is_recent = now - primary.position_at <= INTERVAL_S
+            if is_recent and group.leads_since(primary.name, primary.position_at):
                 continue
             source = self._query_here(group, primary)
             if source is not None:
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -141,6 +141,19 @@
         self.assertTrue(self.group.update_primary(13.6))
         self.assertIsNone(self.group.primary)
 
+    def test_position_before_a_promotion_is_not_that_of_a_primary(self):
+        # A lagging replica's position counted as the end of the log once it led.
+        self.group.primary_lease_until = 99.0
+        self.group.on_position("a", POSITION(1, 3), 10.8)
+        self.group.set_takeover(True, "", 10.0)
+        self.group.set_takeover(False, "a", 11.0)
+        self.assertEqual("a", self.group.primary)
+        self.group.on_position("a", POSITION(1, 4), 10.9)  # told by another instance
+        self.assertIsNone(self.group.read_requirement(None, 1.0, 11.1))
+        self.group.on_position("a", POSITION(1, 9), 11.0)
+        found = self.group.read_requirement(None, 1.0, 11.1)
+        self.assertEqual(POSITION(1, 9), found.position)
+
     def test_replaced_primary_is_not_used_while_its_successor_has_no_row(self):
         # Its commits were acknowledged, and rolled back once it followed.
         primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
