End relayed statements without an answer at the owner of the connection

Cause: the instance that relays a statement gives it up at its deadline, but at the owner it had no time limit. Its connection stayed in use, and at the limit of the pool no other one is opened. A query of a member's position could keep a connection in the same way.

--- a/pomelograde/net/hosted/paths.py
+++ b/pomelograde/net/hosted/paths.py
@@ -377,8 +377,8 @@
             connection = pool.try_acquire(role, needs_room=False)
             if connection is not None:
                 self.pinged[name] = connection
-                connection.ask_position(
-                    functools.partial(self._on_position, connection)
+                proxy.query_position(
+                    connection, functools.partial(self._on_position, connection)
                 )
                 return
         opening = defer.ensureDeferred(
--- a/pomelograde/net/hosted/positions.py
+++ b/pomelograde/net/hosted/positions.py
@@ -229,7 +229,7 @@
     def on_connection(self, connection):
         """Send the query."""
         self.connection = connection
-        connection.ask_position(self._on_answer)
+        self.proxy.query_position(connection, self._on_answer)
 
     def on_refused(self, failure):
         """Do nothing; the next periodic update queries again."""
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -465,6 +465,19 @@
         else:
             done()
 
+    def query_position(self, connection, done):
+        """Request a member's position; `done` is called with the Answer.
+
+        A connection without an answer is closed after `ABANDON_TIMEOUT_S`.
+        """
+
+        def on_answer(answer):
+            timer.cancel()
+            done(answer)
+
+        timer = self.context.reactor.callLater(ABANDON_TIMEOUT_S, connection.close)
+        connection.ask_position(on_answer)
+
     def mark_outstanding(self, connection):
         """Count a connection as in use among its member's outstanding statements."""
         member = self._find_member(connection)
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -645,7 +645,10 @@
             self.context.peers.send(connection.peer, request)
 
     def sweep(self, now, transaction_idle_s):
-        """Close transactions that the other instances should have ended."""
+        """Close what the other instances should have ended, and what has no answer."""
+        for handler in list(self.pending):
+            if now >= handler.expires_at:
+                handler.expire(now)
         limit_s = transaction_idle_s + EXPIRY_MARGIN_S
         for number, transaction in list(self.open_transactions.items()):
             if (
@@ -841,6 +844,8 @@
         Request for a connection.
     is_withdrawn : bool
         Whether nobody waits for the answer any more.
+    expires_at : float
+        Monotonic time from which the instance that sent it has given it up.
     """
 
     def __init__(self, relay, message, origin):
@@ -852,6 +857,11 @@
         self.started_at = relay.context.now()
         self.waiter = None
         self.is_withdrawn = False
+        # The budget of a transaction was that of its first statement.
+        limit_s = message.budget_ms / 1000.0
+        if message.transaction:
+            limit_s = REQUEST_TIMEOUT_S
+        self.expires_at = self.started_at + limit_s + EXPIRY_MARGIN_S
 
     def start(self):
         """Obtain a connection, or use that of the open transaction."""
@@ -921,7 +931,7 @@
             self.on_refused(retries.Failure(_KIND.UPSTREAM_UNREACHABLE))
 
     def fail(self):
-        """Close the connection and answer that it is lost, after an error."""
+        """Close the connection and answer that it is lost."""
         if self.connection is not None:
             self.connection.on_lost = None
             self.connection.close()
@@ -930,6 +940,29 @@
         if not self.done.called:
             self.done.callback(None)
 
+    def expire(self, now):
+        """Close the connection, as the member has not answered in time.
+
+        Notes
+        -----
+        A connection may go silent without a reset. It would keep its room at the
+        member, which the member itself has given to others by then.
+        """
+        message = self.message
+        self.relay.context.log.write(
+            events.Event.RELAYED_REQUEST_EXPIRED,
+            service=message.service,
+            member=message.member,
+            account=message.account,
+            step=message.step,
+            in_transaction=bool(message.transaction),
+            is_sent=self.connection is not None,
+            s=round(now - self.started_at, 3),
+        )
+        if self.waiter is not None:
+            self.waiter.abandoned = True
+        self.fail()
+
     def withdraw(self):
         """Stop, as the caller has left or its instance is lost.
 
--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -5,7 +5,7 @@
 
 import attrs
 import testtools
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from pomelograde.core import (
     configuration,
@@ -27,7 +27,7 @@
 class Connection:
     """Idle connection of a client account."""
 
-    is_lost = False
+    is_lost = is_remote = False
     response_handlers = ()
 
     def __init__(self, role):
@@ -147,6 +147,36 @@
         self.assertEqual(2.5, limiter.floor)
 
 
+class SilentConnectionTests(testtools.TestCase):
+    """Connections that may have gone silent, while an answer is outstanding."""
+
+    def setUp(self):
+        super().setUp()
+        self.proxy = make_proxy()
+        self.clock = self.proxy.context.reactor = task.Clock()
+        self.connection = Connection("account")
+        self.asked = []
+        self.connection.ask_position = self.asked.append
+
+    def test_connection_without_an_answer_is_closed(self):
+        self.proxy.query_position(self.connection, self.fail)
+        self.clock.advance(proxy.ABANDON_TIMEOUT_S)
+        self.assertTrue(self.connection.is_closed)
+
+    def test_connection_with_an_answer_stays_open(self):
+        answers = []
+        self.proxy.query_position(self.connection, answers.append)
+        self.asked[0]("answer")
+        self.clock.advance(proxy.ABANDON_TIMEOUT_S)
+        self.assertEqual((["answer"], False), (answers, self.connection.is_closed))
+
+    def test_abandoned_connection_without_an_answer_is_closed(self):
+        self.connection.response_handlers = [self.fail]
+        self.proxy.abandon(self.connection, in_transaction=False)
+        self.clock.advance(proxy.ABANDON_TIMEOUT_S)
+        self.assertTrue(self.connection.is_closed)
+
+
 class TakeoverTests(testtools.TestCase):
     """The primary of a service after a takeover whose successor is r."""
 
--- a/tests/net/hosted/test_relayed_transactions.py
+++ b/tests/net/hosted/test_relayed_transactions.py
@@ -59,8 +59,9 @@
         self.waiters = []
         self.requests = []
         self.logged = []
+        self.now = 100.0
         context = types.SimpleNamespace(
-            now=lambda: 100.0,
+            now=lambda: self.now,
             random=random.Random(seed),
             members=types.SimpleNamespace(own=own),
             settings=types.SimpleNamespace(shares_members=False),
@@ -193,6 +194,67 @@
         self.response_handlers.pop(0)(answer)
 
 
+class SilentMemberTests(testtools.TestCase):
+    """Relayed statements on a connection that has gone silent for good."""
+
+    def setUp(self):
+        super().setUp()
+        self.owner = Process(OWNER, seed=1)
+        self.upstream = Busy("p", "red")
+        self.owner.relay.proxy.pools["p"].try_acquire = lambda *_: self.upstream
+
+    def execute(self, number):
+        request = make_request("execute", "red", number)
+        connection = connect(ENTRY)
+        if number:
+            connection = self.owner.relay.open_transactions[number].origin
+        envelope = types.SimpleNamespace(
+            sender=ENTRY.name, incarnation=1, connection=connection
+        )
+        return self.owner.start(request, envelope)
+
+    def sweep(self, after_s):
+        self.owner.now = 100.0 + after_s
+        self.owner.relay.sweep(self.owner.now, transaction_idle_s=3.0)
+        return self.upstream.is_closed
+
+    def test_statement_without_an_answer_frees_its_connection(self):
+        # An owner's connections stayed taken for good, and it opened no others.
+        answer = self.execute(0)
+        self.assertFalse(self.sweep(1.8))
+        self.assertTrue(self.sweep(1.9))
+        self.assertIsNone(answer.result)
+        self.assertFalse(self.owner.relay.is_busy)
+        self.assertEqual([events.Event.RELAYED_REQUEST_EXPIRED], self.owner.logged)
+
+    def test_transaction_without_an_answer_frees_its_connection(self):
+        number = self.owner.begin("red", connect(ENTRY))
+        answer = self.execute(number)
+        self.assertFalse(self.sweep(20.9))
+        self.assertTrue(self.sweep(21.0))
+        self.assertIsNone(answer.result)
+        self.assertFalse(self.owner.relay.is_busy)
+
+    def test_transaction_that_is_not_continued_frees_its_connection(self):
+        self.owner.begin("red", connect(ENTRY))
+        self.assertFalse(self.sweep(4.0))
+        self.assertTrue(self.sweep(4.1))
+        self.assertFalse(self.owner.relay.is_busy)
+
+    def test_answer_in_time_leaves_the_connection_open(self):
+        answer = self.execute(0)
+        self.upstream.answer(statements.Answer())
+        self.assertFalse(self.sweep(30.0))
+        self.assertEqual(b"I", answer.result.status)
+
+    def test_request_that_still_waits_for_a_connection_leaves_the_queue(self):
+        self.owner.relay.proxy.pools["p"].try_acquire = lambda *_: None
+        answer = self.execute(0)
+        self.sweep(1.9)
+        self.assertTrue(self.owner.waiters[0].abandoned)
+        self.assertIsNone(answer.result)
+
+
 class MalformedRequestTests(testtools.TestCase):
     """Requests of other instances that can't be carried out."""
 
