Ask synchronous replicas for their commits also while they have no row

Cause: the replicas that must have answered were counted by their rows. A row that lapses says that the member does not reach the store, not that it is lost.

A member whose row is missing without its having announced to leave is remembered for 60 s. With synchronous replicas a takeover asks it, and as long as it answers as a replica, nobody who lacks its commits is promoted. It can't be promoted itself. One that answers nobody is gone, as before.

The new tests fail without the change.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -22,6 +22,8 @@
 # Time after which the row of a member shows whether it has started again.
 RESTART_CONFIRM_S = 1.5
 LEFT_MEMORY_S = 60.0  # for a leaving member whose row is missing for a while
+# Time for which a member may be cut off from the store and be reached all the same.
+LAPSED_MEMORY_S = 60.0
 STALENESS_MARGIN_S = 0.1  # covers the transit of a read to the replica, up to 25 ms
 
 
@@ -156,6 +158,9 @@
     left : dict of str to tuple of float
         Time until which each member that leaves, or has left, may get new
         statements, and time of the last update that had its row.
+    lapsed : dict of str to tuple of (Member, float)
+        Members whose row is missing though they had not announced to leave, and
+        since when.
     evacuated : frozenset of str
         Data centres whose members get nothing more.
     outliers : Outliers or None
@@ -186,6 +191,7 @@
         self.term_start = None
         self.floors = _floors.FloorHistory()
         self.left = {}
+        self.lapsed = {}
         self.evacuated = frozenset()
         self.outliers = None
         self.expected = None
@@ -231,6 +237,7 @@
             elif self.expected is not None:
                 self.expected.estimates.pop(member.name, None)
             registered[member.name] = member
+        self._update_lapsed(registered, now)
         self.members = registered
         self.left = {
             name: (until, seen_at)
@@ -244,6 +251,26 @@
         self.update_cold(now, now)
         return self.update_primary(now)
 
+    def _update_lapsed(self, registered, now):
+        missing = {
+            name: (member, now)
+            for name, member in self.members.items()
+            if not member.leaving
+        }
+        self.lapsed = {
+            name: (member, since)
+            for name, (member, since) in {**missing, **self.lapsed}.items()
+            if name not in registered and now < since + LAPSED_MEMORY_S
+        }
+
+    def find_lapsed(self):
+        """Return the members whose row is missing though they have not left."""
+        return [member for member, _ in self.lapsed.values()]
+
+    def find_all(self):
+        """Return the registered members, and those of `find_lapsed`."""
+        return [*self.members.values(), *self.find_lapsed()]
+
     def update_cold(self, now, read_at):
         """Update which members count as cold.
 
--- a/pomelograde/core/takeovers/_decide.py
+++ b/pomelograde/core/takeovers/_decide.py
@@ -159,6 +159,8 @@
         Whether it has just started.
     is_evacuated : bool
         Whether operators have evacuated its data centre.
+    is_registered : bool
+        Whether it has a row; otherwise it counts for its log only.
     """
 
     name: str
@@ -167,6 +169,7 @@
     same_data_centre: bool = False
     is_cold: bool = False
     is_evacuated: bool = False
+    is_registered: bool = True
 
 
 def find_takeover_reason(health):
@@ -239,9 +242,12 @@
     not cold, then to one in the data centre of the old primary.
 
     With synchronous replicas, nobody is promoted while a replica that has not
-    answered, or that is evacuated, may be the only one with an acknowledged commit.
+    answered, or that is evacuated or not registered, may be the only one with an
+    acknowledged commit.
     """
-    eligible = [found for found in candidates if not found.is_evacuated]
+    eligible = [
+        found for found in candidates if found.is_registered and not found.is_evacuated
+    ]
     if requirement.synchronous_replicas:
         required = requirement.find_required([found.position for found in candidates])
         if required is None:
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -443,7 +443,7 @@
         The replicas receive again in any case. A promotion does not end a pause
         for a higher term, as an earlier attempt at this takeover may have left it.
         """
-        opened = await self._open_connections(group, old_primary)
+        opened = await self._open_connections(group, old_primary, with_lapsed=True)
         connections = {name: found for name, found in opened.items() if found}
         promotion = None
         try:
@@ -524,12 +524,12 @@
         candidates, primary_position, term = await self._find_candidates(
             group, connections, old_primary, reason
         )
-        requirement = self._make_requirement(
-            group, takeover, old_primary, primary_position
-        )
-        if requirement.synchronous_replicas:
+        if self._count_synchronous(group.name):
             known = {found.name for found in candidates}
             candidates += await self._find_remote(group, {*known, old_primary})
+        requirement = self._make_requirement(
+            group, takeover, old_primary, primary_position, candidates
+        )
         chosen = takeovers.choose_successor(candidates, requirement)
         if chosen is None:
             self.context.log.write(
@@ -665,9 +665,19 @@
             default=0,
         )
 
-    async def _open_connections(self, group, old_primary):
+    async def _open_connections(self, group, old_primary, with_lapsed=False):
         """Return a connection to each member by name; None if there is none.
 
+        Parameters
+        ----------
+        group : Group
+            Database service.
+        old_primary : str or None
+            The primary that is to be replaced.
+        with_lapsed : bool
+            Whether the logs of synchronous replicas matter, so that those are asked
+            as well whose row is missing.
+
         Notes
         -----
         In evacuated data centres, only the old primary and synchronous replicas
@@ -682,6 +692,8 @@
             or (name == old_primary or is_synchronous)
             and not group.is_closed(name, now)
         ]
+        if with_lapsed and is_synchronous:
+            members += group.find_lapsed()
         opened = await defer.gatherResults(
             [defer.ensureDeferred(self._try_open(group, member)) for member in members]
         )
@@ -734,15 +746,19 @@
         taken = (pool.try_acquire(role, needs_room=False) for role in roles)
         return next((found for found in taken if found is not None), None)
 
-    def _make_requirement(self, group, takeover, old_primary, primary_position):
+    def _make_requirement(
+        self, group, takeover, old_primary, primary_position, candidates
+    ):
         """Return the LogRequirement for the old primary's successor.
 
         Notes
         -----
         The number of replicas is unknown after an outage of the store, until the
-        registrations that have expired meanwhile are back.
+        registrations that have expired meanwhile are back. A replica whose row is
+        missing counts as long as it answers.
         """
-        replica_count = len(group.members.keys() - {old_primary})
+        lapsed = {found.name for found in candidates if not found.is_registered}
+        replica_count = len((group.members.keys() | lapsed) - {old_primary})
         if not self._are_registrations_complete():
             replica_count = None
         return takeovers.LogRequirement(
@@ -769,8 +785,8 @@
         now = self.context.now()
         members = [
             member
-            for name, member in group.members.items()
-            if name not in known and not group.is_closed(name, now)
+            for member in group.find_all()
+            if member.name not in known and not group.is_closed(member.name, now)
         ]
         positions = await defer.gatherResults(
             [
@@ -781,15 +797,23 @@
         return [
             self._make_candidate(group, member.name, position, "")
             for member, position in zip(members, positions, strict=True)
-            if position is not None and member.name in group.members
+            if position is not None
         ]
 
     async def _query_position(self, group, member):
-        """Return the position of a member as other instances find it, or None."""
+        """Return the position of a replica as other instances find it, or None.
+
+        Notes
+        -----
+        A primary without a row is no replica, as in `_make_candidates`.
+        """
+        answers = await self._query_witnesses(group, member)
+        if member.name not in group.members:
+            answers = [found for found in answers if found.role == ROLE_REPLICA]
         return max(
             (
                 sessions.Position(answer.log_term, answer.log_index)
-                for answer in await self._query_witnesses(group, member)
+                for answer in answers
                 if answer.has_position
             ),
             default=None,
@@ -820,7 +844,7 @@
         """
         if not self._count_synchronous(group.name):
             return True
-        opened = await self._open_connections(group, group.primary)
+        opened = await self._open_connections(group, group.primary, with_lapsed=True)
         replicas = {
             name: found
             for name, found in opened.items()
@@ -830,16 +854,29 @@
             states = await self._request_statuses(replicas, "ask_status")
         finally:
             _close_all(opened)
-        candidates = [
-            self._make_candidate(group, name, position, "")
-            for name, (_, _, position) in states.items()
-            if name in group.members
-        ]
-        candidates += await self._find_remote(group, {*states, group.primary})
+        candidates = self._make_candidates(group, states, "")
+        known = {*states, group.primary}
+        candidates += await self._find_remote(group, known)
         takeover = self.sync.fleet.takeovers.get(group.name)
-        requirement = self._make_requirement(group, takeover, group.primary, None)
+        requirement = self._make_requirement(
+            group, takeover, group.primary, None, candidates
+        )
         return takeovers.choose_successor(candidates, requirement) is not None
 
+    def _make_candidates(self, group, states, old_primary):
+        """Return Candidates for the members that have answered with a status.
+
+        Notes
+        -----
+        Without a row, a replica counts for its log only. A primary without a row
+        has been replaced, or is being replaced, and is no replica.
+        """
+        return [
+            self._make_candidate(group, name, position, old_primary)
+            for name, (is_primary, _, position) in states.items()
+            if name != old_primary and (name in group.members or not is_primary)
+        ]
+
     async def _find_candidates(self, group, connections, old_primary, reason):
         """Return the replicas that may be promoted, and the end of the primary's log.
 
@@ -876,22 +913,23 @@
             return [], None, highest_term
         elif reason.is_planned and old_primary in states:
             target = states[old_primary][2]
-            states = await self._wait_until_caught_up(replicas, states, target)
+            registered = {
+                name: found for name, found in replicas.items() if name in group.members
+            }
+            states = await self._wait_until_caught_up(registered, states, target)
             if reason is takeovers.Reason.FAILING:
                 # The old primary stays, so nothing has to be lost.
                 states = _select_caught_up(group, states, target)
         else:
             states = await self._request_statuses(replicas, "pause", highest_term + 1)
-        candidates = [
-            self._make_candidate(group, name, position, old_primary)
-            for name, (_, _, position) in states.items()
-            if name != old_primary and name in group.members
-        ]
+        candidates = self._make_candidates(group, states, old_primary)
         return candidates, primary_position, highest_term
 
     def _make_candidate(self, group, name, position, old_primary):
-        """Return the Candidate for a registered member."""
-        member = group.members[name]
+        """Return the Candidate for a member."""
+        member = group.members.get(name)
+        if member is None:
+            return takeovers.Candidate(name, position, is_registered=False)
         old = group.members.get(old_primary)
         return takeovers.Candidate(
             name,
@@ -1178,7 +1216,8 @@
 
     async def _check_as_witness(self, message):
         group = self.proxy.groups.get(message.group)
-        member = None if group is None else group.members.get(message.member)
+        found = [] if group is None else group.find_all()
+        member = next((each for each in found if each.name == message.member), None)
         if member is None:
             return peer_messages.WitnessAnswer(False)
         if group.is_closed(member.name, self.context.now()):
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -141,6 +141,25 @@
         self.assertTrue(self.group.update_primary(13.6))
         self.assertIsNone(self.group.primary)
 
+    def test_members_without_a_row_are_remembered_unless_they_were_leaving(self):
+        group = placement.Group("g")
+        steps = (
+            (10.0, [member("a"), member("b"), member("c", leaving=True)], []),
+            (11.0, [member("a")], ["b"]),
+            (70.9, [member("a")], ["b"]),
+            (71.0, [member("a")], []),
+            (72.0, [member("a"), member("b")], []),
+            (73.0, [member("b")], ["a"]),
+            (74.0, [member("a"), member("b")], []),
+        )
+        for now, members, expected in steps:
+            group.update(members, now)
+            self.assertEqual(expected, [found.name for found in group.find_lapsed()])
+            everybody = sorted({found.name for found in members} | {*expected})
+            self.assertEqual(
+                everybody, sorted(found.name for found in group.find_all())
+            )
+
     def test_position_before_a_promotion_is_not_that_of_a_primary(self):
         # A lagging replica's position counted as the end of the log once it led.
         self.group.primary_lease_until = 99.0
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -364,7 +364,7 @@
         promoted = []
         chosen = takeovers.Candidate("r", sessions.Position(1, 9))
 
-        async def open_connections(group, old_primary):
+        async def open_connections(group, old_primary, with_lapsed):
             return {}
 
         async def find_candidates(*_):
@@ -908,6 +908,30 @@
         self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
         self.assertEqual(["b"], self.start_takeover())
 
+    def test_replica_without_a_row_is_waited_for_as_long_as_it_answers(self):
+        # One that was cut off from the store alone held acknowledged commits.
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        self.assertEqual([None], self.start_takeover())
+        self.assertEqual([], self.find_paused())
+        self.unreached = {"c"}
+        self.witnesses = {"c": 103}
+        self.assertEqual([None], self.start_takeover())
+        self.members["b"].received = 103
+        self.assertEqual(["b"], self.start_takeover())
+
+    def test_primary_without_a_row_is_not_waited_for(self):
+        self.members["c"].is_primary = True
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        self.assertEqual(["b"], self.start_takeover())
+
+    def test_callers_do_not_wait_while_a_replica_without_a_row_is_ahead(self):
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        for received, expected in ((102, False), (103, True)):
+            self.members["b"].received = received
+            knowing = defer.ensureDeferred(self.task._knows_logs(self.group))
+            self.assertEqual(expected, knowing.result)
+        self.assertEqual([0, 0, 0], self.count_connections())
+
     def test_registrations_after_an_outage_of_the_store_are_waited_for(self):
         self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
         self.task.sync.store_available_since = -2.0
