Keep the callers of an evacuation test below the rate of their account

Cause: the load of the test. With a trace in a copy of the test, the loop that reads the writes back made 389 to 423 reads a second for 3.5 to 4.1 s, the callers on all instances 222 to 224 a second; the account has 500 a second and a burst of 500. In the third of three runs one read was refused, with 'client account is over its rate: desk', and the test failed.

The writer and the reader keep to 200 statements a second each.

--- a/tests/net/hosted/test_evacuations.py
+++ b/tests/net/hosted/test_evacuations.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import itertools
 import json
 import signal
 import threading
@@ -17,6 +18,16 @@
 SETTLE_S = 3.5  # no takeover starts within 3.2 s of the first read of the store
 # A quarter of the objective of the stand-in's routes.
 REFUSED_WITHIN_S = 0.25 * 2.0
+# With the callers on all instances, below the rate of the stand-in's account, 500.
+INTERVAL_S = 1.0 / 200.0
+
+
+def pace(items):
+    """Yield items, one in `INTERVAL_S` at most."""
+    for item in items:
+        next_at = time.monotonic() + INTERVAL_S
+        yield item
+        time.sleep(max(0.0, next_at - time.monotonic()))
 
 
 class EvacuationTestCase(test_fleet.FleetTests):
@@ -124,15 +135,17 @@
         self.evacuate("catania-a")
         written = []
         until = time.monotonic() + 6.0
-        while time.monotonic() < until:
-            name = f"w{len(written)}"
+        for number in pace(itertools.count()):
+            if time.monotonic() >= until:
+                break
+            name = f"w{number}"
             if writer.query(f"WRITE {name} {name}")[0].startswith("COMPLETE"):
                 written.append(name)
         self.assert_moved("catania-a")
         self.assert_left_in_time()
         now = time.monotonic()
         reader = self.call(1)
-        for name in written:
+        for name in pace(written):
             self.assertEqual(f"DATAROW {name}", reader.query(f"READ {name}")[0])
         self.assert_served(now - 2.0, "WRITE k v")
         self.assert_served(self.acked["catania-a"], "READ k")
