--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -506,7 +506,9 @@
         ):
             return None
         promotion = takeovers.make_promotion(takeover, name)
-        self._step_down(group, old_primary, promotion.term, connections)
+        # An earlier build may have recorded no term of the primary before.
+        term = max(promotion.term, led_term or group.term + 1)
+        self._step_down(group, old_primary, term, connections)
         return promotion
 
     async def _promote_best(
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -772,6 +772,21 @@
         self.assertEqual(["c"], self.promoted)
         self.assertTrue(self.members["c"].is_primary)
 
+    def resume_beside_the_old_primary(self, has_effect):
+        """Return the term that the old primary, of term 1, steps down for."""
+        self.members["a"].is_primary = True
+        self.group.term = 1
+        self.lose_answer(has_effect)
+        self.task.promoter.promote = self.promote
+        self.assertEqual(["c"], self.resume())
+        return self.members["a"].step_down_term
+
+    def test_old_primary_steps_down_for_a_candidate_that_leads(self):
+        self.assertEqual(2, self.resume_beside_the_old_primary(has_effect=True))
+
+    def test_old_primary_steps_down_for_a_candidate_that_is_promoted_again(self):
+        self.assertEqual(2, self.resume_beside_the_old_primary(has_effect=False))
+
     def test_promotion_without_an_effect_is_asked_for_again(self):
         self.lose_answer(has_effect=False)
         self.members["b"].received = 200
