--- a/pomelograde/standins/hosting/fleets.py
+++ b/pomelograde/standins/hosting/fleets.py
@@ -253,6 +253,11 @@
         """Return the statements that arrived at each member, as JSON values."""
         return http.send("GET", f"http://{self.members}/trace")
 
+    def set_promotion_times(self, effect_s=0.0, answer_s=0.0):
+        """Set the times from a promotion's call to its effect and to its answer."""
+        body = {"effect_s": effect_s, "answer_s": answer_s}
+        http.post(f"http://{self.members}/promotions", body)
+
     def change_member(self, name, **changes):
         """Set attributes of a member; ``promote=True`` makes it the primary."""
         http.post(f"http://{self.members}/{name}", changes)
--- a/pomelograde/standins/hosting/host.py
+++ b/pomelograde/standins/hosting/host.py
@@ -10,6 +10,8 @@
 from pomelograde.standins.hosting import member, store
 
 HEARTBEAT_S = 0.5
+MISSED_HEARTBEATS = 3  # after which the row of a silent member is removed
+PROMOTIONS_PATH = b"/promotions"
 ZONES = ("catania-a", "palermo-a", "agrigento-a")
 REGIONS = {zone: zone.split("-")[0] for zone in ZONES}
 SERVICE = "meters-group"
@@ -73,8 +75,8 @@
 
     ``GET /NAME`` returns the state of a member, ``POST /NAME`` sets attributes of
     a member, ``restart`` starts it again and says for how long it is cold,
-    ``GET /promotions`` lists the promotions, and ``GET /trace`` the statements that
-    arrived at each member.
+    ``GET /promotions`` lists the promotions, ``POST /promotions`` says how long they
+    take, and ``GET /trace`` lists the statements that arrived at each member.
     """
 
     isLeaf = True  # noqa: N815
@@ -85,7 +87,7 @@
 
     def render_GET(self, request):  # noqa: N802
         """Return the state of a member, or all promotions."""
-        if request.path == b"/promotions":
+        if request.path == PROMOTIONS_PATH:
             return http.answer(request, 200, self.host.promotions)
         if request.path == b"/trace":
             return http.answer(request, 200, self.host.describe_trace())
@@ -105,10 +107,17 @@
 
     def render_POST(self, request):  # noqa: N802
         """Set attributes of a member; ``promote`` makes it the primary."""
+        if request.path == PROMOTIONS_PATH:
+            self.host.set_promotion_times(**http.read_body(request))
+            return http.answer(request, 200, {})
         group_member = self.host.find(request.path.decode().strip("/"))
         body = http.read_body(request)
         if body.pop("promote", False):
             self.host.group.promote(group_member.name)
+        if body.pop("reset", False):
+            group_member.reset()
+        if body.pop("silence", False):
+            group_member.silence()
         if "restart" in body:
             group_member.restart(body.pop("restart"))
         for name, value in body.items():
@@ -129,6 +138,8 @@
     ----------
     promotions : list of list
         Member id, lease holder and fencing token of each promotion call.
+    promotion_s : float
+        Time from the call of a promotion until it takes effect.
     seq : int
         Number of the last heartbeat; members write it into their rows.
     """
@@ -142,6 +153,7 @@
         self.group = member.Group(SERVICE, members, CONNECTION_LIMIT)
         self.store_resource.on_promote = self.promote
         self.promotions = []
+        self.promotion_s = 0.0
         self.ports = {}
         self.seq = 0
 
@@ -167,6 +179,11 @@
             if group_member.name == name
         )
 
+    def set_promotion_times(self, effect_s, answer_s):
+        """Set the times from a call until it takes effect, and until its answer."""
+        self.promotion_s = effect_s
+        self.store_resource.promotion_answer_s = answer_s
+
     def promote(self, body, holder, fence):
         """Handle the platform's promotion call.
 
@@ -188,10 +205,17 @@
         group_member = self.find(body["id"])
         if group_member.down:
             return 409
-        self.group.promote(group_member.name)
-        self.write_member_rows()
+        if self.promotion_s:
+            self.reactor.callLater(self.promotion_s, self._promote, group_member)
+        else:
+            self._promote(group_member)
         return 200
 
+    def _promote(self, group_member):
+        if not group_member.down and group_member.role != member.PRIMARY:
+            self.group.promote(group_member.name)
+            self.write_member_rows()
+
     def describe_trace(self):
         """Return the statements that arrived at each member, as JSON values."""
         return {
@@ -200,10 +224,22 @@
         }
 
     def write_member_rows(self):
-        """Write the rows of running members and remove the rows of others."""
+        """Write the rows of running members and remove the rows of others.
+
+        Notes
+        -----
+        The row of a member that is cut off from the store stays as it is until it
+        has missed `MISSED_HEARTBEATS`.
+        """
         self.seq += 1
+        now = self.reactor.seconds()
         for group_member in self.group.members:
-            if group_member.down:
+            if group_member.is_store_cut and not group_member.down:
+                if now < group_member.row_at + MISSED_HEARTBEATS * HEARTBEAT_S:
+                    continue
+            else:
+                group_member.row_at = now
+            if group_member.down or group_member.is_store_cut:
                 self.store_resource.put("servers", group_member.name, None)
                 continue
             row = member.format_registration(
--- a/pomelograde/standins/hosting/member.py
+++ b/pomelograde/standins/hosting/member.py
@@ -11,6 +11,7 @@
 
 PRIMARY = "primary"
 REPLICA = "replica"
+DROP_SILENT_S = 3.0  # after which a member drops a connection that has gone silent
 
 
 @attrs.define(eq=False)
@@ -69,6 +70,10 @@
         Time that each statement of a caller takes.
     trace : list of Execution
         Statements of callers that have arrived, and all commits.
+    is_store_cut : bool
+        Whether it does not reach the store.
+    row_at : float
+        Time of the reactor at which its row was last written.
     """
 
     name: str
@@ -94,11 +99,22 @@
     protocols: list = attrs.field(factory=list)
     work_s: float = 0.0
     trace: list = attrs.field(factory=list)
+    is_store_cut: bool = False
+    row_at: float = 0.0
 
-    def restart(self, cold_s):
-        """Start again under the same name, and be cold for a time."""
+    def reset(self):
+        """Reset all open connections."""
         for open_protocol in list(self.protocols):
             open_protocol.transport.abortConnection()
+
+    def silence(self):
+        """Let all open connections go silent for good; new ones work."""
+        for open_protocol in list(self.protocols):
+            open_protocol.silence()
+
+    def restart(self, cold_s):
+        """Start again under the same name, and be cold for a time."""
+        self.reset()
         self.started_ms += 1
         self.cold_until = time.time() + cold_s
 
@@ -213,6 +229,7 @@
         self.transaction_count = 0
         self.waiting = collections.deque()
         self.execution = None
+        self.is_silent = False
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Count the connection as closed; uncommitted writes are dropped."""
@@ -222,9 +239,22 @@
             self.member.protocols.remove(self)
         if self.account is not None:
             self.member.connections -= 1
+            self.account = None
+
+    def silence(self):
+        """Neither read nor write any more; the member drops it after a while."""
+        self.is_silent = True
+        reactor.callLater(DROP_SILENT_S, self.connectionLost)
+
+    def sendLine(self, line):  # noqa: N802
+        """Send a line, unless the connection has gone silent."""
+        if not self.is_silent:
+            super().sendLine(line)
 
     def lineReceived(self, line):  # noqa: N802
         """Handle one message."""
+        if self.is_silent:
+            return
         if self.member.down:
             self.transport.abortConnection()
             return
--- a/pomelograde/standins/hosting/store.py
+++ b/pomelograde/standins/hosting/store.py
@@ -151,6 +151,7 @@
         self.pending_polls = []
         self.calls = {}
         self.on_promote = None
+        self.promotion_answer_s = 0.0
 
     def render(self, request):
         """Handle a request."""
@@ -182,7 +183,12 @@
                 request.getHeader("Lease-Holder"),
                 int(request.getHeader("Fencing-Token")),
             )
-            return http.answer(request, status, {})
+            if not self.promotion_answer_s:
+                return http.answer(request, status, {})
+            self.reactor.callLater(
+                self.promotion_answer_s, http.finish, request, status, {}
+            )
+            return server.NOT_DONE_YET
         self.calls[path] = self.calls.get(path, 0) + 1
         if self.faults.silent:
             return server.NOT_DONE_YET
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,6 +51,11 @@
 @click.option(
     "--stops", is_flag=True, help="Planned stops in series, under clients that stay."
 )
+@click.option(
+    "--leadership",
+    is_flag=True,
+    help="Promotions are answered late, rows lapse, connections go silent, too.",
+)
 @click.option(
     "--instances", type=int, default=run.INSTANCE_COUNT, help="Number of instances."
 )
@@ -65,6 +70,7 @@
     shifts,
     other_build,
     stops,
+    leadership,
     instances,
     logs,
 ):
@@ -89,6 +95,7 @@
                 shifts,
                 sources,
                 instances,
+                leadership,
             )
             violations, served = soak_run.execute()
             click.echo(f"seed {run_seed}: {served} served, {len(violations)} broken")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,6 +22,12 @@
     "replica_lags",
     "answers_lost",
 )
+LEADERSHIP_KINDS = (
+    "promotion_late",
+    "row_lapses",
+    "connections_reset",
+    "connections_silent",
+)
 
 
 @attrs.frozen
@@ -33,7 +39,7 @@
     start_s, duration_s : float
         Start, in seconds after the start of the run, and duration.
     kind : str
-        One of `FAULT_KINDS`.
+        One of `FAULT_KINDS` or `LEADERSHIP_KINDS`, or one that `make_plan` names.
     instance : int
         Number of the instance that is affected. ``replica_lags`` derives a
         member from it; faults of the store and of the primary ignore it.
@@ -53,6 +59,7 @@
     with_evacuations=False,
     with_shifts=False,
     with_builds=False,
+    with_leadership=False,
 ):
     """Return the faults of a run, ordered by their start.
 
@@ -77,6 +84,8 @@
     with_builds : bool
         Whether instances are replaced in turn by another build (``replace``), and
         all of them are killed at once (``kill_all``).
+    with_leadership : bool
+        Whether faults of `LEADERSHIP_KINDS` happen, too.
 
     Notes
     -----
@@ -107,6 +116,8 @@
         faults.extend(_plan_member_restarts(seed, seconds, instances))
     if with_builds:
         faults.extend(_plan_builds(seed, seconds, instances))
+    if with_leadership:
+        faults.extend(_plan_leadership(seed, seconds, instances))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -118,6 +129,17 @@
         start_s += rng.uniform(1.0, 8.0)
 
 
+def _plan_leadership(seed, seconds, instances):
+    """Yield faults around changes of the primary; each kind one after the other."""
+    for kind in LEADERSHIP_KINDS:
+        rng = random.Random(f"{seed}/{kind}")
+        start_s = INITIAL_DELAY_S + rng.uniform(0.0, 5.0)
+        while start_s < seconds:
+            duration_s = rng.uniform(1.0, 6.0)
+            yield Fault(start_s, duration_s, kind, rng.randrange(instances))
+            start_s += duration_s + rng.uniform(1.0, 8.0)
+
+
 def _plan_builds(seed, seconds, instances):
     """Yield replacements in turn, and at least one loss of all instances."""
     rng = random.Random(f"{seed}/builds")
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,8 @@
     "store_slow": {"slow_s": 0.4},
     "store_loses_answers": {"lose_answers": True},
 }
+PROMOTION_EFFECT_S = 0.3
+PROMOTION_ANSWER_S = 1.5  # later than an instance waits for it
 LINK_MODES = {
     "store_link_silent": proxy.Mode.SILENT,
     "store_link_one_way": proxy.Mode.ONE_WAY,
@@ -81,6 +83,9 @@
         are replaced in turn, back and forth.
     instances : int
         Number of instances.
+    with_leadership : bool
+        Whether promotions are answered late, rows of members lapse while they run,
+        and connections to members are reset or go silent.
 
     Attributes
     ----------
@@ -102,6 +107,7 @@
         with_shifts=False,
         other_sources=None,
         instances=INSTANCE_COUNT,
+        with_leadership=False,
     ):
         self.seed = seed
         self.seconds = seconds
@@ -112,6 +118,7 @@
         self.with_shifts = with_shifts
         self.other_sources = other_sources
         self.instances = instances
+        self.with_leadership = with_leadership
         self.operator = None
         self.observed = history.History()
         self.acknowledged = {}
@@ -196,6 +203,7 @@
             self.with_evacuations,
             self.with_shifts,
             self.other_sources is not None,
+            self.with_leadership,
         )
 
     def _caller_ports(self):
@@ -226,8 +234,10 @@
             self.fleet.keep_store_copy()
         elif fault.kind == "evacuated":
             self._evacuate(fault)
+        elif fault.kind in plan.LEADERSHIP_KINDS:
+            self._begin_leadership_fault(fault)
         elif fault.kind == "member_restart":
-            name = f"i-{host.ZONES[fault.instance % len(host.ZONES)]}"
+            name = _find_member(fault)
             self.fleet.change_member(name, restart=shifts.COLD_START_S)
         elif fault.kind == "kill":
             slot.instance.child.kill()
@@ -258,6 +268,10 @@
                 self.fleet.put("op", f"evacuate/{zone}", row)
         elif fault.kind == "evacuated":
             self._take_back(fault)
+        elif fault.kind == "promotion_late":
+            self.fleet.set_promotion_times()
+        elif fault.kind == "row_lapses":
+            self.fleet.change_member(_find_member(fault), is_store_cut=False)
         elif fault.kind in ("kill", "restart"):
             self._restart_process(slot)
         elif fault.kind == "replace":
@@ -301,10 +315,20 @@
             slot.instance.child.kill()
         self._start(slot)
 
+    def _begin_leadership_fault(self, fault):
+        if fault.kind == "promotion_late":
+            self.fleet.set_promotion_times(PROMOTION_EFFECT_S, PROMOTION_ANSWER_S)
+        elif fault.kind == "row_lapses":
+            self.fleet.change_member(_find_member(fault), is_store_cut=True)
+        elif fault.kind == "connections_reset":
+            self.fleet.change_member(_find_member(fault), reset=True)
+        else:
+            self.fleet.change_member(_find_member(fault), silence=True)
+
     def _begin_member_fault(self, fault):
         name = self.fleet.find_primary()
         if fault.kind == "replica_lags":
-            name = f"i-{host.ZONES[fault.instance % len(host.ZONES)]}"
+            name = _find_member(fault)
             self.fleet.change_member(name, lag_s=0.8)
         elif name is None:
             return
@@ -362,3 +386,8 @@
         for slot in self.slots:
             if slot.instance is not None and slot.instance.child.poll() is None:
                 slot.instance.child.send_signal(signal.SIGCONT)
+
+
+def _find_member(fault):
+    """Return the name of the member that a fault affects."""
+    return f"i-{host.ZONES[fault.instance % len(host.ZONES)]}"
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -38,6 +38,16 @@
             all(a < b.start_s for a, b in zip(ends[:-1], added[1:], strict=True))
         )
 
+    def test_faults_around_changes_of_the_primary_leave_the_others_as_they_are(self):
+        kinds = set()
+        for seed in range(20):
+            plain = plan.make_plan(seed, 20.0, 5)
+            found = plan.make_plan(seed, 20.0, 5, with_leadership=True)
+            added = [fault for fault in found if fault.kind in plan.LEADERSHIP_KINDS]
+            self.assertEqual(plain, [fault for fault in found if fault not in added])
+            kinds.update(fault.kind for fault in added)
+        self.assertEqual(set(plan.LEADERSHIP_KINDS), kinds)
+
     def test_builds_are_replaced_in_turn_and_all_instances_killed_once(self):
         plain = plan.make_plan(3, 20.0, 5)
         found = plan.make_plan(3, 20.0, 5, with_builds=True)
--- a/tests/standins/test_hosting_member.py
+++ b/tests/standins/test_hosting_member.py
@@ -56,6 +56,16 @@
         (commit,) = self.member.trace
         self.assertEqual(("-", 1), (commit.request_id, commit.written))
 
+    def test_silent_connection_answers_nothing_and_is_dropped(self):
+        other = self.connect()
+        self.member.silence()
+        self.assertEqual([], self.query("READ k"))
+        self.assertEqual([], self.query("READ k", protocol=other))
+        self.assertEqual(2, self.member.connections)
+        self.clock.advance(member.DROP_SILENT_S)
+        self.assertEqual((0, []), (self.member.connections, self.member.protocols))
+        self.assertNotEqual([], self.query("READ k", protocol=self.connect()))
+
     def test_statements_take_their_time_one_after_the_other(self):
         self.member.work_s = 0.2
         self.assertEqual([], self.query("WRITE k 1", "READ k"))
