Expect a member to lead that is promoted a second time in a row

Cause: a successor was expected to lead before its row says so only if its name was new, so there was no primary until the members were read again; and the time of the absence went on through a takeover, so the next was due at once.

A successor whose term has risen is expected again, and the end of a takeover starts the count of the absence anew.

Evidence: three of the new tests fail without the change (182 passed, 3 failed), and pass with it.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -447,20 +447,25 @@
         now : float
             Monotonic seconds.
         is_successor_confirmed : bool
-            Whether the successor was seen to lead. Otherwise it isn't the primary
-            until it is registered as such.
+            Whether the successor was seen to lead in this takeover. Otherwise it
+            isn't the primary until it is registered as such.
 
         Returns
         -------
         bool
             Whether the primary has changed.
         """
+        # The same member may have been promoted once more, after it had restarted.
+        has_ended = self.is_primary_blocked and not is_primary_blocked
+        is_promoted = successor != self.successor or (
+            has_ended and is_successor_confirmed
+        )
         if is_primary_blocked and not self.is_primary_blocked:
             self.blocked_since = now
         self.is_primary_blocked = is_primary_blocked
         if not is_primary_blocked:
             self.is_fenced = False
-        if successor != self.successor:
+        if is_promoted:
             self.successor = successor
             self.successor_has_led = False
             self.successor_expected_until = float("-inf")
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -310,17 +310,19 @@
         sent to it. An instance that has not seen it in progress does not know how
         long ago it ended: its successor may have started again as a replica since.
         """
+        known = self.takeovers.get(takeover.service)
         self.takeovers[takeover.service] = takeover
         group = self.groups.get(takeover.service)
         if group is None:
             return
         was_blocked = group.is_primary_blocked
         now = self.context.now()
+        known_term = 0 if known is None else known.term
         changed = group.set_takeover(
             takeover.blocks_primary,
             takeover.successor,
             now,
-            is_successor_confirmed=was_blocked and takeover.term > 0,
+            is_successor_confirmed=was_blocked and takeover.term > known_term,
         )
         if changed or was_blocked != group.is_primary_blocked:
             self.context.log.write(
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -249,6 +249,8 @@
         finally:
             self.running.discard(service)
         now = self.context.now()
+        # Without a primary, the next takeover is due only if there is still none.
+        self.absent_since.pop(service, None)
         if outcome != "promoted":
             self.retry_at[service] = now + (
                 EVACUATION_RETRY_DELAY_S
--- a/tests/core/placement/test_group.py
+++ b/tests/core/placement/test_group.py
@@ -141,6 +141,29 @@
         self.assertTrue(self.group.update_primary(13.6))
         self.assertIsNone(self.group.primary)
 
+    def test_member_that_is_promoted_again_is_primary_before_its_row_says_so(self):
+        # Takeovers of a successor that had restarted followed one another.
+        primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
+        self.group.set_takeover(True, "", 10.0)
+        self.group.set_takeover(False, "a", 11.0)
+        self.register(11.5, a=primary, p=replica)
+        self.assertIsNone(self.register(12.0, a=replica, p=replica))
+        self.group.set_takeover(True, "a", 12.5, is_successor_confirmed=False)
+        self.assertIsNone(self.group.primary)
+        self.group.set_takeover(False, "a", 13.0)
+        self.assertEqual("a", self.group.primary)
+        self.assertEqual("a", self.register(13.5, a=primary, p=replica))
+
+    def test_takeover_without_a_promotion_leaves_a_restarted_successor_unused(self):
+        primary, replica = placement.Role.PRIMARY, placement.Role.REPLICA
+        self.group.set_takeover(True, "", 10.0)
+        self.group.set_takeover(False, "a", 11.0)
+        self.register(11.5, a=primary, p=replica)
+        self.register(12.0, a=replica, p=replica)
+        self.group.set_takeover(True, "a", 12.5, is_successor_confirmed=False)
+        self.group.set_takeover(False, "a", 13.0, is_successor_confirmed=False)
+        self.assertIsNone(self.group.primary)
+
     def test_members_without_a_row_are_remembered_unless_they_were_leaving(self):
         group = placement.Group("g")
         steps = (
--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -205,3 +205,12 @@
         leader = placement.Member("r", "a-x", role=placement.Role.PRIMARY)
         self.group.update([PRIMARY, leader], 100.0)
         self.assertEqual("r", self.group.primary)
+
+    def test_successor_that_is_promoted_again_is_used_before_its_row_says_so(self):
+        self.learn(7, holder="a1/5", successor="r", term=2)
+        self.assertIsNone(self.group.primary)
+        self.assertEqual("r", self.learn(8, successor="r", term=3))
+
+    def test_takeover_without_a_promotion_does_not_make_its_successor_primary(self):
+        self.learn(7, holder="a1/5", successor="r", term=2)
+        self.assertIsNone(self.learn(8, successor="r", term=2))
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -202,6 +202,27 @@
         defer.ensureDeferred(running)
         self.assertEqual([begun, None], started)
 
+    def test_takeover_is_not_repeated_before_its_successor_can_be_registered(self):
+        # Takeovers followed one another every 0.1 s until the row was read.
+        self.group.update([placement.Member("r", "y")], 100.0)
+        self.task.absent_since["g"] = 99.0
+        taken = []
+
+        async def take_over(group, reason):
+            taken.append(reason)
+            return "promoted"
+
+        self.task._take_over = take_over
+        self.task._check()
+        counts = []
+        for _ in range(8):
+            self.task.context.reactor.advance(0.1)
+            now = self.task.context.now()
+            self.task.sync.freshness = configuration.Freshness(5.0, now, now)
+            self.task._check()
+            counts.append(len(taken))
+        self.assertEqual(([1, 1, 1, 1], 2), (counts[:4], counts[-1]))
+
     def test_takeover_of_an_earlier_process_is_restarted(self):
         self.learn(takeovers.Takeover("g", "other/0", "", 7, 7))
         self.task._check()
