Ask no member without a row in a data centre whose evacuation is over

A member whose row is missing was asked for its log by a takeover also after the time limit of its data centre's evacuation, when not even probes may be sent there.

Group.is_closed knows members without a row now.

Evidence: the new test fails without the change, and passes with it.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -323,7 +323,11 @@
 
     def is_closed(self, name, now):
         """Return whether nothing more may be sent to a member, not even probes."""
-        member = self.members.get(name) if self.evacuated else None
+        if not self.evacuated:
+            return False
+        member = self.members.get(name)
+        if member is None and name in self.lapsed:
+            member, _ = self.lapsed[name]
         if member is None or member.data_centre not in self.evacuated:
             return False
         return now >= self.evacuation_deadlines.get(member.data_centre, now)
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -697,7 +697,11 @@
             and not group.is_closed(name, now)
         ]
         if with_lapsed and is_synchronous:
-            members += group.find_lapsed()
+            members += [
+                found
+                for found in group.find_lapsed()
+                if not group.is_closed(found.name, now)
+            ]
         opened = await defer.gatherResults(
             [defer.ensureDeferred(self._try_open(group, member)) for member in members]
         )
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -955,6 +955,15 @@
         self.members["b"].received = 103
         self.assertEqual(["b"], self.start_takeover())
 
+    def test_evacuated_replica_without_a_row_is_not_asked_after_its_time_limit(self):
+        self.place_in(a="x", b="x", c="y")
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        for deadline, expected in ((9.0, None), (-9.0, "b")):
+            self.group.set_evacuations({"y": deadline})
+            self.asked.clear()
+            self.assertEqual([expected], self.start_takeover())
+            self.assertEqual(deadline > 0.0, "c" in self.asked)
+
     def test_primary_without_a_row_is_not_waited_for(self):
         self.members["c"].is_primary = True
         self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
