Write the steps of takeovers to the log, and their rows, in one place each

Found by reading the change again: seven calls wrote a TAKEOVER_STEP with the same first fields, two functions replaced the row of a takeover in the same way, the status of one member was requested through the function for several, and the soak chose a change of a member by a chain of branches beside two tables that do the same for the store and the links.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -339,10 +339,9 @@
                     return
                 await self._fetch_takeovers()
             except source.StoreUnavailableError as error:
-                self.context.log.write(
-                    events.Event.TAKEOVER_STEP,
-                    service=takeover.service,
-                    step="end not recorded",
+                self._log_step(
+                    takeover.service,
+                    "end not recorded",
                     fence=takeover.fence,
                     reason=str(error),
                 )
@@ -403,10 +402,9 @@
             for instance, held in zip(others, answers[:-1], strict=True)
             if not held
         ]
-        self.context.log.write(
-            events.Event.TAKEOVER_STEP,
-            service=takeover.service,
-            step="held",
+        self._log_step(
+            takeover.service,
+            "held",
             fence=takeover.fence,
             silent=silent,
         )
@@ -481,21 +479,17 @@
             The promotion; None if another member is to be chosen.
         """
         name = takeover.candidate
-        led_term, position = 0, None
+        status = None
         if name in connections:
-            statuses = await self._request_statuses(
-                {name: connections[name]}, "ask_status"
-            )
-            if name in statuses:
-                is_primary, term, position = statuses[name]
-                led_term = term if is_primary else 0
+            status = await self._request_status(connections[name], "ask_status", ())
+        is_primary, term, position = status or (False, 0, None)
+        led_term = term if is_primary else 0
         step = takeovers.find_step(takeover, led_term, position)
         if step is takeovers.Step.PROMOTE and _is_evacuated(group, name):
             step = takeovers.Step.CHOOSE
-        self.context.log.write(
-            events.Event.TAKEOVER_STEP,
-            service=group.name,
-            step="resumed",
+        self._log_step(
+            group.name,
+            "resumed",
             fence=takeover.fence,
             member=name,
             answers=position is not None,
@@ -536,20 +530,18 @@
         )
         chosen = takeovers.choose_successor(candidates, requirement)
         if chosen is None:
-            self.context.log.write(
-                events.Event.TAKEOVER_STEP,
-                service=group.name,
-                step="none chosen",
+            self._log_step(
+                group.name,
+                "none chosen",
                 fence=takeover.fence,
                 candidates=sorted(found.name for found in candidates),
                 members=sorted(group.members),
                 synchronous=requirement.synchronous_replicas,
             )
             return takeover, None
-        self.context.log.write(
-            events.Event.TAKEOVER_STEP,
-            service=group.name,
-            step="chosen",
+        self._log_step(
+            group.name,
+            "chosen",
             fence=takeover.fence,
             member=chosen.name,
             position=f"{chosen.position.term}.{chosen.position.index}",
@@ -633,10 +625,9 @@
             if term >= promotion.term:
                 return attrs.evolve(promotion, term=term)
             await self._sleep(POLL_INTERVAL_S)
-        self.context.log.write(
-            events.Event.TAKEOVER_STEP,
-            service=group.name,
-            step="not seen to lead",
+        self._log_step(
+            group.name,
+            "not seen to lead",
             fence=promotion.fence,
             member=name,
         )
@@ -1142,10 +1133,9 @@
         ]
         asked.append(defer.ensureDeferred(self._check_member(group, primary)))
         *witness_answers, answers_here = await defer.gatherResults(asked)
-        self.context.log.write(
-            events.Event.TAKEOVER_STEP,
-            service=group.name,
-            step="suspected",
+        self._log_step(
+            group.name,
+            "suspected",
             primary=primary.name,
             silent_s=round(self.context.now() - primary.position_at, 3),
             answers=answers_here,
@@ -1275,6 +1265,11 @@
             await self._sleep(POLL_INTERVAL_S)
         self.proxy.fence_primary(service)
 
+    def _log_step(self, service, step, **fields):
+        self.context.log.write(
+            events.Event.TAKEOVER_STEP, service=service, step=step, **fields
+        )
+
     def _sleep(self, delay_s):
         return task.deferLater(self.context.reactor, delay_s, _ignore, None)
 
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -265,10 +265,7 @@
         Takeover or None
             None if the row has changed meanwhile.
         """
-        revision = await self._write_takeover(takeover)
-        return (
-            None if revision is None else attrs.evolve(takeover, row_version=revision)
-        )
+        return await self._replace_takeover(takeover)
 
     async def end_takeover(self, takeover, successor):
         """Record the end of a takeover.
@@ -282,10 +279,13 @@
             None if the row has changed meanwhile.
         """
         ended = attrs.evolve(takeover, holder="", successor=successor, candidate="")
-        revision = await self._write_takeover(ended)
-        if revision is None:
-            return None
-        return attrs.evolve(ended, row_version=revision)
+        return await self._replace_takeover(ended)
+
+    async def _replace_takeover(self, takeover):
+        revision = await self._write_takeover(takeover)
+        return (
+            None if revision is None else attrs.evolve(takeover, row_version=revision)
+        )
 
     async def _write_takeover(self, takeover, with_fence=True):
         """Replace the row of a service's takeover, unless a newer one is known.
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,11 @@
     "store_slow": {"slow_s": 0.4},
     "store_loses_answers": {"lose_answers": True},
 }
+MEMBER_CHANGES = {
+    "row_lapses": {"is_store_cut": True},
+    "connections_reset": {"reset": True},
+    "connections_silent": {"silence": True},
+}
 PROMOTION_EFFECT_S = 0.3
 PROMOTION_ANSWER_S = 1.5  # later than an instance waits for it
 LINK_MODES = {
@@ -318,12 +323,9 @@
     def _begin_leadership_fault(self, fault):
         if fault.kind == "promotion_late":
             self.fleet.set_promotion_times(PROMOTION_EFFECT_S, PROMOTION_ANSWER_S)
-        elif fault.kind == "row_lapses":
-            self.fleet.change_member(_find_member(fault), is_store_cut=True)
-        elif fault.kind == "connections_reset":
-            self.fleet.change_member(_find_member(fault), reset=True)
         else:
-            self.fleet.change_member(_find_member(fault), silence=True)
+            changes = MEMBER_CHANGES[fault.kind]
+            self.fleet.change_member(_find_member(fault), **changes)
 
     def _begin_member_fault(self, fault):
         name = self.fleet.find_primary()
