Ignore lists of instances from before the own registration

What was seen: a new instance registered twice within 0.5 s, and lost itself from its list in between (INSTANCES_CHANGED in its log).

Cause: the list that is read right after the registration was applied without the time of the read, so the next answer of the reader, with an older list, was applied too. The instance took its registration for ended.

Change: the list counts as read when it was requested. Lists are ordered by that time everywhere else.

Result: test_list_read_before_the_own_registration_is_ignored fails before.

--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -298,7 +298,8 @@
         self.context.members.own = own
         # A takeover that started before the registration may not wait for this
         # instance, so the takeovers are read after it.
-        self._apply_instances(*await self.source.fetch_instances())
+        asked_at = self.context.now()
+        self._apply_listed(*await self.source.fetch_instances(), asked_at)
 
     def _sync_once(self):
         now = self.context.now()
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -341,6 +341,21 @@
             [found.name for found in others], [name for name, _ in self.peers.sent]
         )
 
+    # Guards against a second registration, with another incarnation, right after one.
+    def test_list_read_before_the_own_registration_is_ignored(self):
+        self.sync.loop = task.LoopingCall(self.sync._sync_once)
+        reader = make_instance("a")
+        registered = attrs.evolve(self.own, incarnation=7)
+        self.source.register = lambda _: defer.succeed(registered)
+        self.source.calls.clear()
+        defer.ensureDeferred(self.sync._register())
+        self.source.calls.pop().callback(([reader, registered], []))
+        defer.ensureDeferred(self.sync._pull_from_reader(reader))
+        self.peers.requests[-1][1].callback(make_answer(200, [reader]))
+        self.assertTrue(self.sync.is_registered)
+        self.assertFalse(self.sync.is_registering)
+        self.assertEqual(7, self.sync.context.members.own.incarnation)
+
     def test_offer_of_another_instance_makes_an_own_one_needless(self):
         others = self.suspect_all(3)
         self.sync._sync_once()
