Count the silence of registrations also while the store is away

What callers saw: the share of the rates of an instance that was lost in an outage of the store stayed idle for up to 3.9 s after the store's return.

Cause: the reader started to count the silence of a registration at the first check after it was read, and checks ran only while the store was available. The first probe also waited for the next regular refresh.

Change: registrations are recorded whether the store is available or not, and checked at its return. The test of real processes waits until each instance lists the new one before the outage; its bound is the same.

Both new tests fail before the change.

--- a/pomelograde/core/membership/_registrations.py
+++ b/pomelograde/core/membership/_registrations.py
@@ -76,6 +76,27 @@
         self.last_messages[name] = (incarnation, now)
         self.probe_failures.pop(name, None)
 
+    def record_registrations(self, instances, now):
+        """Start the silence of registrations that were not known yet.
+
+        Parameters
+        ----------
+        instances : list of Instance
+            All registered instances.
+        now : float
+            Monotonic seconds.
+
+        Notes
+        -----
+        The reader calls this also while the store is not available, so that the
+        silence of an instance that is lost in the meantime counts from then on.
+        """
+        for instance in instances:
+            incarnation, _ = self.last_messages.get(instance.name, (0, now))
+            if incarnation != instance.incarnation:
+                self.last_messages[instance.name] = (instance.incarnation, now)
+                self.probe_failures.pop(instance.name, None)
+
     def start_probe(self, name, now):
         """Record that a probe is sent to an instance."""
         self.probes[name] = now
@@ -126,6 +147,7 @@
         if now - self.checked_at > MAX_CHECK_GAP_S:
             self.ended_at.clear()
         self.checked_at = now
+        self.record_registrations(instances, now)
         stale = StaleRegistrations([], [], [])
         for instance in instances:
             name = instance.name
@@ -141,11 +163,7 @@
 
     def _check_silence(self, instance, stale, now):
         name = instance.name
-        incarnation, heard_at = self.last_messages.get(name, (0, now))
-        if incarnation != instance.incarnation:
-            self.last_messages[name] = (instance.incarnation, now)
-            self.probe_failures.pop(name, None)
-            return
+        _, heard_at = self.last_messages[name]
         silence_s = now - heard_at
         failed_at = self.probe_failures.get(name, float("-inf"))
         has_failed = now - failed_at < PROBE_VALIDITY_S
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -319,6 +319,7 @@
 
     def _end_registrations(self, now):
         """End registrations of silent instances, and remove expired ones."""
+        self.registrations.record_registrations(self.fleet.instances, now)
         if not self.store_available:
             return
         own = self.context.members.own.name
@@ -961,8 +962,11 @@
         self.store_available = available
         self.store_available_since = self.context.now() if available else float("inf")
         if available and self.loop is not None:
+            now = self.context.now()
             self.members_asked_at = float("-inf")
-            self._read_store(self.context.now())
+            self._read_store(now)
+            if self.is_reader(now):
+                self._end_registrations(now)
         event = events.Event.PLATFORM_AVAILABLE
         if not available:
             event = events.Event.PLATFORM_UNAVAILABLE
--- a/tests/core/membership/test_registrations.py
+++ b/tests/core/membership/test_registrations.py
@@ -69,6 +69,11 @@
         self.check_until(10.0, 12.0, ["a", "b"])
         self.assertEqual((["b"], []), self.check_until(18.0, 18.5, ["a"]))
 
+    # Guards against a registration made right before an outage that stays after it.
+    def test_silence_of_a_new_registration_goes_on_while_it_is_not_checked(self):
+        self.monitor.record_registrations(self.instances, 10.0)
+        self.assertEqual((["a", "b"], []), self.check_until(13.0, 13.5))
+
     def test_gap_in_checks_alone_ends_no_registration(self):
         self.check_until(10.0, 12.0, ["a", "b"])
         names = ["a", "b"]
--- a/tests/net/hosted/test_fleet.py
+++ b/tests/net/hosted/test_fleet.py
@@ -399,7 +399,13 @@
 
     def test_instance_lost_in_an_outage_of_the_store_is_noticed_after_it(self):
         instance = self.fleet.start_instance(5)
-        self.assertTrue(wait_until(lambda: instance.name in self.find_names()))
+        # Any of them may be the one that reads the store for the others.
+        for number in range(3):
+            self.assertTrue(
+                wait_until(
+                    lambda number=number: instance.name in self.find_names(number)
+                )
+            )
         self.fleet.set_store_faults(refuse=True)
         try:
             time.sleep(1.0)
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -9,7 +9,7 @@
 from twisted.python import failure
 
 from pomelograde.core import configuration, membership, placement, takeovers
-from pomelograde.net import events, peer_messages
+from pomelograde.net import events, peer_messages, peers
 from pomelograde.net.hosted import state_sync
 from pomelograde.platform import source
 
@@ -46,7 +46,7 @@
         return defer.Deferred()
 
     fetch_configuration = fetch_members = fetch_instances = call
-    wait_for_configuration = call
+    wait_for_configuration = end_registration = call
 
 
 class Peers:
@@ -356,6 +356,22 @@
         self.assertFalse(self.sync.is_registering)
         self.assertEqual(7, self.sync.context.members.own.incarnation)
 
+    # Guards against a lost instance that is noticed late after an outage.
+    def test_instance_registered_before_an_outage_is_probed_at_its_end(self):
+        self.sync.loop = task.LoopingCall(self.sync._sync_once)
+        self.sync.freshness.record_configuration_read(self.clock.seconds())
+        self.sync._apply_instances([self.own, make_instance("z")], [])
+        self.sync._set_store_available(False, "busy")
+        self.count_calls(4.0)
+        self.peers.requests.clear()
+        self.sync._set_store_available(True)
+        ((name, asked),) = self.peers.requests
+        self.assertEqual("z", name)
+        self.clock.advance(0.1)
+        asked.errback(peers.PeerUnreachableError())
+        self.sync._sync_once()
+        self.assertIn(events.Event.REGISTRATION_ENDED, self.logged)
+
     def test_offer_of_another_instance_makes_an_own_one_needless(self):
         others = self.suspect_all(3)
         self.sync._sync_once()
