Kill the primary in a test once it runs the statement, not after 0.2 s

Cause: the test gave the primary 0.4 s a statement and killed it 0.2 s after a timer was set; two HTTP calls come before the kill. If these take 0.2 s more, the statement is complete, and its success is true.

Change: the primary takes 2.0 s a statement and is killed when its count of started statements rises. What is asserted is the same.

--- a/tests/net/test_outcomes.py
+++ b/tests/net/test_outcomes.py
@@ -168,10 +168,24 @@
             self.fleet.change_member(member, **change)
 
     def primary(self):
+        return self.show_primary()["name"]
+
+    def show_primary(self):
         described = http.send("GET", f"{self.fleet.members_url}/members")
         members = described["groups"][fleets.SERVICE]
         leading = [one for one in members if one["role"] == "primary"]
-        return max(leading, key=lambda one: one["term"])["name"]
+        return max(leading, key=lambda one: one["term"])
+
+    def count_statements(self):
+        """Return how many statements the primary has started to run."""
+        return self.show_primary()["statements"]
+
+    def kill_primary_after_statement(self, count):
+        """Kill the primary once it has started more statements than `count`."""
+        give_up_at = time.monotonic() + 2.0
+        while self.count_statements() <= count and time.monotonic() < give_up_at:
+            time.sleep(0.01)
+        self.inject_faults(killed=True)
 
     def inject_faults(self, **faults):
         self.fleet.change_member(self.primary(), faults=faults)
@@ -193,10 +207,12 @@
     def test_write_in_flight_is_not_retried_after_connection_loss(self):
         connection = self.connect(deadline="3s")
         connection.execute(INSERT, ("lost",))
-        self.fleet.change_member(self.primary(), service_s=0.4)
-        fault_timer = threading.Timer(0.2, self.inject_faults, kwargs={"killed": True})
-        fault_timer.start()
-        self.addCleanup(fault_timer.join)
+        self.fleet.change_member(self.primary(), service_s=2.0)
+        fault = threading.Thread(
+            target=self.kill_primary_after_statement, args=(self.count_statements(),)
+        )
+        fault.start()
+        self.addCleanup(fault.join)
         state, detail = self.detail(connection, INSERT, ("lost",))
         self.assertEqual(("08007", "outcome unknown"), (state, detail))
         self.clear_faults()
