Close connections to members whose opening is cancelled

What callers saw: nothing yet; found by reading, for the table of what is held for somebody else.

Cause: a takeover and the checks before it give up an opening after 0.5 s. The cancellation of open_connection while it waits for the member's first answer closed nothing, so each check of a silent member left a connection open there, which counts towards the member's limit.

Change: a cancelled opening closes its connection, as on the PostgreSQL side.

Result: test_connection_of_a_silent_member_is_closed_if_its_opener_gives_up fails before the change (the connection is open) and passes after.

--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -355,7 +355,7 @@
     connection.ready.addTimeout(OPEN_TIMEOUT_S, reactor)
     try:
         await connection.ready
-    except defer.TimeoutError as error:
+    except (defer.TimeoutError, defer.CancelledError) as error:
         connection.close()
         raise pools.UpstreamOpenError("no answer to the start") from error
     return connection
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -46,6 +46,34 @@
         reactor.tcpClients[0][2].clientConnectionFailed(None, reason)
         self.assertIsInstance(found[0].value, pools.UpstreamOpenError)
 
+    def open_to_silent_member(self, timeout_s):
+        """Open a connection that is accepted and gets no answer.
+
+        Returns what the opening fails with, and the transport of the connection.
+        """
+        reactor = testing.MemoryReactorClock()
+        found = []
+        opening = upstreams.open_connection(reactor, "g", MEMBER, "desk", "")
+        opened = defer.ensureDeferred(opening)
+        opened.addTimeout(timeout_s, reactor)
+        opened.addErrback(found.append)
+        connection = reactor.tcpClients[0][2].buildProtocol(None)
+        transport = Transport()
+        connection.makeConnection(transport)
+        reactor.advance(min(timeout_s, upstreams.OPEN_TIMEOUT_S))
+        return found[0].value, transport
+
+    def test_connection_of_a_silent_member_is_closed(self):
+        raised, transport = self.open_to_silent_member(60.0)
+        self.assertIsInstance(raised, pools.UpstreamOpenError)
+        self.assertTrue(transport.disconnected)
+
+    # Guards against connections that checks before takeovers leave open for good.
+    def test_connection_of_a_silent_member_is_closed_if_its_opener_gives_up(self):
+        raised, transport = self.open_to_silent_member(0.5)
+        self.assertIsInstance(raised, pools.UpstreamOpenError)
+        self.assertTrue(transport.disconnected)
+
 
 class AnswerTests(testtools.TestCase):
     def connect(self):
