Roll back transactions that are idle for too long, on PostgreSQL

What callers saw: nothing reported; found for the table of what is held for somebody else. A caller that goes silent inside a transaction keeps its connection to the primary and its locks for good. Another caller's write then fails at its deadline, in the test after 9 s.

Cause: statements have a deadline; the time between statements had none.

Change: a service has idle_transaction_timeout_s, 60 s by default; the session gets transaction_idle (25P03) and is closed with the connection under it.

--- a/pomelograde/core/resources/_kinds.py
+++ b/pomelograde/core/resources/_kinds.py
@@ -52,6 +52,9 @@
         holds it, "lease" without waiting while the instance's write lease is valid.
     statement_timeout_s : float
         Timeout of statements that set no deadline.
+    idle_transaction_timeout_s : float
+        Time without a statement after which an open transaction is rolled back
+        and its session closed.
     replica_wait_s : float
         Maximum time that a read waits for a replica to have the session's
         writes.
@@ -63,6 +66,9 @@
         default="majority", validator=checks.one_of("majority", "lease")
     )
     statement_timeout_s: float = attrs.field(default=10.0, validator=checks.positive)
+    idle_transaction_timeout_s: float = attrs.field(
+        default=60.0, validator=checks.positive
+    )
     replica_wait_s: float = attrs.field(default=0.15, validator=checks.not_negative)
 
 
--- a/pomelograde/core/retries/_errors.py
+++ b/pomelograde/core/retries/_errors.py
@@ -47,6 +47,7 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     TRANSACTION_LOST = "transaction_lost"
     TRANSACTION_EXPIRED = "transaction_expired"
+    TRANSACTION_IDLE = "transaction_idle"
     TRANSACTION_ABORTED = "transaction_aborted"
     INVALID_TRANSACTION_STATE = "invalid_transaction_state"
     ACKNOWLEDGEMENT_LOST = "acknowledgement_lost"
@@ -253,6 +254,13 @@
         "deadline passed inside a transaction; the transaction was rolled back",
         "Run the whole transaction again.",
     ),
+    ErrorKind.TRANSACTION_IDLE: ErrorResponse(
+        "25P03",
+        _NOT_RUN,
+        "transaction was idle for too long; it was rolled back",
+        "Connect again and run the whole transaction again.",
+        fatal=True,
+    ),
     ErrorKind.TRANSACTION_ABORTED: ErrorResponse(
         "25P02",
         _NOT_RUN,
--- a/pomelograde/net/gateway.py
+++ b/pomelograde/net/gateway.py
@@ -29,6 +29,9 @@
         Sessions by the name of the key they authenticated with.
     exchanges : set of Exchange
         Statements in flight.
+    idle_transactions : dict of Session to float
+        Sessions with an open transaction and no statement in flight, and since
+        when in monotonic seconds.
     draining : bool
         Whether the instance is shutting down.
     """
@@ -41,6 +44,7 @@
         self.sessions = set()
         self.sessions_by_key = {}
         self.exchanges = set()
+        self.idle_transactions = {}
         self.draining = False
         self.was_fresh = True
         self.deadline_loop = None
@@ -92,6 +96,7 @@
         """Unregister a closed session."""
         self.sessions.discard(session)
         self.exchanges.discard(session.exchange)
+        self.idle_transactions.pop(session, None)
         key_sessions = self.sessions_by_key.get(session.key_name)
         if key_sessions is not None:
             key_sessions.discard(session)
@@ -190,6 +195,10 @@
         for exchange in overdue:
             if not exchange.done:
                 faults.run(self.context, exchange.expire)
+        for session, idle_since in list(self.idle_transactions.items()):
+            if now - idle_since >= session.group.spec.idle_transaction_timeout_s:
+                failure = retries.Failure(_ErrorKind.TRANSACTION_IDLE)
+                faults.run(self.context, session.fail, failure)
 
     def _log_freshness(self, now):
         fresh = self.is_fresh(now)
--- a/pomelograde/net/sessions.py
+++ b/pomelograde/net/sessions.py
@@ -362,6 +362,7 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             self.gateway.exchanges.discard(exchange)
+        self._record_idle()
         if self.closing is not None and status == b"I":
             self._close_after_answer()
             return
@@ -475,9 +476,16 @@
             self.context.metrics.count(
                 self.context.metrics.statements, statement.statement_class.value
             )
-            if not self._answer_locally(batch, statement):
+            if self._answer_locally(batch, statement):
+                self._record_idle()
+            else:
                 self._admit(batch, self._deadline())
 
+    def _record_idle(self):
+        """Start the idle time of an open transaction."""
+        if self.connection is not None:
+            self.gateway.idle_transactions[self] = self.context.now()
+
     def _admit(self, batch, deadline):
         if not self.gateway.may_serve(self, self.context.now()):
             kind = retries.ErrorKind.CONFIGURATION_STALE
@@ -513,6 +521,7 @@
             exchange_class = _idempotency.IdempotentExchange
         exchange = self.exchange = exchange_class(self, batch, deadline)
         self.gateway.exchanges.add(exchange)
+        self.gateway.idle_transactions.pop(self, None)
         exchange.start()
 
     def _deadline(self):
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -525,6 +525,23 @@
         self.learn_during_the_check(takeovers.Takeover("g", "", "r", 7, 8))
         self.assertEqual([], self.source.begun)
 
+    def test_member_without_an_answer_holds_no_takeover_up(self):
+        def ask(found):
+            return types.SimpleNamespace(
+                is_lost=False,
+                on_lost=None,
+                ask_status=lambda done: found and done(found),
+                read_status=lambda answer: answer,
+            )
+
+        connections = {"a": ask("status"), "b": ask(None)}
+        results = []
+        calls = self.task._request_statuses(connections, "ask_status")
+        defer.ensureDeferred(calls).addCallback(results.append)
+        self.assertEqual([], results)
+        self.task.context.reactor.advance(hosted_takeovers.MEMBER_TIMEOUT_S)
+        self.assertEqual([{"a": "status"}], results)
+
 
 class FakeMember:
     """Member and connection to it, which counts terms as members do.
--- a/tests/net/test_outcomes.py
+++ b/tests/net/test_outcomes.py
@@ -299,6 +299,44 @@
         connection.execute("ROLLBACK")
         self.assertEqual(0, self.count("late", 1))
 
+    # Guards against a silent member that keeps a connection and a place for good.
+    def test_statement_at_a_silent_member_ends_at_its_deadline(self):
+        connection = self.connect(deadline="500ms")
+        connection.execute("BEGIN")
+        connection.execute(INSERT, ("silent",))
+        self.inject_faults(paused=True)
+        started = time.monotonic()
+        state, detail = self.detail(connection, INSERT, ("silent",))
+        self.assertEqual(("57014", "not run"), (state, detail))
+        self.assertTrue(time.monotonic() - started < 1.5)
+        self.clear_faults()
+        connection.execute("ROLLBACK")
+        self.assertEqual(0, self.count("silent", 1))
+
+    def set_idle_timeout(self, timeout_s):
+        path = f"/v1/services/{fleets.SERVICE}"
+        spec = self.fleet.operate("GET", path)["spec"]
+        spec = {**spec, "idle_transaction_timeout_s": timeout_s}
+        self.fleet.operate("PUT", path, {"spec": spec})
+
+    # Guards against a silent caller that keeps a connection and its locks for good.
+    def test_transaction_of_a_silent_caller_is_rolled_back(self):
+        self.addCleanup(self.set_idle_timeout, 60.0)
+        self.set_idle_timeout(2.0)
+        silent = self.connect()
+        silent.execute("BEGIN")
+        silent.execute(INSERT, ("idle",))
+        busy = self.connect()
+        busy.execute("BEGIN READ ONLY")
+        self.connect(1, deadline="9s").execute(INSERT, ("next",))
+        for _ in range(8):
+            busy.execute("SELECT 1")
+            time.sleep(0.3)
+        busy.execute("COMMIT")
+        state, detail = self.detail(silent, INSERT, ("idle",))
+        self.assertEqual(("25P03", "not run"), (state, detail))
+        self.assertEqual(0, self.count("idle", 1))
+
     def test_write_waits_while_the_primary_cannot_be_reached(self):
         connection = self.connect(deadline="5s")
         connection.execute(INSERT, ("wait",))
