--- a/measure/cli.py
+++ b/measure/cli.py
@@ -14,6 +14,7 @@
     programs,
     refusals,
     report,
+    simulation,
 )
 from measure import slopes as slopes_module
 
@@ -160,6 +161,29 @@
     sys.exit(1 if failed else 0)
 
 
+@main.command("days")
+@click.option("--seconds", default=60.0, help="Time after which no day is started.")
+@click.option("--first-seed", default=1, help="Seed of the first day.")
+@click.option(
+    "--without",
+    type=click.Choice(sorted(simulation.REVERTED)),
+    help="Put a mended fault back, and end with the first broken day.",
+)
+def play_days(seconds, first_seed, without):
+    """Play days of a fleet on simulated time, with faults around new primaries.
+
+    \b
+    Examples:
+      PYTHONHASHSEED=0 python -m measure days --seconds 600
+      PYTHONHASHSEED=0 python -m measure days --without review-10
+    """
+    outcomes = simulation.explore(seconds, first_seed, without or "")
+    broken = sum(outcome.is_broken for outcome in outcomes)
+    promotions = sum(outcome.promotions for outcome in outcomes)
+    click.echo(f"{len(outcomes)} days, {promotions} promotions, {broken} broken")
+    sys.exit(1 if broken else 0)
+
+
 @main.command("refusals")
 @click.argument("log", type=click.File("r"))
 @click.option("--since", default=float("-inf"), help="Seconds from which to count.")
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -190,7 +190,7 @@
         self.ports.append(port)
 
 
-def build(reactor, instance_settings, log=None):
+def build(reactor, instance_settings, log=None, randomness=None):
     """Build an instance.
 
     Parameters
@@ -201,6 +201,8 @@
         Checked settings.
     log : Log or None
         Event log; None logs JSON lines to standard output.
+    randomness : random.Random or None
+        Source of randomness; None for that of the operating system.
 
     Returns
     -------
@@ -222,7 +224,7 @@
         log=log or json_log.JsonLog(instance_settings.instance, time.time),
         metrics=metrics.Metrics(),
         members=membership.Membership(own_instance),
-        random=random.SystemRandom(),
+        random=randomness or random.SystemRandom(),
     )
     shared_context.metrics.set_build(own_instance.build)
     shared_context.peers = peers.PeerTask(shared_context, peers.PlainPeers())
--- a/pomelograde/standins/hosting/host.py
+++ b/pomelograde/standins/hosting/host.py
@@ -150,7 +150,7 @@
         self.store_resource = store.StoreResource(self.tables, reactor)
         members = [member.Member(f"i-{zone}", zone, member.REPLICA) for zone in ZONES]
         members[0].role = member.PRIMARY
-        self.group = member.Group(SERVICE, members, CONNECTION_LIMIT)
+        self.group = member.Group(SERVICE, members, CONNECTION_LIMIT, reactor)
         self.store_resource.on_promote = self.promote
         self.promotions = []
         self.promotion_s = 0.0
@@ -246,6 +246,7 @@
                 self.group, group_member, self.ports[group_member.name], self.seq
             )
             self.store_resource.put("servers", group_member.name, row)
+        self.group.demote_replaced()
 
     def _listen(self, factory):
         factory.noisy = False
--- a/pomelograde/standins/hosting/member.py
+++ b/pomelograde/standins/hosting/member.py
@@ -6,7 +6,8 @@
 import time
 
 import attrs
-from twisted.internet import protocol, reactor
+from twisted.internet import protocol
+from twisted.internet import reactor as default_reactor
 from twisted.protocols import basic
 
 PRIMARY = "primary"
@@ -34,6 +35,8 @@
         Number of log entries that reads see.
     lag_s : float
         Time after a commit on the primary until this replica applies it.
+    receive_s : float or None
+        Time after which it has received the commit, if that is sooner.
     fail : str
         Error code that every read and write is answered with; empty for none.
     drop_answers : int
@@ -83,6 +86,7 @@
     log: list = attrs.field(factory=list)
     applied: int = 0
     lag_s: float = 0.02
+    receive_s: float | None = None
     fail: str = ""
     drop_answers: int = 0
     runs: list = attrs.field(factory=list)
@@ -175,39 +179,122 @@
         Members.
     limit : int
         Highest number of connections to each member.
+    reactor : IReactorTime
+        Schedules the replication.
+
+    Attributes
+    ----------
+    synchronous_replicas : int
+        Replicas that must have received a commit before it is answered.
+    unanswered : list of Commit
+        Commits that not enough replicas have received yet.
     """
 
-    def __init__(self, name, members, limit):
+    def __init__(self, name, members, limit, reactor=default_reactor):
         self.name = name
         self.members = members
         self.limit = limit
+        self.reactor = reactor
+        self.synchronous_replicas = 0
+        self.unanswered = []
+
+    def commit(self, member, writes, done):
+        """Append writes to a primary's log and replicate them after each lag.
 
-    def commit(self, member, writes):
-        """Append writes to a primary's log and replicate them after each lag."""
+        `done` is called once enough replicas have received them.
+        """
         member.log.extend(writes)
         member.applied = len(member.log)
-        for other in self.members:
-            if other is not member and other.role == REPLICA:
-                reactor.callLater(other.lag_s, self._apply, other, member)
+        if self.synchronous_replicas:
+            self.unanswered.append(Commit(member, member.term, len(member.log), done))
+        self.replicate()
+        if not self.synchronous_replicas:
+            done()
+
+    def replicate(self):
+        """Send the primary's log to the replicas, each after its lag."""
+        for primary in self.members:
+            if primary.role != PRIMARY or primary.down:
+                continue
+            for other in self.members:
+                if other is primary or other.role != REPLICA:
+                    continue
+                if other.receive_s is not None and other.receive_s < other.lag_s:
+                    later = other.receive_s
+                    self.reactor.callLater(later, self._receive, other, primary)
+                self.reactor.callLater(other.lag_s, self._apply, other, primary)
 
     def promote(self, name):
         """Make a member the primary of the next term."""
         chosen = next(member for member in self.members if member.name == name)
         term = max(member.term for member in self.members) + 1
         for member in self.members:
+            if member.is_store_cut and member.role == PRIMARY:
+                continue  # it learns of the promotion by `demote_replaced`
             member.role = REPLICA
             if member.paused_term <= term:
                 member.paused_term = 0
         chosen.role = PRIMARY
         chosen.term = term
+        chosen.applied = len(chosen.log)
 
-    def _apply(self, replica, primary):
-        if replica.paused_term or replica.down:
+    def demote_replaced(self):
+        """Make replicas of primaries that were replaced while they were cut off."""
+        latest = max(member.term for member in self.members)
+        for member in self.members:
+            is_replaced = member.role == PRIMARY and member.term < latest
+            if is_replaced and not member.is_store_cut:
+                member.role = REPLICA
+
+    def _receive(self, replica, primary):
+        if replica.paused_term or replica.down or replica.term > primary.term:
             return
         if replica.role == REPLICA and primary.role == PRIMARY:
             replica.log = list(primary.log)
-            replica.applied = len(replica.log)
+            replica.applied = min(replica.applied, len(replica.log))
             replica.term = primary.term
+            self._answer_received(replica, primary)
+
+    def _apply(self, replica, primary):
+        if replica.paused_term or replica.down or replica.term > primary.term:
+            return
+        if replica.role == REPLICA and primary.role == PRIMARY:
+            self._receive(replica, primary)
+            replica.applied = len(replica.log)
+
+    def _answer_received(self, replica, primary):
+        for commit in list(self.unanswered):
+            if commit.member is not primary or commit.term != primary.term:
+                self.unanswered.remove(commit)  # it has been replaced meanwhile
+                continue
+            if len(replica.log) >= commit.index:
+                commit.received_by.add(replica.name)
+            if len(commit.received_by) >= self.synchronous_replicas:
+                self.unanswered.remove(commit)
+                commit.done()
+
+
+@attrs.define(eq=False)
+class Commit:
+    """A commit that is answered once enough replicas have received it.
+
+    Attributes
+    ----------
+    member : Member
+        The primary.
+    term, index : int
+        Its term, and the length of its log.
+    done : callable
+        Answers the commit.
+    received_by : set of str
+        Names of the replicas that have received it.
+    """
+
+    member: Member
+    term: int
+    index: int
+    done: object
+    received_by: set = attrs.field(factory=set)
 
 
 class MemberProtocol(basic.LineOnlyReceiver):
@@ -230,6 +317,7 @@
         self.waiting = collections.deque()
         self.execution = None
         self.is_silent = False
+        self.is_committing = False
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Count the connection as closed; uncommitted writes are dropped."""
@@ -244,7 +332,7 @@
     def silence(self):
         """Neither read nor write any more; the member drops it after a while."""
         self.is_silent = True
-        reactor.callLater(DROP_SILENT_S, self.connectionLost)
+        self.group.reactor.callLater(DROP_SILENT_S, self.connectionLost)
 
     def sendLine(self, line):  # noqa: N802
         """Send a line, unless the connection has gone silent."""
@@ -280,10 +368,12 @@
 
     def _execute_next(self):
         """Execute the first statement that waits, after the time that it takes."""
-        while self.waiting:
+        while self.waiting and not self.is_committing:
             execution, text = self.waiting[0]
             if execution.request_id != "-" and self.member.work_s:
-                reactor.callLater(self.member.work_s, self._execute, execution, text)
+                self.group.reactor.callLater(
+                    self.member.work_s, self._execute, execution, text
+                )
                 return
             self._query(execution, text)
             self.waiting.popleft()
@@ -379,13 +469,31 @@
             self.writes.append(write)
             self._done([], request_id)
             return
-        self.group.commit(self.member, [write])
         if self.member.drop_answers:
+            self.group.commit(self.member, [write], _ignore)
             self.execution.ran_at = time.monotonic()
             self.member.drop_answers -= 1
             self.transport.abortConnection()
             return
-        self._done([], request_id)
+        self._commit_writes([write], request_id)
+
+    def _commit_writes(self, writes, request_id):
+        """Commit writes; what follows on the connection waits for the answer."""
+        execution = self.execution
+        self.is_committing = True
+        is_later = False
+
+        def done():
+            self.is_committing = False
+            if self.account is None:
+                return
+            self.execution = execution
+            self._done([], request_id)
+            if is_later:
+                self._execute_next()
+
+        self.group.commit(self.member, writes, done)
+        is_later = True
 
     def _commit(self, request_id, arguments, text):
         writes, self.writes = self.writes, None
@@ -394,8 +502,9 @@
             self._error("READONLY")
             return
         if writes:
-            self.group.commit(self.member, writes)
-        self._done([], request_id)
+            self._commit_writes(writes, request_id)
+        else:
+            self._done([], request_id)
 
     def _rollback(self, request_id, arguments, text):
         self.writes = None
@@ -502,3 +611,7 @@
             "born": member.started_ms,
         }
     ).encode()
+
+
+def _ignore():
+    """Do nothing."""
--- a/pomelograde/standins/hosting/store.py
+++ b/pomelograde/standins/hosting/store.py
@@ -133,6 +133,8 @@
         Contents.
     reactor : IReactorTime
         Schedules delayed answers and the time-outs of polls.
+    clock : callable
+        Returns the seconds that answers carry.
 
     Attributes
     ----------
@@ -142,11 +144,12 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, tables, reactor=default_reactor):
+    def __init__(self, tables, reactor=default_reactor, clock=time.monotonic):
         super().__init__()
         self.tables = tables
         self.sends_era = True
         self.reactor = reactor
+        self.clock = clock
         self.faults = StoreFaults()
         self.pending_polls = []
         self.calls = {}
@@ -261,7 +264,7 @@
 
     def _send_answer(self, request, status, answer):
         self._set_era(request)
-        now_ms = int(time.monotonic() * 1000.0)
+        now_ms = int(self.clock() * 1000.0)
         answer = {"ver": self.tables.version, "nowMs": now_ms, **answer}
         http.finish(request, status, answer)
 
--- /dev/null
+++ b/tests/measure/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of simulated fleets."""
--- a/tests/standins/test_hosting_member.py
+++ b/tests/standins/test_hosting_member.py
@@ -10,9 +10,8 @@
     def setUp(self):
         super().setUp()
         self.clock = task.Clock()
-        self.patch(member, "reactor", self.clock)
         self.member = member.Member("i-a", "a", member.PRIMARY)
-        self.group = member.Group("g", [self.member], 10)
+        self.group = member.Group("g", [self.member], 10, self.clock)
         self.protocol = self.connect()
 
     def connect(self):
