--- a/measure/simulation/_days.py
+++ b/measure/simulation/_days.py
@@ -93,8 +93,8 @@
 
 
 def _revive_member(fleet, target):
-    is_replica = fleet.find_primary().name != _member_name(fleet, target)
-    if is_replica:
+    primary = fleet.find_primary()
+    if primary is None or primary.name != _member_name(fleet, target):
         _set_member(fleet, target, down=False, role="replica")
     else:
         _set_member(fleet, target, down=False)
@@ -106,7 +106,9 @@
 
 
 def _index_of_primary(fleet):
-    return fleet.members.index(fleet.find_primary())
+    """Return the index of the primary, or of any member if none leads."""
+    primary = fleet.find_primary()
+    return 0 if primary is None else fleet.members.index(primary)
 
 
 def _drain_primary(fleet, fault):
@@ -333,8 +335,8 @@
 def check(fleet, seed, faults, synchronous_replicas=1):
     """Return the Outcome of a day that was played."""
     found = {name: [] for name in COLUMNS}
-    primary = fleet.find_primary()
-    counts = collections.Counter(request_id for _, _, request_id in primary.log)
+    last = fleet.find_primary() or max(fleet.members, key=lambda one: one.term)
+    counts = collections.Counter(request_id for _, _, request_id in last.log)
     now = fleet.network.seconds()
     for caller in fleet.callers:
         for write in caller.writes:
@@ -351,11 +353,11 @@
                 f"caller {caller.number} at {at - 1000.0:.2f} s: {value} after {floor}"
                 for at, value, floor in caller.stale
             ]
-        last = max(
+        served_at = max(
             (one.answered_at for one in caller.writes if one.outcome == "acknowledged"),
             default=0.0,
         )
-        if now - last > SERVED_WITHIN_S:
+        if now - served_at > SERVED_WITHIN_S:
             found["not recovered"].append(f"caller {caller.number}")
     found["failed"] += [str(reason.value) for reason in fleet.failures]
     for instance in [*fleet.instances, *fleet.ended]:
