--- a/measure/simulation/_fleet.py
+++ b/measure/simulation/_fleet.py
@@ -16,9 +16,8 @@
 from pomelograde.standins.hosting import fleets, host, member
 
 PLATFORM = "platform"
-ANSWER_LIMIT_S = 4.0  # of callers, after the time limit of their statements
 RECONNECT_S = 0.3
-PAUSE_S = 0.05
+PAUSE_S = 0.05  # of callers between their statements
 # Age that reads of each database accept, beyond the writes of their own session.
 STALENESS_S = {"meters": 0.0, "meters-own": 0.0, "meters-bounded": 1.5}
 # Errors with which a statement has no lasting effect.
@@ -48,7 +47,21 @@
 
 @attrs.define(eq=False)
 class Instance:
-    """One process of an instance."""
+    """One process of an instance.
+
+    Attributes
+    ----------
+    number : int
+        Index among the fleet's instances, which determines its data centre.
+    process : Process
+        Its view of the network.
+    daemon : HostedDaemon
+        What runs in it.
+    log : MemoryLog
+        Its events.
+    ports : list of int
+        Caller port, readiness port, and ports for other instances and metrics.
+    """
 
     number: int
     process: _network.Process
@@ -109,7 +122,7 @@
         self.owner.process.callLater(PAUSE_S, self._send_next)
 
     def _send_next(self):
-        if not self.connected:
+        if not self.transport.connected:
             return
         owner = self.owner
         request_id = owner.make_request_id()
@@ -332,7 +345,8 @@
 def _make_repeatable(kind):
     """Let sets of objects of a class have the same order in each run.
 
-    By default the order follows the addresses of the objects.
+    By default the order follows the addresses of the objects. Hashes are numbers
+    in the whole process from then on, which changes nothing else.
     """
     numbers = itertools.count()
     kind.__hash__ = lambda found: found.__dict__.setdefault(
