--- a/tests/standins/test_hosting_member.py
+++ b/tests/standins/test_hosting_member.py
@@ -81,3 +81,47 @@
         self.clock.advance(0.2)
         self.clock.advance(0.2)
         self.assertEqual([("k", "1", "q1")], self.member.log)
+
+
+class ReplicationTests(testtools.TestCase):
+    """A primary and two replicas, one of which must receive each commit."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.members = [
+            member.Member(name, name, member.REPLICA, receive_s=0.01, lag_s=0.5)
+            for name in "abc"
+        ]
+        self.primary, self.replica, _ = self.members
+        self.primary.role = member.PRIMARY
+        self.group = member.Group("g", self.members, 10, self.clock)
+        self.group.synchronous_replicas = 1
+        self.done = []
+
+    def commit(self):
+        self.group.commit(self.primary, [("k", "1", "q1")], lambda: self.done.append(1))
+
+    def test_commit_is_answered_once_a_replica_has_received_it(self):
+        self.commit()
+        self.assertEqual([], self.done)
+        self.clock.advance(0.01)
+        self.assertEqual([1], self.done)
+        self.assertEqual((1, 0), (len(self.replica.log), self.replica.applied))
+        self.clock.advance(0.5)
+        self.assertEqual(1, self.replica.applied)
+
+    def test_commit_of_a_replaced_primary_is_not_answered(self):
+        self.commit()
+        self.group.promote("b")
+        self.clock.advance(1.0)
+        self.assertEqual([], self.done)
+
+    def test_primary_that_is_cut_off_learns_later_that_it_was_replaced(self):
+        self.primary.is_store_cut = True
+        self.group.promote("b")
+        self.group.demote_replaced()
+        self.assertEqual(member.PRIMARY, self.primary.role)
+        self.primary.is_store_cut = False
+        self.group.demote_replaced()
+        self.assertEqual(member.REPLICA, self.primary.role)
