Record registrations once a check, and share code of the simulated faults

The reader recorded all registrations twice in each check: by itself, and in find_stale. It does so by itself only while the store is not available.

Faults of members that end by themselves had a function each for their end, and replicas two copies of one condition; each is one now. Times that the stand-ins name are no longer repeated as numbers.

--- a/measure/simulation/_days.py
+++ b/measure/simulation/_days.py
@@ -1,11 +1,13 @@
 """Days with random faults around changes of the primary, and what is checked."""
 
 import collections
+import functools
 import random
 
 import attrs
 
 from measure.simulation import _fleet
+from pomelograde.standins.hosting import host, member
 
 FAULTS_FROM_S = 0.5
 ROUNDS = 3  # of faults in a day
@@ -14,6 +16,7 @@
 RECOVERY_S = 14.0  # a takeover whose holder is lost is run again after 6 s
 SERVED_WITHIN_S = 3.0  # of the end, in which each caller must have written
 MAX_COMPANIONS = 3  # of the fault that a round begins with
+USUAL_LAG = {"lag_s": 0.02, "receive_s": _fleet.RECEIVE_S}  # of a replica
 COLUMNS = ("lost", "doubled", "untrue", "stale", "not recovered", "failed")
 
 
@@ -84,6 +87,12 @@
     fleet.host.write_member_rows()
 
 
+def _set_member_for(fleet, target, for_s, during, after):
+    """Set attributes of a member for a while, and others after it."""
+    _set_member(fleet, target, **during)
+    fleet.call_later(for_s, functools.partial(_set_member, fleet, target, **after))
+
+
 def _crash_member(fleet, fault):
     """Take a member away; it comes back as what it was, or as a replica."""
     found = fleet.members[fault.target % len(fleet.members)]
@@ -114,38 +123,27 @@
 def _drain_primary(fleet, fault):
     """Let the primary announce that it leaves, and take that back later."""
     target = _index_of_primary(fleet)
-    _set_member(fleet, target, state="draining")
-    fleet.call_later(fault.for_s, _set_undrained, fleet, target)
-
-
-def _set_undrained(fleet, target):
-    _set_member(fleet, target, state="ready")
+    during, after = {"state": "draining"}, {"state": "ready"}
+    _set_member_for(fleet, target, fault.for_s, during, after)
 
 
 def _lapse_row(fleet, fault):
     """Cut a member off from the store, so that its row lapses while it runs."""
-    _set_member(fleet, fault.target, is_store_cut=True)
-    fleet.call_later(fault.for_s + 1.5, _end_lapse, fleet, fault.target)
-
-
-def _end_lapse(fleet, target):
-    _set_member(fleet, target, is_store_cut=False)
+    for_s = fault.for_s + host.MISSED_HEARTBEATS * host.HEARTBEAT_S
+    during, after = {"is_store_cut": True}, {"is_store_cut": False}
+    _set_member_for(fleet, fault.target, for_s, during, after)
 
 
 def _lag(fleet, fault):
     """Let a replica apply the log late, though it receives it soon."""
-    _set_member(fleet, fault.target, lag_s=0.3 + fault.for_s)
-    fleet.call_later(fault.for_s + 1.0, _end_lag, fleet, fault.target)
+    during = {"lag_s": 0.3 + fault.for_s}
+    _set_member_for(fleet, fault.target, fault.for_s + 1.0, during, USUAL_LAG)
 
 
 def _delay_log(fleet, fault):
     """Let a replica receive the log late."""
-    _set_member(fleet, fault.target, lag_s=0.3 + fault.for_s, receive_s=None)
-    fleet.call_later(fault.for_s + 1.0, _end_lag, fleet, fault.target)
-
-
-def _end_lag(fleet, target):
-    _set_member(fleet, target, lag_s=0.02, receive_s=_fleet.RECEIVE_S)
+    during = {"lag_s": 0.3 + fault.for_s, "receive_s": None}
+    _set_member_for(fleet, fault.target, fault.for_s + 1.0, during, USUAL_LAG)
 
 
 def _reset(fleet, fault):
@@ -159,7 +157,7 @@
     for link in fleet.find_member_links(_member_name(fleet, fault.target)):
         link.is_silent = True
         # The member drops it after a while, as the stand-in does.
-        fleet.call_later(3.0, link.reset)
+        fleet.call_later(member.DROP_SILENT_S, link.reset)
 
 
 def _slow_promotions(fleet, fault):
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -319,8 +319,8 @@
 
     def _end_registrations(self, now):
         """End registrations of silent instances, and remove expired ones."""
-        self.registrations.record_registrations(self.fleet.instances, now)
         if not self.store_available:
+            self.registrations.record_registrations(self.fleet.instances, now)
             return
         own = self.context.members.own.name
         stale = self.registrations.find_stale(self.fleet.instances, own, now)
--- a/pomelograde/standins/hosting/member.py
+++ b/pomelograde/standins/hosting/member.py
@@ -247,19 +247,19 @@
                 member.role = REPLICA
 
     def _receive(self, replica, primary):
+        """Give a replica the primary's log; return whether it takes it."""
         if replica.paused_term or replica.down or replica.term > primary.term:
-            return
-        if replica.role == REPLICA and primary.role == PRIMARY:
-            replica.log = list(primary.log)
-            replica.applied = min(replica.applied, len(replica.log))
-            replica.term = primary.term
-            self._answer_received(replica, primary)
+            return False
+        if replica.role != REPLICA or primary.role != PRIMARY:
+            return False
+        replica.log = list(primary.log)
+        replica.applied = min(replica.applied, len(replica.log))
+        replica.term = primary.term
+        self._answer_received(replica, primary)
+        return True
 
     def _apply(self, replica, primary):
-        if replica.paused_term or replica.down or replica.term > primary.term:
-            return
-        if replica.role == REPLICA and primary.role == PRIMARY:
-            self._receive(replica, primary)
+        if self._receive(replica, primary):
             replica.applied = len(replica.log)
 
     def _answer_received(self, replica, primary):
