Log what the reads after a takeover go by, and where their floors are from

A floor keeps the member that reported it and the instance that told of it. PRIMARY_HELD has the term, and the step `chosen` of a takeover the positions of all candidates.

--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -42,9 +42,12 @@
     ----------
     position : Position or None
         The position; None if every replica qualifies.
+    floor : Floor or None
+        The floor that guarantees the age of the data; None if its age isn't limited.
     """
 
     position: object
+    floor: object = None
 
 
 @attrs.define
@@ -140,6 +143,8 @@
     is_fenced : bool
         Whether the results of statements already sent to the primary that is
         being replaced may no longer be reported as successful.
+    fence : int
+        Fencing token of the last takeover; 0 if none is known.
     successor : str
         Member that was promoted last; empty if none is known.
     successor_has_led : bool
@@ -184,6 +189,7 @@
         self.is_primary_blocked = False
         self.blocked_since = float("-inf")
         self.is_fenced = False
+        self.fence = 0
         self.successor = ""
         self.successor_has_led = False
         self.successor_expected_until = float("-inf")
@@ -438,7 +444,7 @@
         )
 
     def set_takeover(
-        self, is_primary_blocked, successor, now, is_successor_confirmed=True
+        self, is_primary_blocked, successor, now, is_successor_confirmed=True, fence=0
     ):
         """Update the state of the service's takeover.
 
@@ -453,6 +459,8 @@
         is_successor_confirmed : bool
             Whether the successor was seen to lead in this takeover. Otherwise it
             isn't the primary until it is registered as such.
+        fence : int
+            Fencing token of the takeover.
 
         Returns
         -------
@@ -464,6 +472,7 @@
         is_promoted = successor != self.successor or (
             has_ended and is_successor_confirmed
         )
+        self.fence = fence
         if is_primary_blocked and not self.is_primary_blocked:
             self.blocked_since = now
         self.is_primary_blocked = is_primary_blocked
@@ -477,7 +486,7 @@
                 self.successor_expected_until = now + SUCCESSOR_GRACE_S
         return self.update_primary(now)
 
-    def on_position(self, name, position, asked_at):
+    def on_position(self, name, position, asked_at, source=""):
         """Record a position reported by a member.
 
         Parameters
@@ -487,7 +496,9 @@
         position : Position
             Position of its log.
         asked_at : float
-            Monotonic time at which the request was sent.
+            Monotonic time at which the request was sent, or an earlier one.
+        source : str
+            Instance that told of the position; empty if this one requested it.
 
         Notes
         -----
@@ -507,7 +518,7 @@
             self.term_start = position
             self.floors = _floors.FloorHistory()
         if position.term == self.term:
-            self.floors.add(asked_at, position)
+            self.floors.add(asked_at, position, name, source)
 
     def leads_since(self, name, at):
         """Return whether a member is the primary, and was at a time known to be it."""
@@ -539,14 +550,17 @@
         """
         floor = None
         if max_staleness_s != float("inf"):
-            floor = self.floors.find(now, max_staleness_s - STALENESS_MARGIN_S)
+            floor = self.floors.find_entry(now, max_staleness_s - STALENESS_MARGIN_S)
             if floor is None:
                 return None
         if commit_position is not None and commit_position.term < self.term:
             commit_position = self.term_start
-        if floor is None or (commit_position is not None and commit_position > floor):
-            floor = commit_position
-        return Requirement(floor)
+        position = None if floor is None else floor.position
+        if position is None or (
+            commit_position is not None and commit_position > position
+        ):
+            position = commit_position
+        return Requirement(position, floor)
 
     def rank_members(self, required, data_centre, now, tried, regions=None):
         """Return the members that may serve a read, best first.
--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -578,6 +578,7 @@
         )
         if candidates:
             in_flight.required = requirement.position
+            in_flight.floor = requirement.floor
             member = candidates[0]
             on_primary = member.name == group.primary
             is_unanswered = group.is_unanswered(member, now)
@@ -663,7 +664,7 @@
         in_flight.member = member.name
         in_flight.on_primary = on_primary
         if on_primary:
-            in_flight.required = None
+            in_flight.required = in_flight.floor = None
         in_flight.awaiting_grant = True
         route = in_flight.route
         acquire = _actions.Acquire(
--- a/pomelograde/core/statements/_state.py
+++ b/pomelograde/core/statements/_state.py
@@ -72,6 +72,8 @@
         Whether that member was selected as the primary.
     required : Position or None
         Position that the member's log must have reached.
+    floor : Floor or None
+        Floor that is part of `required`, if the age of the data is limited.
     tried : set of str
         Members on which an attempt failed; not selected again until all
         candidates have been tried.
@@ -108,6 +110,7 @@
     member: str = ""
     on_primary: bool = False
     required: object = None
+    floor: object = None
     tried: set = attrs.field(factory=set)
     attempts: int = 0
     failed_reads: int = 0
--- a/pomelograde/net/hosted/positions.py
+++ b/pomelograde/net/hosted/positions.py
@@ -162,11 +162,11 @@
             return
         if not isinstance(answer, peer_messages.FloorAnswer):
             return
-        self._apply(*first, answer, asked_at)
+        self._apply(*first, answer, asked_at, source.name)
         by_name = {floor.group: floor for floor in answer.floors}
         for group, primary in others:
             if group.name in by_name:
-                self._apply(group, primary, by_name[group.name], asked_at)
+                self._apply(group, primary, by_name[group.name], asked_at, source.name)
             else:
                 defer.ensureDeferred(self._request(source, [(group, primary)]))
 
@@ -174,13 +174,14 @@
         placing = self.proxy.placing
         return [] if placing is None else placing.describe(group, now)
 
-    def _apply(self, group, primary, floor, asked_at):
+    def _apply(self, group, primary, floor, asked_at, source=""):
         """Record what another instance knows of a group and its primary."""
         if self.proxy.placing is not None:
             self.proxy.placing.on_loads(group, floor.loads, asked_at)
         if floor.known:
             position = sessions.Position(floor.term, floor.index)
-            group.on_position(primary, position, asked_at - floor.age_ms / 1000.0)
+            position_at = asked_at - floor.age_ms / 1000.0
+            group.on_position(primary, position, position_at, source)
 
     def _on_request(self, message, envelope):
         """Return the known log positions of the primaries, with their ages."""
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -12,6 +12,7 @@
     placing,
     positions,
     rates,
+    read_log,
     relay,
     sessions,
 )
@@ -64,6 +65,8 @@
         Relays statements to and from other instances.
     positions : Positions
         Learns the log positions of the primaries.
+    read_log : ReadLog
+        Logs the reads after a takeover.
     cold_starts : ColdStarts
         Limits what is sent to members that have just started.
     takeovers : dict of str to Takeover
@@ -123,6 +126,7 @@
             pools.RoomGauges(context.metrics, self.pools)
         self.relay = relay.Relay(context, self)
         self.positions = positions.Positions(context, self)
+        self.read_log = read_log.ReadLog(context, self.groups)
         self.cold_starts = cold_starts.ColdStarts(context, self)
         self.rates = rates.RegisteredRates(context, self.relay, freshness)
 
@@ -323,6 +327,7 @@
             takeover.successor,
             now,
             is_successor_confirmed=was_blocked and takeover.term > known_term,
+            fence=takeover.fence,
         )
         if changed or was_blocked != group.is_primary_blocked:
             self.context.log.write(
@@ -332,6 +337,7 @@
                 primary=group.primary,
                 fence=takeover.fence,
                 row_version=takeover.row_version,
+                term=takeover.term,
             )
 
     def uses_primary(self, service):
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -326,6 +326,7 @@
         if not self.closed:
             if self.proxy.placing is not None:
                 self.proxy.placing.on_own_answer(self, answer)
+            self.proxy.read_log.record(self.core, answer)
             self.perform(self.core.on_answer(answer, self.context.now()))
 
     def _set_account(self, account):
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -546,6 +546,10 @@
             member=chosen.name,
             position=f"{chosen.position.term}.{chosen.position.index}",
             candidates=len(candidates),
+            positions={
+                found.name: f"{found.position.term}.{found.position.index}"
+                for found in candidates
+            },
         )
         recorded = await self._record_choice(takeover, chosen)
         if recorded is None:
