Show statements that run with another session's values

Cause, as far as known: a SET goes to the member in front of the statement in one write, and the statement runs although the member has refused the SET.

--- a/review/lib3/platform_host.py
+++ b/review/lib3/platform_host.py
@@ -19,6 +19,7 @@
 """
 
 import json
+import random
 import sys
 
 from twisted.internet import reactor, task
@@ -28,6 +29,7 @@
 from pomelograde.standins.hosting import host, member
 
 MISSED_CHECK_INS = 3
+FAILING = frozenset(("READ", "WRITE", "SET", "PARSE", "EXECUTE"))
 
 
 class DelayedGroup(member.Group):
@@ -73,6 +75,35 @@
         self._answer_received(replica, primary)
 
 
+class FailingProtocol(member.MemberProtocol):
+    """Connection to a member that fails a share of the clients' requests.
+
+    Statements that clients cannot send, and those that end a transaction, do not
+    fail. A request that fails changes nothing.
+    """
+
+    shares = {}
+    random = random.Random(1)
+
+    def _query(self, execution, text):
+        verb = text.split(" ", 3)[2] if text.startswith("AFTER ") else text.split()[0]
+        share = self.shares.get(self.member.name, 0.0)
+        if verb in FAILING and self.random.random() < share:
+            self.execution = execution
+            execution.text = text
+            self._error("FAILED")
+            return
+        super()._query(execution, text)
+
+
+class FailingFactory(member.MemberFactory):
+    """Creates the protocols of connections to one member."""
+
+    def buildProtocol(self, addr):  # noqa: N802
+        """Return the protocol of a new connection."""
+        return FailingProtocol(self.group, self.member)
+
+
 class PlatformHost(host.Host):
     """Store and members, with crashes that follow the users' pages."""
 
@@ -100,7 +131,7 @@
     def start(self):
         """Listen on all ports, start the check-ins and return the addresses."""
         for found in self.group.members:
-            self.factories[found.name] = member.MemberFactory(self.group, found)
+            self.factories[found.name] = FailingFactory(self.group, found)
             self._open(found)
         manifest = json.loads(json.dumps(host.MANIFEST))
         manifest["services"][0]["syncReplicas"] = self.group.synchronous_replicas
@@ -179,7 +210,12 @@
         return super().render_GET(request)
 
     def render_POST(self, request):  # noqa: N802
-        """Crash members for a time."""
+        """Crash members for a time, or let one fail a share of its requests."""
+        if request.path == b"/grey":
+            body = http.read_body(request)
+            FailingProtocol.shares[body["member"]] = body["share"]
+            FailingProtocol.random.seed(body.get("seed"))
+            return http.answer(request, 200, {})
         if request.path == b"/crash":
             body = http.read_body(request)
             for name in body["members"]:
