Show writes that a replaced primary acknowledges after a restart

Tried: a primary is cut off from the store and its replicas, and another member is promoted. The store is away for 0.3 s and returns from a copy that is older than that; one of three processes is killed and starts again. Three processes of the deploy file's command, the project's stand-ins with a member that can be cut off, and six writers.

Cause, as far as known: a process that starts takes the copy for current, and serves callers before it has asked any other instance.

--- a/review/lib3/platform_host.py
+++ b/review/lib3/platform_host.py
@@ -62,6 +62,8 @@
             replica.paused_term
             or replica.down
             or primary.down
+            or replica.is_store_cut
+            or primary.is_store_cut
             or replica.term > primary.term
             or replica.role != member.REPLICA
             or primary.role != member.PRIMARY
@@ -125,7 +127,7 @@
         self.promotion_s = configuration["promote_s"]
         self.listening = {}
         self.factories = {}
-        self.crashed_at = {}
+        self.silent_since = {}
         self.effects = []
 
     def start(self):
@@ -148,11 +150,27 @@
         """End a member's process; it comes back with its log."""
         found = self.find(name)
         found.down = True
-        self.crashed_at[name] = self.reactor.seconds()
+        self.silent_since[name] = self.reactor.seconds()
         self.listening.pop(name).stopListening()
         found.reset()
         self.reactor.callLater(for_s, self._return, found)
 
+    def cut(self, name, for_s):
+        """Cut a member off from the store and from the other members."""
+        found = self.find(name)
+        found.is_store_cut = True
+        self.silent_since[name] = self.reactor.seconds()
+        self.reactor.callLater(for_s, self._heal, found)
+
+    def _heal(self, found):
+        found.is_store_cut = False
+
+    def restore(self):
+        """Let the store return from its copy; rows that are in it expire anew."""
+        self.tables.restore()
+        self.store_resource._answer_pending_polls()
+        self.silent_since = dict.fromkeys(self.silent_since, self.reactor.seconds())
+
     def _return(self, found):
         found.down = False
         self._open(found)
@@ -182,12 +200,12 @@
         self.write_member_rows()
 
     def write_member_rows(self):
-        """Write the rows of running members; a crashed one's goes after a while."""
+        """Write the rows of members; those of silent ones go after a while."""
         self.seq += 1
         now = self.reactor.seconds()
         for found in self.group.members:
-            if found.down:
-                expires_at = self.crashed_at[found.name]
+            if found.down or found.is_store_cut:
+                expires_at = self.silent_since[found.name]
                 expires_at += MISSED_CHECK_INS * self.check_in_s
                 row, _ = self.tables.rows.get(("servers", found.name), (None, 0))
                 if now >= expires_at and row is not None:
@@ -210,7 +228,14 @@
         return super().render_GET(request)
 
     def render_POST(self, request):  # noqa: N802
-        """Crash members for a time, or let one fail a share of its requests."""
+        """Crash or cut members for a time, or let one fail some of its requests."""
+        if request.path == b"/restore":
+            self.host.restore()
+            return http.answer(request, 200, {})
+        if request.path == b"/cut":
+            body = http.read_body(request)
+            self.host.cut(body["member"], body["for_s"])
+            return http.answer(request, 200, {})
         if request.path == b"/grey":
             body = http.read_body(request)
             FailingProtocol.shares[body["member"]] = body["share"]
