--- a/tests/net/compatibility/peers.capnp
+++ b/tests/net/compatibility/peers.capnp
@@ -213,6 +213,10 @@
   successor @2 :Text;
   fence @3 :UInt64;
   rowVersion @4 :UInt64;
+  term @5 :UInt64;
+  candidate @6 :Text;
+  logTerm @7 :UInt64;
+  logIndex @8 :UInt64;
 }
 
 struct HoldRequest {
