Wait for each replica that may hold acknowledged commits

Cause: a takeover counted the replicas that have a row, and those without one that answered in the last 60 s of one process. Rows tell who is alive, not who may hold a commit. Evidence: in the log, no takeover begins while both rows stand ("replica does not answer"), and once the row of the replica has gone, the step "chosen" has one candidate. The log did not tell which replicas had been counted; TAKEOVER_STEP now has `recorded` and `replicas`, and a step `replicas missing`.

The reader of the store now keeps a record of the members of each service with synchronous replicas, one row that is written when the set changes. A member without a row leaves it only while a primary works, once it has answered nobody for 5 s and enough registered replicas hold all that the primary had committed. Takeovers ask, count and wait for all recorded members. Of these fewer than syncReplicas may be missing at a promotion, so one of those that had acknowledged each commit has answered. The record outlives every process; if the store returns from a copy, the copy's members and the known ones both count.

Tests: three tests of SynchronousReplicaTests in tests/net/hosted/test_takeovers.py fail on the former takeovers.py (with only its names exchanged), and pass now. Two of them are new; the third (test_evacuated_replica_without_a_row_is_not_asked_after_its_time_limit) had stated the fault: it expected a promotion past a replica that may be ahead, once that replica had no row. It now expects none unless the record lacks the replica. For the same reason test_replica_whose_registration_has_ended_is_not_waited_for became test_replica_that_is_no_longer_recorded_is_not_waited_for: the row's end says nothing, the record's does.

--- a/measure/simulation/_reverted.py
+++ b/measure/simulation/_reverted.py
@@ -41,9 +41,19 @@
     return []
 
 
+def _find_no_record(sync, service):
+    """Count the members that have a row now."""
+    return
+
+
 _FIND_SUCCESSOR = placement.Group._find_successor
 _GROUP = "pomelograde.core.placement.Group"
 _REQUIREMENT = "pomelograde.core.takeovers.LogRequirement.find_required"
+# Replicas without a row are neither asked nor counted.
+_ROWS_ALONE = {
+    f"{_GROUP}.find_lapsed": _find_no_lapsed,
+    "pomelograde.net.hosted.state_sync.StateSync.find_replica_set": _find_no_record,
+}
 REVERTED = {
     "review-3": {_REQUIREMENT: _require_furthest},
     "review-6": {f"{_GROUP}._find_successor": _use_any_primary},
@@ -54,7 +64,8 @@
             _confirm_at_once
         )
     },
-    "replica-without-row": {f"{_GROUP}.find_lapsed": _find_no_lapsed},
+    "review-11": _ROWS_ALONE,
+    "replica-without-row": _ROWS_ALONE,
 }
 
 
--- a/pomelograde/core/membership/__init__.py
+++ b/pomelograde/core/membership/__init__.py
@@ -11,6 +11,7 @@
 INSTANCE_LIMITS = _reachability.INSTANCE_LIMITS
 MAX_IN_ANSWER = _reachability.MAX_IN_ANSWER
 MAX_IN_NEWS = _reachability.MAX_IN_NEWS
+MAX_PORT = _instances.MAX_PORT
 MEMBER_LIMITS = _reachability.MEMBER_LIMITS
 PROBE_TIMEOUT_S = _detector.PROBE_TIMEOUT_S
 REPEAT_S = _reachability.REPEAT_S
@@ -40,6 +41,7 @@
     "INSTANCE_LIMITS",
     "MAX_IN_ANSWER",
     "MAX_IN_NEWS",
+    "MAX_PORT",
     "MEMBER_LIMITS",
     "PROBE_TIMEOUT_S",
     "REPEAT_S",
--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -166,6 +166,8 @@
     lapsed : dict of str to tuple of (Member, float)
         Members whose row is missing though they had not announced to leave, and
         since when.
+    recorded : dict of str to Member
+        Members that may hold acknowledged commits, with or without a row.
     evacuated : frozenset of str
         Data centres whose members get nothing more.
     outliers : Outliers or None
@@ -198,6 +200,7 @@
         self.floors = _floors.FloorHistory()
         self.left = {}
         self.lapsed = {}
+        self.recorded = {}
         self.evacuated = frozenset()
         self.outliers = None
         self.expected = None
@@ -270,8 +273,12 @@
         }
 
     def find_lapsed(self):
-        """Return the members whose row is missing though they have not left."""
-        return [member for member, _ in self.lapsed.values()]
+        """Return the members without a row that have not left, or are recorded."""
+        found = {name: member for name, (member, _) in self.lapsed.items()}
+        for name, member in self.recorded.items():
+            if name not in self.members:
+                found.setdefault(name, member)
+        return list(found.values())
 
     def find_all(self):
         """Return the registered members, and those of `find_lapsed`."""
@@ -331,12 +338,14 @@
         """Return whether nothing more may be sent to a member, not even probes."""
         if not self.evacuated:
             return False
-        member = self.members.get(name)
-        if member is None and name in self.lapsed:
-            member, _ = self.lapsed[name]
-        if member is None or member.data_centre not in self.evacuated:
+        found = [member for member in self.find_all() if member.name == name]
+        return bool(found) and self.is_data_centre_closed(found[0].data_centre, now)
+
+    def is_data_centre_closed(self, data_centre, now):
+        """Return whether an evacuation allows nothing more in a data centre."""
+        if data_centre not in self.evacuated:
             return False
-        return now >= self.evacuation_deadlines.get(member.data_centre, now)
+        return now >= self.evacuation_deadlines.get(data_centre, now)
 
     def can_replace_primary(self):
         """Return whether evacuations leave a member that may be promoted.
--- a/pomelograde/daemon/hosted.py
+++ b/pomelograde/daemon/hosted.py
@@ -28,6 +28,7 @@
     probe_site,
     proxy,
     readiness,
+    replica_sets,
     state_sync,
     takeovers,
 )
@@ -60,6 +61,8 @@
         Sessions, connection pools and rate limits.
     takeovers : TakeoverTask
         Replaces primaries that are leaving or have failed.
+    replica_sets : ReplicaSetTask
+        Records the members that may hold acknowledged commits.
     evacuations : EvacuationTask
         Ends what is open in evacuated data centres.
     readiness : Readiness
@@ -74,6 +77,7 @@
     sync: state_sync.StateSync
     proxy: proxy.Proxy
     takeovers: takeovers.TakeoverTask
+    replica_sets: replica_sets.ReplicaSetTask
     evacuations: evacuations.EvacuationTask
     readiness: readiness.Readiness
     callers: callers.CallerFactory
@@ -113,6 +117,7 @@
             return
         self.proxy.start()
         self.takeovers.start()
+        self.replica_sets.start()
         self.evacuations.start()
         self._listen(instance_settings.caller_port, self.callers)
         self.readiness.has_started = True
@@ -157,6 +162,7 @@
             await task.deferLater(self.context.reactor, DRAIN_CHECK_INTERVAL_S)
         self.sync.stop()
         self.takeovers.stop()
+        self.replica_sets.stop()
         self.evacuations.stop()
         self.proxy.stop()
         await self.sync.leave()
@@ -272,6 +278,9 @@
         shared_context, sync, session_proxy, promoter
     )
     sync.on_takeovers = takeover_task.set_takeovers
+    replica_set_task = replica_sets.ReplicaSetTask(
+        shared_context, sync, session_proxy, takeover_task
+    )
     evacuation_task = evacuations.EvacuationTask(shared_context, sync, session_proxy)
     sync.on_evacuations = evacuation_task.update
     readiness_check = readiness.Readiness(shared_context, freshness)
@@ -283,6 +292,7 @@
         sync,
         session_proxy,
         takeover_task,
+        replica_set_task,
         evacuation_task,
         readiness_check,
         caller_factory,
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -55,6 +55,9 @@
         Hash of instances and takeovers.
     evacuations : Evacuations
         Data centres that the operator has evacuated.
+    replica_sets : dict of str to ReplicaSet
+        Members of each service that may hold acknowledged commits, where this
+        instance has read or written that record.
     """
 
     configuration_text: str = ""
@@ -66,6 +69,7 @@
     takeovers: dict = attrs.field(factory=dict)
     instances_digest: int = 0
     evacuations: placement.Evacuations = attrs.field(factory=placement.Evacuations)
+    replica_sets: dict = attrs.field(factory=dict)
 
     @property
     def evacuations_digest(self):
@@ -923,6 +927,15 @@
         self._update_instances_digest()
         self._notify(self.on_takeovers, self.fleet.takeovers)
 
+    def find_replica_set(self, service):
+        """Return the ReplicaSet of a service as known here; None without one."""
+        known = self.fleet.replica_sets.get(service)
+        stored = self.source.replica_sets.get(service)
+        found = takeovers.select_replica_set(known, stored)
+        if found is not None:
+            self.fleet.replica_sets[service] = found
+        return found
+
     def _apply_listed(self, instances, listed, as_of):
         """Apply instances and takeovers as the store returned them."""
         if as_of < self.instances_as_of:
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -6,11 +6,19 @@
 have expired, and promotes the replica that has received the most of the log.
 """
 
+import ipaddress
+
 import attrs
 from twisted.internet import defer, task
 from twisted.python import failure
 
-from pomelograde.core import configuration, placement, sessions, takeovers
+from pomelograde.core import (
+    configuration,
+    membership,
+    placement,
+    sessions,
+    takeovers,
+)
 from pomelograde.net import events, faults, peer_messages, peers, pools, timers
 from pomelograde.net.hosted import state_sync
 
@@ -177,10 +185,10 @@
             since_failing_s=now - max(last_change_at, last_failing_at),
             is_evacuated=registered and primary.data_centre in group.evacuated,
             can_be_replaced=group.can_replace_primary(),
-            synchronous_replicas=self._count_synchronous(group.name),
+            synchronous_replicas=self.count_synchronous(group.name),
         )
 
-    def _count_synchronous(self, service):
+    def count_synchronous(self, service):
         """Return how many replicas must receive a commit before it is acknowledged."""
         found = self.proxy.configuration.services.get(service)
         return 0 if found is None else found.synchronous_replicas
@@ -443,7 +451,8 @@
         The replicas receive again in any case. A promotion does not end a pause
         for a higher term, as an earlier attempt at this takeover may have left it.
         """
-        opened = await self._open_connections(group, old_primary, with_lapsed=True)
+        self.apply_replica_set(group)
+        opened = await self.open_connections(group, old_primary, with_lapsed=True)
         connections = {name: found for name, found in opened.items() if found}
         promotion = None
         try:
@@ -519,14 +528,14 @@
         promotion : Takeover or None
             The takeover with its successor; None if nobody was promoted.
         """
-        candidates, primary_position, term = await self._find_candidates(
+        candidates, leaders, primary_position, term = await self._find_candidates(
             group, connections, old_primary, reason
         )
-        if self._count_synchronous(group.name):
+        if self.count_synchronous(group.name):
             known = {found.name for found in candidates}
             candidates += await self._find_remote(group, {*known, old_primary})
         requirement = self._make_requirement(
-            group, takeover, old_primary, primary_position, candidates
+            group, takeover, old_primary, primary_position, candidates, leaders
         )
         chosen = takeovers.choose_successor(candidates, requirement)
         if chosen is None:
@@ -536,6 +545,8 @@
                 fence=takeover.fence,
                 candidates=sorted(found.name for found in candidates),
                 members=sorted(group.members),
+                recorded=sorted(group.recorded),
+                replicas=requirement.replica_count,
                 synchronous=requirement.synchronous_replicas,
             )
             return takeover, None
@@ -649,7 +660,7 @@
             return 0
         connection = connections.pop(member.name, None)
         if connection is None or connection.is_lost:
-            connection = await self._try_open(group, member)
+            connection = await self.try_open(group, member)
         if connection is None:
             return await self._query_led_term(group, member)
         connections[member.name] = connection
@@ -658,13 +669,13 @@
 
     async def _query_led_term(self, group, member):
         """Return the term that a member leads as other instances find it, or 0."""
-        answers = await self._query_witnesses(group, member)
+        answers = await self.query_witnesses(group, member)
         return max(
             (answer.term for answer in answers if answer.role == ROLE_PRIMARY),
             default=0,
         )
 
-    async def _open_connections(self, group, old_primary, with_lapsed=False):
+    async def open_connections(self, group, old_primary, with_lapsed=False):
         """Return a connection to each member by name; None if there is none.
 
         Parameters
@@ -683,7 +694,7 @@
         are asked, until the evacuation's time limit.
         """
         now = self.context.now()
-        is_synchronous = self._count_synchronous(group.name) > 0
+        is_synchronous = self.count_synchronous(group.name) > 0
         members = [
             member
             for name, member in group.members.items()
@@ -698,12 +709,12 @@
                 if not group.is_closed(found.name, now)
             ]
         opened = await defer.gatherResults(
-            [defer.ensureDeferred(self._try_open(group, member)) for member in members]
+            [defer.ensureDeferred(self.try_open(group, member)) for member in members]
         )
         names = [member.name for member in members]
         return dict(zip(names, opened, strict=True))
 
-    async def _try_open(self, group, member):
+    async def try_open(self, group, member):
         """Return a connection to a member, or None if none can be obtained."""
         try:
             return await self._connect(group, member)
@@ -750,27 +761,70 @@
         return next((found for found in taken if found is not None), None)
 
     def _make_requirement(
-        self, group, takeover, old_primary, primary_position, candidates
+        self, group, takeover, old_primary, primary_position, candidates, leaders
     ):
         """Return the LogRequirement for the old primary's successor.
 
+        Parameters
+        ----------
+        group : Group
+            Database service.
+        takeover : Takeover or None
+            Its last takeover.
+        old_primary : str or None
+            The registered primary that is to be replaced.
+        primary_position : Position or None
+            Position of the old primary; None if it has not answered.
+        candidates : list of Candidate
+            The replicas that have answered.
+        leaders : set of str
+            Members without a row that have answered as primaries.
+
         Notes
         -----
-        The number of replicas is unknown after an outage of the store, until the
-        registrations that have expired meanwhile are back. A replica whose row is
-        missing counts as long as it answers.
+        A replica that is recorded counts whether it has a row or not: it may have
+        received a commit that was acknowledged before its row lapsed. The number of
+        replicas is unknown after an outage of the store, until the registrations
+        that have expired meanwhile are back.
         """
-        lapsed = {found.name for found in candidates if not found.is_registered}
-        replica_count = len((group.members.keys() | lapsed) - {old_primary})
-        if not self._are_registrations_complete():
-            replica_count = None
+        recorded = self._find_recorded(group.name)
+        names = {found.name for found in group.find_all()}
+        last_primary = "" if takeover is None else takeover.successor
+        if recorded is not None:
+            names = group.members.keys() | recorded.names
+            last_primary = last_primary or recorded.primary
+        replica_count = None
+        if self._are_registrations_complete():
+            replica_count = takeovers.count_replicas(
+                names - leaders,
+                [found.name for found in candidates],
+                old_primary,
+                "" if leaders else last_primary,
+            )
         return takeovers.LogRequirement(
-            self._count_synchronous(group.name),
+            self.count_synchronous(group.name),
             replica_count,
             primary_position,
             None if takeover is None else takeover.log_position,
         )
 
+    def _find_recorded(self, service):
+        """Return the ReplicaSet of a service with synchronous replicas, or None."""
+        if not self.count_synchronous(service):
+            return None
+        return self.sync.find_replica_set(service)
+
+    def apply_replica_set(self, group):
+        """Set the recorded members of a group, so that they are asked."""
+        recorded = self._find_recorded(group.name)
+        members = () if recorded is None else recorded.members
+        group.recorded = {
+            found.name: placement.Member(
+                found.name, found.data_centre, host=found.host, port=found.port
+            )
+            for found in members
+        }
+
     def _are_registrations_complete(self):
         available_for_s = self.context.now() - self.sync.store_available_since
         return available_for_s >= takeovers.STORE_SETTLE_TIME_S
@@ -810,7 +864,7 @@
         -----
         A primary without a row is no replica, as in `_make_candidates`.
         """
-        answers = await self._query_witnesses(group, member)
+        answers = await self.query_witnesses(group, member)
         if member.name not in group.members:
             answers = [found for found in answers if found.role == ROLE_REPLICA]
         return max(
@@ -822,9 +876,11 @@
             default=None,
         )
 
-    async def _query_witnesses(self, group, member):
+    async def query_witnesses(self, group, member):
         """Return the answers of instances that reach a member, near ones first."""
-        message = peer_messages.WitnessRequest(group.name, member.name)
+        message = peer_messages.WitnessRequest(
+            group.name, member.name, member.host, member.port, member.data_centre
+        )
         own = self.context.members.own.name
         others = [found for found in self.sync.fleet.registered if found.name != own]
         near = [found for found in others if found.data_centre == member.data_centre]
@@ -845,26 +901,43 @@
         This matters only with synchronous replicas. Where other instances reach a
         replica, it counts as answering.
         """
-        if not self._count_synchronous(group.name):
+        if not self.count_synchronous(group.name):
             return True
-        opened = await self._open_connections(group, group.primary, with_lapsed=True)
+        self.apply_replica_set(group)
+        opened = await self.open_connections(group, group.primary, with_lapsed=True)
         replicas = {
             name: found
             for name, found in opened.items()
             if found and name != group.primary
         }
         try:
-            states = await self._request_statuses(replicas, "ask_status")
+            states = await self.request_statuses(replicas, "ask_status")
         finally:
-            _close_all(opened)
+            close_all(opened)
         candidates = self._make_candidates(group, states, "")
         known = {*states, group.primary}
         candidates += await self._find_remote(group, known)
         takeover = self.sync.fleet.takeovers.get(group.name)
         requirement = self._make_requirement(
-            group, takeover, group.primary, None, candidates
+            group,
+            takeover,
+            group.primary,
+            None,
+            candidates,
+            _find_leaders(group, states),
+        )
+        if takeovers.choose_successor(candidates, requirement) is not None:
+            return True
+        self._log_step(
+            group.name,
+            "replicas missing",
+            candidates=sorted(found.name for found in candidates),
+            members=sorted(group.members),
+            recorded=sorted(group.recorded),
+            replicas=requirement.replica_count,
+            synchronous=requirement.synchronous_replicas,
         )
-        return takeovers.choose_successor(candidates, requirement) is not None
+        return False
 
     def _make_candidates(self, group, states, old_primary):
         """Return Candidates for the members that have answered with a status.
@@ -887,6 +960,8 @@
         -------
         candidates : list of Candidate
             The replicas that have answered.
+        leaders : set of str
+            Members without a row that have answered as primaries.
         primary_position : Position or None
             None if the old primary has not answered.
         highest_term : int
@@ -899,12 +974,13 @@
         not change while they are compared. A primary that only has to leave its
         data centre is not replaced by a member that lacks a part of its log.
         """
-        states = await self._request_statuses(connections, "ask_status")
+        states = await self.request_statuses(connections, "ask_status")
         primary_position = None
         if old_primary in states:
             primary_position = states[old_primary][2]
         terms = [term for _, term, _ in states.values()]
         highest_term = max([group.term, *terms])
+        leaders = _find_leaders(group, states)
         replicas = {
             name: found for name, found in connections.items() if name != old_primary
         }
@@ -913,7 +989,7 @@
                 group, replicas, states.get(old_primary), old_primary
             )
         elif reason is takeovers.Reason.FAILING and old_primary not in states:
-            return [], None, highest_term
+            return [], leaders, None, highest_term
         elif reason.is_planned and old_primary in states:
             target = states[old_primary][2]
             registered = {
@@ -924,9 +1000,9 @@
                 # The old primary stays, so nothing has to be lost.
                 states = _select_caught_up(group, states, target)
         else:
-            states = await self._request_statuses(replicas, "pause", highest_term + 1)
+            states = await self.request_statuses(replicas, "pause", highest_term + 1)
         candidates = self._make_candidates(group, states, old_primary)
-        return candidates, primary_position, highest_term
+        return candidates, leaders, primary_position, highest_term
 
     def _make_candidate(self, group, name, position, old_primary):
         """Return the Candidate for a member."""
@@ -952,10 +1028,10 @@
         it is blocked: replicas that lag would make the takeover last longer.
         """
         old_primary = group.primary
-        opened = await self._open_connections(group, old_primary)
+        opened = await self.open_connections(group, old_primary)
         connections = {name: found for name, found in opened.items() if found}
         try:
-            states = await self._request_statuses(connections, "ask_status")
+            states = await self.request_statuses(connections, "ask_status")
             if old_primary not in states:
                 return False
             replicas = {
@@ -967,7 +1043,44 @@
             states = await self._wait_until_caught_up(replicas, states, target)
             return bool(_select_caught_up(group, states, target))
         finally:
-            _close_all(opened)
+            close_all(opened)
+
+    async def is_log_held(self, group, primary, count):
+        """Return whether registered replicas receive all that a primary commits.
+
+        Parameters
+        ----------
+        group : Group
+            Database service.
+        primary : str
+            Name of its primary.
+        count : int
+            Number of replicas that must hold the primary's present log.
+        """
+        opened = await self.open_connections(group, primary)
+        connections = {name: found for name, found in opened.items() if found}
+        try:
+            states = await self.request_statuses(connections, "ask_status")
+            if primary not in states or not states[primary][0]:
+                return False
+            target = states[primary][2]
+            replicas = {
+                name: found
+                for name, found in connections.items()
+                if name != primary
+                and name in group.members
+                and not group.members[name].leaving
+            }
+            until = self.context.now() + CATCH_UP_TIMEOUT_S
+            while self.context.now() < until:
+                states = await self.request_statuses(replicas, "ask_status")
+                holding = [found for found in states.values() if found[2] >= target]
+                if len(holding) >= count:
+                    return True
+                await self._sleep(POLL_INTERVAL_S)
+            return False
+        finally:
+            close_all(opened)
 
     async def _wait_until_caught_up(self, replicas, states, target):
         """Wait until a replica has received the log up to a position.
@@ -979,7 +1092,7 @@
         """
         until = self.context.now() + CATCH_UP_TIMEOUT_S
         while self.context.now() < until:
-            states = await self._request_statuses(replicas, "ask_status")
+            states = await self.request_statuses(replicas, "ask_status")
             if any(position >= target for _, _, position in states.values()):
                 break
             await self._sleep(POLL_INTERVAL_S)
@@ -997,7 +1110,7 @@
         if primary is None or primary.position is None:
             return True
         target = primary.position
-        opened = await self._open_connections(group, old_primary="")
+        opened = await self.open_connections(group, old_primary="")
         connections = {
             name: found
             for name, found in opened.items()
@@ -1006,13 +1119,13 @@
         until = self.context.now() + NEAR_TIMEOUT_S
         try:
             while connections and self.context.now() < until:
-                states = await self._request_statuses(connections, "ask_status")
+                states = await self.request_statuses(connections, "ask_status")
                 if any(position >= target for _, _, position in states.values()):
                     return True
                 await self._sleep(POLL_INTERVAL_S)
             return False
         finally:
-            _close_all(opened)
+            close_all(opened)
 
     async def _wait_until_complete(self, group, replicas, primary_status, old_primary):
         """Return the status of the replicas that hold the old primary's whole log.
@@ -1061,7 +1174,7 @@
         while self.context.now() < until:
             previous, states = (
                 states,
-                await self._request_statuses(staying, "ask_status"),
+                await self.request_statuses(staying, "ask_status"),
             )
             if _positions(previous) != _positions(states):
                 since = self.context.now()
@@ -1078,7 +1191,7 @@
             await self._sleep(POLL_INTERVAL_S)
         return {}
 
-    async def _request_statuses(self, connections, call, *arguments):
+    async def request_statuses(self, connections, call, *arguments):
         """Call a method of connections; returns the status of each that answers.
 
         Parameters
@@ -1135,7 +1248,7 @@
             defer.ensureDeferred(self._query_witness(instance, message))
             for instance in others
         ]
-        asked.append(defer.ensureDeferred(self._check_member(group, primary)))
+        asked.append(defer.ensureDeferred(self.check_member(group, primary)))
         *witness_answers, answers_here = await defer.gatherResults(asked)
         self._log_step(
             group.name,
@@ -1184,7 +1297,7 @@
         except peers.PeerUnreachableError:
             return None
 
-    async def _check_member(self, group, member):
+    async def check_member(self, group, member):
         """Return whether a member answers on a new connection.
 
         Notes
@@ -1220,9 +1333,11 @@
         group = self.proxy.groups.get(message.group)
         found = [] if group is None else group.find_all()
         member = next((each for each in found if each.name == message.member), None)
+        if member is None and group is not None:
+            member = _read_member(message)
         if member is None:
             return peer_messages.WitnessAnswer(False)
-        if group.is_closed(member.name, self.context.now()):
+        if group.is_data_centre_closed(member.data_centre, self.context.now()):
             return peer_messages.WitnessAnswer(True)
         answers, status = await self._request_member_status(group, member)
         if status is None:
@@ -1290,13 +1405,22 @@
     }
 
 
+def _find_leaders(group, states):
+    """Return the members without a row that have answered as primaries."""
+    return {
+        name
+        for name, (is_primary, _, _) in states.items()
+        if is_primary and name not in group.members
+    }
+
+
 def _is_evacuated(group, name):
     member = group.members.get(name)
     return member is not None and member.data_centre in group.evacuated
 
 
-def _close_all(opened):
-    """Close the connections of `TakeoverTask._open_connections`."""
+def close_all(opened):
+    """Close the connections of `TakeoverTask.open_connections`."""
     for connection in filter(None, opened.values()):
         connection.close()
 
@@ -1305,6 +1429,19 @@
     return {name: state[2] for name, state in states.items()}
 
 
+def _read_member(message):
+    """Return the Member that a WitnessRequest describes; None if it doesn't."""
+    if not 0 < message.port <= membership.MAX_PORT:
+        return None
+    try:
+        ipaddress.ip_address(message.host)
+    except ValueError:
+        return None
+    return placement.Member(
+        message.member, message.data_centre, host=message.host, port=message.port
+    )
+
+
 def _format_holder(instance):
     """Return the identifier of an instance's process in `Takeover.holder`."""
     return f"{instance.name}/{instance.incarnation}"
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -100,10 +100,24 @@
 
 @attrs.frozen
 class WitnessRequest:
-    """Asks a witness whether it reaches a member."""
+    """Asks a witness whether it reaches a member.
+
+    Attributes
+    ----------
+    group : str
+        Group of the member.
+    member : str
+        Name of the member.
+    host, port, data_centre : str, int and str
+        Where it runs, for a witness without its registration; empty and 0 if
+        that isn't told.
+    """
 
     group: str
     member: str
+    host: str = ""
+    port: int = 0
+    data_centre: str = ""
 
 
 @attrs.frozen
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -63,6 +63,9 @@
 struct WitnessRequest {
   group @0 :Text;
   member @1 :Text;
+  host @2 :Text;
+  port @3 :UInt32;
+  dataCentre @4 :Text;
 }
 
 struct WitnessAnswer {
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -9,7 +9,7 @@
 import attrs
 
 from pomelograde.core import checks, membership, placement, takeovers
-from pomelograde.platform import _json, _rows, manifest, registry, store
+from pomelograde.platform import _json, _rows, manifest, registry, settings, store
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -19,6 +19,8 @@
 INSTANCES_TABLE = "instances"  # written by the instances themselves
 MAX_NUMBER = 2**63 - 1  # of a term or a log position
 TAKEOVER_PREFIX = "takeover/"  # names of instances contain no slash
+REPLICA_SET_PREFIX = "replicas/"  # followed by a database service
+MAX_REPLICA_SETS = 40  # of one call, which holds at most 100 entries
 
 
 @attrs.frozen
@@ -83,7 +85,9 @@
         instance has written since.
     rows_era : int
         Era of `rows`.
-    decoded : dict of Row to Instance, Takeover or InvalidRow
+    replica_sets : dict of str to ReplicaSet
+        Members of each service that may hold acknowledged commits, from `rows`.
+    decoded : dict of Row to Instance, Takeover, ReplicaSet or InvalidRow
         Content of the rows at that read. Few rows differ from one read to the
         next, and only these are decoded.
     evacuated : frozenset of str
@@ -96,11 +100,13 @@
     HistoryLostError = store.HistoryLostError
     StoreUnavailableError = store.StoreUnavailableError
     InvalidConfigurationError = manifest.InvalidManifestError
+    MAX_REPLICA_SETS = MAX_REPLICA_SETS
 
     def __init__(self, store_client):
         self.store_client = store_client
         self.rows = {}
         self.rows_era = 0
+        self.replica_sets = {}
         self.decoded = {}
         self.evacuated = frozenset()
         self.on_invalid_rows = None
@@ -226,6 +232,11 @@
         }
         entries, invalid = _rows.select_valid(self.decoded.values())
         self._report_invalid(INSTANCES_TABLE, invalid, is_whole=True)
+        self.replica_sets = {
+            entry.service: entry
+            for entry in entries
+            if isinstance(entry, takeovers.ReplicaSet)
+        }
         return (
             [entry for entry in entries if isinstance(entry, membership.Instance)],
             [entry for entry in entries if isinstance(entry, takeovers.Takeover)],
@@ -321,8 +332,43 @@
             self.rows[key] = store.Row(key, value, store.version_of(revision))
         return revision
 
+    async def record_replica_sets(self, replica_sets):
+        """Replace the rows of replica sets, all of them or none.
+
+        Parameters
+        ----------
+        replica_sets : list of ReplicaSet
+            At most `MAX_REPLICA_SETS`.
+
+        Returns
+        -------
+        list of ReplicaSet or None
+            With their new revisions; None if a row has changed meanwhile.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not confirm the change.
+        """
+        expected = {}
+        values = {}
+        for found in replica_sets:
+            key = REPLICA_SET_PREFIX + found.service
+            expected[key] = self._expected_version(key, found.row_version)
+            values[key] = _encode_replica_set(found, self.era)
+        if None in expected.values():
+            return None
+        revision = await self.store_client.commit(INSTANCES_TABLE, expected, values)
+        if revision is None:
+            return None
+        for key, value in values.items():
+            self.rows[key] = store.Row(key, value, store.version_of(revision))
+        written = [attrs.evolve(found, row_version=revision) for found in replica_sets]
+        self.replica_sets.update((found.service, found) for found in written)
+        return written
+
     def _expected_version(self, key, known_revision):
-        """Return the version that a takeover's row must have to be replaced.
+        """Return the version that a row of a service must have to be replaced.
 
         Notes
         -----
@@ -334,15 +380,13 @@
         if self.rows_era != self.era:
             return None
         row = self.rows.get(key)
-        takeover = None if row is None else _rows.decode(row, _decode_row)
-        is_replaceable = isinstance(takeover, _rows.InvalidRow)
+        entry = None if row is None else _rows.decode(row, _decode_row)
+        is_replaceable = isinstance(entry, _rows.InvalidRow)
         if store.era_of(known_revision) == self.era and not is_replaceable:
             return store.version_of(known_revision)
         if row is None:
             return 0
-        if isinstance(takeover, takeovers.Takeover) and (
-            takeover.row_version > known_revision
-        ):
+        if not is_replaceable and entry.row_version > known_revision:
             return None
         return row.version
 
@@ -455,9 +499,11 @@
 
 
 def _decode_row(row):
-    """Return the Instance or Takeover of a row."""
+    """Return the Instance, Takeover or ReplicaSet of a row."""
     if row.key.startswith(TAKEOVER_PREFIX):
         return _decode_takeover(row)
+    if row.key.startswith(REPLICA_SET_PREFIX):
+        return _decode_replica_set(row)
     return _decode_instance(row)
 
 
@@ -497,6 +543,55 @@
     )
 
 
+def _decode_replica_set(row):
+    fields = _json.parse_object(row.value)
+    era = _json.read(fields, "era", _json.require_integer, store.MAX_ERA)
+    return takeovers.make_replica_set(
+        _json.require_name(row.key.removeprefix(REPLICA_SET_PREFIX)),
+        _json.read(fields, "primary", _require_printable),
+        _json.read(fields, "members", _decode_recorded_members),
+        store.make_revision(era, row.version),
+    )
+
+
+def _decode_recorded_members(items):
+    if type(items) is not list:
+        raise ValueError(f"expected a list, got {_json.describe(items)}")
+    return [_decode_recorded_member(item) for item in items]
+
+
+def _decode_recorded_member(fields):
+    read = _json.read
+    if type(fields) is not dict:
+        raise ValueError(f"expected an object, got {_json.describe(fields)}")
+    host, port = read(fields, "address", settings.parse_address)
+    return takeovers.RecordedMember(
+        name=read(fields, "name", _json.require_token),
+        data_centre=read(fields, "data_centre", _json.require_name),
+        host=host,
+        port=port,
+        is_leaving=read(fields, "is_leaving", _json.require_boolean),
+    )
+
+
+def _encode_replica_set(found, era):
+    members = [
+        {
+            "name": member.name,
+            "data_centre": member.data_centre,
+            "address": f"{member.host}:{member.port}",
+            "is_leaving": member.is_leaving,
+        }
+        for member in found.members
+    ]
+    fields = {"primary": found.primary, "members": members, "era": era}
+    return json.dumps(fields).encode()
+
+
+def _require_printable(value):
+    return "" if value == "" else _json.require_name(value)
+
+
 def _read_number(name, value):
     return _json.read({name: value}, name, _json.require_integer, MAX_NUMBER)
 
--- a/tests/daemon/test_hosted.py
+++ b/tests/daemon/test_hosted.py
@@ -96,6 +96,7 @@
             proxy,
             Part(running={}),
             Part(),
+            Part(),
             Part(has_started=False, is_stopping=False, render=None),
             self.callers,
         )
--- a/tests/measure/simulation/test_days.py
+++ b/tests/measure/simulation/test_days.py
@@ -16,6 +16,13 @@
     FAULT(1.0, "lapse-row", 2, 9.0),
     FAULT(3.2, "crash-primary", 0, 6.0),
 ]
+# The primary and the only replica with acknowledged commits are lost together.
+LOST_DATA_CENTRE = [
+    FAULT(0.3, "late-log", 1, 14.0),
+    FAULT(2.0, "crash-primary", 0, 12.0),
+    FAULT(2.0, "isolate-member", 2, 12.0),
+    FAULT(2.0, "lapse-row", 2, 12.0),
+]
 # The successor has not applied its log yet when it is promoted.
 LATE_PROMOTION = [
     FAULT(0.3, "lag", 1, 2.5),
@@ -56,6 +63,10 @@
         found = find_columns(REPLICA_WITHOUT_ROW, "replica-without-row")
         self.assertIn("lost", found)
 
+    def test_replica_that_is_lost_with_its_primary(self):
+        self.assertEqual(set(), find_columns(LOST_DATA_CENTRE))
+        self.assertIn("lost", find_columns(LOST_DATA_CENTRE, "review-11"))
+
     def test_successor_that_is_not_seen_to_lead(self):
         self.assertEqual(set(), find_columns(LATE_PROMOTION))
         self.assertIn("stale", find_columns(LATE_PROMOTION, "review-10"))
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -318,7 +318,7 @@
         self.assertEqual(0.0, health.silent_for_s)
         asked = []
         self.task.proxy.open_connection = lambda *_: asked.append(1)
-        checking = self.task._check_member(self.group, primary)
+        checking = self.task.check_member(self.group, primary)
         self.assertTrue(defer.ensureDeferred(checking).result)
         self.assertEqual([], asked)
 
@@ -353,7 +353,7 @@
         async def request(connections, call, *arguments):
             return {name: found[name] for name in connections if name in found}
 
-        self.task._request_statuses = request
+        self.task.request_statuses = request
         connections = dict.fromkeys(["p", *positions])
         finding = defer.ensureDeferred(
             self.task._find_candidates(
@@ -362,7 +362,7 @@
         )
         for _ in range(40):
             self.task.context.reactor.advance(0.05)
-        candidates, _, _ = finding.result
+        candidates, _, _, _ = finding.result
         return [candidate.name for candidate in candidates]
 
     def test_evacuated_primary_is_replaced_only_by_one_with_its_whole_log(self):
@@ -389,7 +389,7 @@
             return {}
 
         async def find_candidates(*_):
-            return [chosen], None, 1
+            return [chosen], set(), None, 1
 
         async def is_in_force(takeover):
             self.evacuate("y", until=104.0)
@@ -399,7 +399,7 @@
             promoted.append(member)
             return False
 
-        self.task._open_connections = open_connections
+        self.task.open_connections = open_connections
         self.task._find_candidates = find_candidates
         self.task._is_in_force = is_in_force
         self.task.sync.source.record_choice = record_choice
@@ -436,7 +436,7 @@
         self.task.proxy.configuration = types.SimpleNamespace(accounts={})
         self.task.context.settings = types.SimpleNamespace(host="127.0.0.1")
         found = []
-        asking = self.task._check_member(self.group, self.group.members["p"])
+        asking = self.task.check_member(self.group, self.group.members["p"])
         defer.ensureDeferred(asking).addCallback(found.append)
         return found[0]
 
@@ -486,7 +486,7 @@
         async def answers(group, member):
             return await answer(here)()
 
-        self.task._check_member = answers
+        self.task.check_member = answers
         self.task.context.peers.request = answer(peer_messages.WitnessAnswer(elsewhere))
         done = defer.ensureDeferred(self.task._confirm_silence(self.group))
         clock.advance(after_s)
@@ -536,7 +536,7 @@
 
         connections = {"a": ask("status"), "b": ask(None)}
         results = []
-        calls = self.task._request_statuses(connections, "ask_status")
+        calls = self.task.request_statuses(connections, "ask_status")
         defer.ensureDeferred(calls).addCallback(results.append)
         self.assertEqual([], results)
         self.task.context.reactor.advance(hosted_takeovers.MEMBER_TIMEOUT_S)
@@ -627,7 +627,9 @@
             fleet=types.SimpleNamespace(takeovers={}, registered=[]),
             source=types.SimpleNamespace(record_choice=record_choice),
             apply_takeover=self.apply_takeover,
+            find_replica_set=lambda service: self.recorded,
         )
+        self.recorded = None
         self.task = hosted_takeovers.TakeoverTask(context, sync, proxy, promoter)
         self.task._is_in_force = self.confirm
 
@@ -956,11 +958,55 @@
         self.task.context.peers.request = ask
         self.assertEqual([None], self.start_takeover())
 
-    def test_replica_whose_registration_has_ended_is_not_waited_for(self):
+    def record(self, names, primary="", **data_centres):
+        self.recorded = takeovers.make_replica_set(
+            "g",
+            primary,
+            [
+                takeovers.RecordedMember(
+                    name, data_centres.get(name, "x"), "127.0.0.1", 1
+                )
+                for name in names
+            ],
+        )
+
+    def test_replica_that_is_no_longer_recorded_is_not_waited_for(self):
         self.unreached = {"c"}
         self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        self.record("ab")
         self.assertEqual(["b"], self.start_takeover())
 
+    def test_recorded_replica_without_a_row_is_waited_for(self):
+        # The only replica with the last commits was lost together with the primary.
+        self.unreached = {"c", "p"}
+        rows = [placement.Member(name, "x") for name in "ab"]
+        self.group.update(rows, 0.0)
+        self.record("abcp", primary="p")
+        self.assertEqual([None], self.start_takeover())
+        knowing = defer.ensureDeferred(self.task._knows_logs(self.group))
+        self.assertIs(False, knowing.result)
+        self.unreached = {"p"}
+        self.assertEqual([None], self.start_takeover())  # "c" can't be promoted yet
+        self.group.update([*rows, placement.Member("c", "x")], 0.0)
+        self.assertEqual(["c"], self.start_takeover())
+
+    def test_recorded_replica_is_waited_for_by_a_process_that_never_saw_its_row(self):
+        # An instance that had started again knew only the replicas with a row.
+        self.group = placement.Group("g")
+        self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
+        self.unreached = {"c"}
+        self.record("abc")
+        self.assertEqual([None], self.start_takeover())
+        self.unreached = set()
+        self.members["b"].received = 103
+        self.assertEqual(["b"], self.start_takeover())
+        self.assertIn("c", self.asked)
+
+    def test_lost_primary_is_not_counted_as_a_replica(self):
+        self.unreached = {"p"}
+        self.record("abcp", primary="p")
+        self.assertEqual(["c"], self.start_takeover())
+
     def test_replica_without_a_row_is_waited_for_as_long_as_it_answers(self):
         # One that was cut off from the store alone held acknowledged commits.
         self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
@@ -975,11 +1021,16 @@
     def test_evacuated_replica_without_a_row_is_not_asked_after_its_time_limit(self):
         self.place_in(a="x", b="x", c="y")
         self.group.update([placement.Member(name, "x") for name in "ab"], 0.0)
-        for deadline, expected in ((9.0, None), (-9.0, "b")):
-            self.group.set_evacuations({"y": deadline})
-            self.asked.clear()
-            self.assertEqual([expected], self.start_takeover())
-            self.assertEqual(deadline > 0.0, "c" in self.asked)
+        for is_recorded in (False, True):
+            if is_recorded:
+                self.record("abc", c="y")
+            for deadline in (9.0, -9.0):
+                self.group.set_evacuations({"y": deadline})
+                self.asked.clear()
+                self.assertEqual([None], self.start_takeover())
+                self.assertEqual(deadline > 0.0, "c" in self.asked)
+        self.record("ab")
+        self.assertEqual(["b"], self.start_takeover())
 
     def test_primary_without_a_row_is_not_waited_for(self):
         self.members["c"].is_primary = True
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -259,6 +259,55 @@
         self.assertIsNone(run(platform_source.record_choice(choice)))
 
 
+class ReplicaSetTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = FakeStoreClient()
+        self.client.commit = self.commit
+        self.source = source.PlatformSource(self.client)
+        self.written = []
+        self.is_refused = False
+        member = takeovers.RecordedMember("m", "x", "127.0.0.1", 4, True)
+        self.replica_sets = [
+            takeovers.make_replica_set(service, "m", [member]) for service in "gh"
+        ]
+
+    async def commit(self, table, conditions, writes):
+        if self.is_refused:
+            return None
+        self.written.append((conditions, writes))
+        return 30 + len(self.written)
+
+    def record(self, replica_sets):
+        return run(self.source.record_replica_sets(replica_sets))
+
+    def test_what_is_recorded_is_read_again(self):
+        run(self.source.fetch_instances())
+        first = self.record(self.replica_sets)
+        self.assertEqual([31, 31], [found.row_version for found in first])
+        second = self.record(first)
+        ((conditions, _), (later, writes)) = self.written
+        self.assertEqual({"replicas/g": 0, "replicas/h": 0}, conditions)
+        self.assertEqual({"replicas/g": 31, "replicas/h": 31}, later)
+        rows = [store.Row(key, value, 32) for key, value in writes.items()]
+        self.client.rows = store.ReadResult(rows, 32, 6.0)
+        self.assertEqual(([], []), run(self.source.fetch_instances()))
+        read = [self.source.replica_sets[service] for service in "gh"]
+        self.assertEqual(second, read)
+
+    def test_nothing_is_written_over_a_row_that_has_changed(self):
+        run(self.source.fetch_instances())
+        self.is_refused = True
+        self.assertIsNone(self.record(self.replica_sets))
+        self.assertEqual({}, self.source.replica_sets)
+
+    def test_nothing_is_written_before_a_restored_store_was_read(self):
+        run(self.source.fetch_instances())
+        self.client.era = 1
+        self.assertIsNone(self.record(self.replica_sets))
+        self.assertEqual([], self.written)
+
+
 class EvacuationTests(testtools.TestCase):
     def read(self, client, *rows, revision=30):
         client.rows = store.ReadResult(list(rows), revision, 5.0)
@@ -340,6 +389,13 @@
     ),
     max_leaves=6,
 )
+RECORDED_MEMBER = {
+    "name": "m",
+    "data_centre": "x",
+    "address": "10.0.0.1:4",
+    "is_leaving": False,
+}
+REPLICA_SET = {"primary": "m", "members": [RECORDED_MEMBER], "era": 1}
 TAKEOVER = {"holder": "a/2", "successor": "m", "fence": 3, "era": 0}
 FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
 
@@ -350,7 +406,9 @@
         reported = []
         client.on_invalid_rows = lambda table, invalid, _: reported.extend(invalid)
         instances, listed = run(client.fetch_instances())
-        self.assertEqual(1, len(instances) + len(listed) + len(reported))
+        recorded = list(client.replica_sets.values())
+        found = [*instances, *listed, *recorded, *reported]
+        self.assertEqual(1, len(found))
         news = [peer_messages.write_instance(found) for found in instances]
         ended = [state_sync.encode_takeover(found) for found in listed]
         answer = peer_messages.NewsAnswer(0, "", 0, 0, [], 0, 0, news, ended)
@@ -378,9 +436,25 @@
         row = json.dumps({**TAKEOVER, name: value}).encode()
         self.assert_sound("takeover/g", row)
 
+    @FUZZ
+    @hypothesis.given(name=strategies.sampled_from(sorted(REPLICA_SET)), value=VALUES)
+    def test_replica_set_with_an_arbitrary_value(self, name, value):
+        row = json.dumps({**REPLICA_SET, name: value}).encode()
+        self.assert_sound("replicas/g", row)
+
+    @FUZZ
+    @hypothesis.given(
+        name=strategies.sampled_from(sorted(RECORDED_MEMBER)), value=VALUES
+    )
+    def test_recorded_member_with_an_arbitrary_value(self, name, value):
+        members = [{**RECORDED_MEMBER, name: value}]
+        row = json.dumps({**REPLICA_SET, "members": members}).encode()
+        self.assert_sound("replicas/g", row)
+
     @FUZZ
     @hypothesis.given(
-        key=strategies.sampled_from(["a", "takeover/g"]), value=strategies.binary()
+        key=strategies.sampled_from(["a", "takeover/g", "replicas/g"]),
+        value=strategies.binary(),
     )
     def test_arbitrary_bytes(self, key, value):
         self.assert_sound(key, value)
@@ -388,8 +462,8 @@
     @FUZZ
     @hypothesis.given(key=strategies.text())
     def test_arbitrary_key(self, key):
-        for prefix in ("", "takeover/"):
-            value = {**INSTANCE, **TAKEOVER, "name": key}
+        for prefix in ("", "takeover/", "replicas/"):
+            value = {**INSTANCE, **TAKEOVER, **REPLICA_SET, "name": key}
             self.assert_sound(prefix + key, json.dumps(value).encode())
 
     @FUZZ
