Learn what a restored store lacks before a process that starts is used

Cause, one for the three: a process without a past took the store's first answer for the present, whatever its era, and opened its port for callers before it had heard of any other instance. Its log shows the version and the primary of the copy, DAEMON_READY, and the newer ones after that.

A process now settles its state before it registers, uses anything or accepts callers: it asks the listed instances for all that they know, until one answers that has followed the store until its return or has settled its own state; without one it waits until everybody must have written again (7 s). Members of the copy are used as by the instances that run. The reader records the era for which the store lacks nothing (row era/settled), so that later starts don't ask; a copy can only name an earlier era. Stores without eras are used as before. An evacuation that the copy lacks, an accepted limit so far, is learned in the same way.

The stub of the store in test_state_sync.py has the new fields, and its set-up is a class of its own now; no assertion was changed.

--- a/pomelograde/core/placement/_evacuations.py
+++ b/pomelograde/core/placement/_evacuations.py
@@ -102,6 +102,29 @@
         self.read = read
         return changed
 
+    def learn(self, data_centres, now):
+        """Add evacuations that the store lacks since its return from an older copy.
+
+        Parameters
+        ----------
+        data_centres : frozenset of str
+            Evacuated data centres, as another instance knows them.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            Whether the evacuated data centres have changed.
+        """
+        added = data_centres - self.data_centres
+        if not added:
+            return False
+        self.kept |= added
+        self.kept_until = now + _restored.REWRITE_TIMEOUT_S
+        self.unrequested_at.update(dict.fromkeys(added, float("-inf")))
+        return True
+
     def deadlines(self, evacuation_s):
         """Return the time from which nothing is sent, by evacuated data centre.
 
--- a/pomelograde/core/placement/_restored.py
+++ b/pomelograde/core/placement/_restored.py
@@ -26,7 +26,7 @@
         Time of the first read of the era.
     restored_versions : dict of str to int
         Version of each row, by name of the member, at that read; empty if the
-        store has not been restored since this instance started.
+        store has not been restored since the state was known.
     known : dict of tuple to Member
         Members in use before that read by name and start of the process.
     """
@@ -54,14 +54,12 @@
         dict of str to list of Member
             Members by service.
         """
-        if self.era is not None and rows.era > self.era:
-            self.since = now
-            self.restored_versions = dict(rows.versions)
-            self.known = {
-                (member.name, member.started_ms): member
-                for members in current.values()
-                for member in members
-            }
+        if self.era is None and self.known and rows.era > 0:
+            self.restore(rows, now)
+        elif self.era is not None and rows.era > self.era:
+            self.known = {}
+            self.learn(current)
+            self.restore(rows, now)
         self.era = rows.era
         if not self.restored_versions:
             return rows.members
@@ -71,6 +69,28 @@
             selected[service] = [member for member in chosen if member is not None]
         return selected
 
+    def restore(self, rows, now):
+        """Take rows for those of an older copy.
+
+        Parameters
+        ----------
+        rows : MemberRows
+            What the first read of the era returned.
+        now : float
+            Monotonic seconds.
+        """
+        self.since = now
+        self.era = rows.era
+        self.restored_versions = dict(rows.versions)
+
+    def learn(self, members):
+        """Add members that are in use, by service."""
+        self.known.update(
+            ((member.name, member.started_ms), member)
+            for found in members.values()
+            for member in found
+        )
+
     def _select_member(self, member, rows, now):
         """Return a member as it is to be used, or None."""
         if rows.versions[member.name] != self.restored_versions.get(member.name):
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -18,11 +18,11 @@
 
 from pomelograde.core import configuration, membership, placement, takeovers
 from pomelograde.net import events, faults, peer_messages, peers, timers
+from pomelograde.net.hosted import restored_start
 
 SYNC_INTERVAL_S = 0.5  # keys and primary leases need a refresh within 3 s
 LONG_POLL_S = 1.0  # an answer without a change still proves that state is current
 MEMBERS_INTERVAL_S = 0.5  # a primary lease that an outage cuts short is at most 1 s old
-STARTUP_RETRY_INTERVAL_S = 0.3  # until the store has answered once
 PEER_TIMEOUT_S = 0.3  # a peer answers within 50 ms
 READER_SUSPICION_S = 3.0  # until a reader that failed or had old state is tried again
 STALE_AFTER_S = 1.5  # age of the configuration from which other sources are tried
@@ -122,6 +122,12 @@
         Era of the store in which the instances were last read from it.
     restored_members : RestoredMembers
         Selects the members to use after the store has returned from a copy.
+    restored_start : RestoredStart
+        Decides when the state that was read at the start is complete.
+    member_rows : MemberRows or None
+        Members of the store's last answer.
+    stored_as_of : float
+        When the store last answered about the configuration.
     registered_names : frozenset of str
         Names of the registered instances.
     lost_takeovers : set of int
@@ -172,6 +178,9 @@
         self.restored_members = placement.RestoredMembers(
             context.settings.member_heartbeat_s
         )
+        self.restored_start = restored_start.RestoredStart(context, self, STALE_AFTER_S)
+        self.member_rows = None
+        self.stored_as_of = float("-inf")
         self.registered_names = frozenset()
         self.lost_takeovers = set()
         self.members_asked_at = float("-inf")
@@ -197,17 +206,23 @@
         Notes
         -----
         The state may come from another instance meanwhile, in answer to its offer.
+        It is not used, and this instance not registered, before it is known what
+        the store may lack.
         """
         while not self.is_stopped:
             is_old = self._is_stale() or self._has_old_lists()
-            if not is_old or await self._read_all():
+            if (not is_old or await self._read_all()) and (
+                await self.restored_start.settle()
+            ):
+                self._confirm_configuration()
+                self._select_members()
                 registered = await self._attempt(self._register)
                 if registered.is_ok():
                     self.freshness.record_members_read(self.members_as_of)
                     self._notify(self.on_refreshed)
                     break
                 self._record_outcomes(registered)
-            await self._sleep(STARTUP_RETRY_INTERVAL_S)
+            await self._sleep(self.restored_start.retry_interval_s)
         if self.is_stopped:
             return
         self.loop = timers.start_loop(
@@ -297,6 +312,12 @@
         except (self.source.StoreUnavailableError, defer.TimeoutError) as error:
             self._log_registration_kept(self.context.members.own, error)
 
+    async def fetch_listed(self):
+        """Return the instances in the store; None if it does not answer."""
+        listed = await self._attempt(self.source.fetch_instances)
+        self._record_outcomes(listed)
+        return listed.ok_value[0] if listed.is_ok() else None
+
     async def _register(self):
         own = await self.source.register(self.context.members.own)
         self.context.members.own = own
@@ -514,10 +535,26 @@
             self._run(self._check_era, listed.ok_value[1])
         if rows.is_err() or listed.is_err():
             return
+        if self.is_reader(self.context.now()):
+            self._record_settled_era()
         if self.is_offer_due and not self._is_stale():
             delay_s = OFFER_SPREAD_S * self.context.random.random()
             self.context.reactor.callLater(delay_s, self._offer_state)
 
+    def _record_settled_era(self):
+        """Record that the store lacks nothing, for processes that start later."""
+        is_known = self.source.settled_era == self.source.rows_era
+        is_outdated = self.stored_version < self.configuration.version
+        if is_known or is_outdated or self.lost_takeovers or self.source.era == 0:
+            return
+        if self.restored_start.knows_store_is_complete():
+            recording = defer.ensureDeferred(self.source.record_settled_era())
+            recording.addErrback(self._on_write_failed)
+
+    def _on_write_failed(self, reason):
+        reason.trap(self.source.StoreUnavailableError)
+        self._set_store_available(False, str(reason.value))
+
     def _offer_state(self):
         """Tell the other instances that this one has recent state again.
 
@@ -550,7 +587,7 @@
         if not others:
             return
         self.peer_index = (self.peer_index + 1) % len(others)
-        await self._pull_from(others[self.peer_index])
+        await self.pull_from(others[self.peer_index])
 
     async def _pull_from_reader(self, reader):
         answer, asked_at = await self._request_state(reader)
@@ -588,14 +625,15 @@
         """
         asked_at = self.context.now()
         fleet = self.fleet
+        is_settled = self.restored_start.is_settled
         request = peer_messages.NewsRequest(
             fleet.configuration_row_version,
-            fleet.members_digest,
-            fleet.instances_digest,
+            fleet.members_digest if is_settled else 0,
+            fleet.instances_digest if is_settled else 0,
             self.configuration.version,
             [] if self.paths is None else self.paths.list_news(),
             [] if self.health is None else self.health.make_reports(),
-            fleet.evacuations_digest,
+            fleet.evacuations_digest if is_settled else 0,
         )
         try:
             answer = await self.context.peers.request(instance, request, PEER_TIMEOUT_S)
@@ -622,7 +660,7 @@
         self.suspected_until.pop(sender.name, None)
         is_newer = message.configuration_version > self.configuration.version
         if self._is_stale() or is_newer:
-            defer.ensureDeferred(self._pull_from(sender))
+            defer.ensureDeferred(self.pull_from(sender))
         else:
             self.is_offer_due = False
 
@@ -637,7 +675,8 @@
                 self.context.peers.reject(item, sender, read.err_value)
         return found
 
-    async def _pull_from(self, instance):
+    async def pull_from(self, instance):
+        """Request the state from an instance, and apply its answer."""
         answer, asked_at = await self._request_state(instance)
         if answer is not None:
             self._apply_answer(instance, answer, asked_at)
@@ -714,6 +753,10 @@
 
     def _apply_answer(self, instance, answer, asked_at):
         """Apply the answer of an instance to a request for its state."""
+        if not self.restored_start.is_settled:
+            if not self.restored_start.accept(answer, instance.name):
+                return
+            self._learn_restored(answer, instance.name)
         if self.health is not None:
             self.health.apply(answer.evidence, instance.name)
         if (
@@ -746,6 +789,34 @@
             self.is_offer_due = False
         self._notify(self.on_refreshed)
 
+    def presume_restored_members(self):
+        """Use no member of the store's answer before it has written its row again."""
+        rows = self.member_rows
+        if rows is not None and rows.era != self.restored_members.era:
+            self.restored_members.restore(rows, self.context.now())
+
+    def _learn_restored(self, answer, name):
+        """Add what another instance knows and the store may lack."""
+        self.restored_members.learn(_decode_members(answer.upstreams))
+        evacuated = frozenset(found.data_centre for found in answer.evacuations)
+        if self.fleet.evacuations.learn(evacuated, self.context.now()):
+            self._notify(self.on_evacuations)
+
+    def _select_members(self, before=float("-inf")):
+        """Use the members of the store's last answer, as far as they can be used.
+
+        Parameters
+        ----------
+        before : float
+            Time of the answer before it.
+        """
+        rows = self.member_rows
+        if rows is not None and rows.as_of >= self.members_as_of:
+            members = self.restored_members.select(
+                rows, self.fleet.members, self.context.now()
+            )
+            self._apply_members(members, before)
+
     def _decode_evacuations(self, answer, asked_at):
         """Return the EvacuationsRead of an answer, or None if it holds none."""
         names = self.fleet.evacuations.data_centres
@@ -832,6 +903,7 @@
             evacuations=[
                 peer_messages.EvacuationNews(name) for name in sorted(evacuated)
             ],
+            is_unsettled=not self.restored_start.is_settled,
         )
 
     def _read_lists_soon(self, now):
@@ -853,6 +925,7 @@
         A store that holds an older configuration than the one in force has lost
         writes: it proves nothing about the keys that are valid now.
         """
+        self.restored_start.record_answer()
         self.poll_revision = document.revision
         self._apply_evacuations(document.evacuations)
         if document.text:
@@ -861,8 +934,9 @@
             )
             if version is not None:
                 self.stored_version = version
+        self.stored_as_of = document.as_of
         if self.stored_version >= self.configuration.version:
-            self.freshness.record_configuration_read(document.as_of)
+            self._confirm_configuration()
         elif document.text:
             self.context.log.write(
                 events.Event.CONFIGURATION_OUTDATED,
@@ -871,6 +945,17 @@
             )
         self._notify(self.on_refreshed)
 
+    def _confirm_configuration(self):
+        """Record the store's last answer if it confirms the configuration in force.
+
+        Notes
+        -----
+        Before it is known what the store may lack, its answers confirm nothing.
+        """
+        is_outdated = self.stored_version < self.configuration.version
+        if self.restored_start.is_settled and not is_outdated:
+            self.freshness.record_configuration_read(self.stored_as_of)
+
     def _apply_configuration_text(self, text, row_version):
         """Apply a configuration unless it is older than the one in force.
 
@@ -903,12 +988,14 @@
         """Apply the members' rows as the store returned them."""
         if rows.as_of < self.members_as_of:
             return
-        now = self.context.now()
+        self.restored_start.record_answer()
+        self.member_rows = rows
         before, self.members_as_of = self.members_as_of, rows.as_of
-        members = self.restored_members.select(rows, self.fleet.members, now)
+        if not self.restored_start.is_settled:
+            return
         if extends_leases:
             self._record_members_read(rows.as_of)
-        self._apply_members(members, before)
+        self._select_members(before)
 
     def _apply_members(self, members, before):
         digest = _digest(_encode_members(members))
--- a/pomelograde/net/peer_messages.py
+++ b/pomelograde/net/peer_messages.py
@@ -557,6 +557,9 @@
         Time from that read to the arrival of the request.
     evacuations : list of EvacuationNews
         All evacuated data centres; empty if unchanged.
+    is_unsettled : bool
+        Whether the sender has started since the store returned from an older copy,
+        and has not learned what the copy lacks.
     """
 
     configuration: int
@@ -576,6 +579,7 @@
     evacuations_revision: int = 0
     evacuations_age_ms: int = 0
     evacuations: list[EvacuationNews] = attrs.field(factory=list)
+    is_unsettled: bool = False
 
 
 @attrs.frozen
--- a/pomelograde/net/peers.capnp
+++ b/pomelograde/net/peers.capnp
@@ -263,6 +263,7 @@
   evacuationsRevision @14 :UInt64;
   evacuationsAgeMs @15 :Int64;
   evacuations @16 :List(EvacuationNews);
+  isUnsettled @17 :Bool;
 }
 
 struct Ping {
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -20,6 +20,7 @@
 MAX_NUMBER = 2**63 - 1  # of a term or a log position
 TAKEOVER_PREFIX = "takeover/"  # names of instances contain no slash
 REPLICA_SET_PREFIX = "replicas/"  # followed by a database service
+SETTLED_ERA_KEY = "era/settled"
 MAX_REPLICA_SETS = 40  # of one call, which holds at most 100 entries
 
 
@@ -70,6 +71,13 @@
     as_of: float
 
 
+@attrs.frozen
+class SettledEra:
+    """Era for which the store is known to lack nothing any more."""
+
+    era: int
+
+
 class PlatformSource:
     """Reads and writes the rows of the fleet.
 
@@ -87,7 +95,10 @@
         Era of `rows`.
     replica_sets : dict of str to ReplicaSet
         Members of each service that may hold acknowledged commits, from `rows`.
-    decoded : dict of Row to Instance, Takeover, ReplicaSet or InvalidRow
+    settled_era : int or None
+        Era for which the store is known to lack nothing, from `rows`; None if
+        there is none.
+    decoded : dict of Row to Instance, Takeover, ReplicaSet, SettledEra or InvalidRow
         Content of the rows at that read. Few rows differ from one read to the
         next, and only these are decoded.
     evacuated : frozenset of str
@@ -107,6 +118,7 @@
         self.rows = {}
         self.rows_era = 0
         self.replica_sets = {}
+        self.settled_era = None
         self.decoded = {}
         self.evacuated = frozenset()
         self.on_invalid_rows = None
@@ -237,6 +249,8 @@
             for entry in entries
             if isinstance(entry, takeovers.ReplicaSet)
         }
+        settled = [entry.era for entry in entries if isinstance(entry, SettledEra)]
+        self.settled_era = settled[0] if settled else None
         return (
             [entry for entry in entries if isinstance(entry, membership.Instance)],
             [entry for entry in entries if isinstance(entry, takeovers.Takeover)],
@@ -367,6 +381,35 @@
         self.replica_sets.update((found.service, found) for found in written)
         return written
 
+    async def record_settled_era(self):
+        """Record that the store lacks nothing since it was restored last.
+
+        Returns
+        -------
+        bool
+            False if the row has changed meanwhile.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store does not confirm the change.
+        """
+        row = self.rows.get(SETTLED_ERA_KEY)
+        expected = {SETTLED_ERA_KEY: 0 if row is None else row.version}
+        era = self.rows_era
+        if self.era != era:
+            return False
+        value = json.dumps({"era": era}).encode()
+        revision = await self.store_client.commit(
+            INSTANCES_TABLE, expected, {SETTLED_ERA_KEY: value}
+        )
+        if revision is None:
+            return False
+        version = store.version_of(revision)
+        self.rows[SETTLED_ERA_KEY] = store.Row(SETTLED_ERA_KEY, value, version)
+        self.settled_era = era
+        return True
+
     def _expected_version(self, key, known_revision):
         """Return the version that a row of a service must have to be replaced.
 
@@ -499,11 +542,16 @@
 
 
 def _decode_row(row):
-    """Return the Instance, Takeover or ReplicaSet of a row."""
+    """Return the Instance, Takeover, ReplicaSet or SettledEra of a row."""
     if row.key.startswith(TAKEOVER_PREFIX):
         return _decode_takeover(row)
     if row.key.startswith(REPLICA_SET_PREFIX):
         return _decode_replica_set(row)
+    if row.key == SETTLED_ERA_KEY:
+        fields = _json.parse_object(row.value)
+        return SettledEra(
+            _json.read(fields, "era", _json.require_integer, store.MAX_ERA)
+        )
     return _decode_instance(row)
 
 
--- a/tests/core/placement/test_evacuations.py
+++ b/tests/core/placement/test_evacuations.py
@@ -33,6 +33,16 @@
         self.apply(make_read(1), make_read(5, "x"), make_read(4))
         self.assertEqual({"x"}, self.known.data_centres)
 
+    def test_request_that_another_instance_knows_counts_until_it_may_be_written(self):
+        self.apply(make_read(1, as_of=99.0))
+        self.assertTrue(self.known.learn(frozenset("x"), 100.0))
+        self.assertFalse(self.known.learn(frozenset("x"), 100.1))
+        self.assertEqual({"x": float("-inf")}, self.known.deadlines(EVACUATION_S))
+        self.apply(make_read(2, as_of=102.0), now=102.0)
+        self.assertEqual({"x"}, self.known.data_centres)
+        self.apply(make_read(3, as_of=103.0), now=103.0)
+        self.assertEqual(frozenset(), self.known.data_centres)
+
     def test_time_counts_from_the_last_read_without_the_request(self):
         self.apply(make_read(1, as_of=10.0), make_read(5, "x", as_of=11.2))
         self.apply(make_read(6, "x", "y", as_of=12.0))
--- a/tests/core/placement/test_restored.py
+++ b/tests/core/placement/test_restored.py
@@ -83,3 +83,38 @@
         self.names(2, 2.0, a=(make_member("a"), 25))
         self.assertEqual(["a"], self.names(3, 3.0, a=(make_member("a"), 15)))
         self.assertEqual([], self.names(3, 5.6, a=(make_member("a"), 15)))
+
+
+class FirstReadTests(testtools.TestCase):
+    """The first read of a process, of a store that may have been restored."""
+
+    def setUp(self):
+        super().setUp()
+        self.selection = placement.RestoredMembers(heartbeat_s=1.0)
+
+    def read(self, era=2, **rows):
+        return source.MemberRows(
+            members={"g": [make_member(name) for name in rows]},
+            versions=rows,
+            era=era,
+            as_of=0.0,
+        )
+
+    def select(self, rows, now):
+        found = self.selection.select(rows, {}, now)
+        return [member.name for member in found["g"]]
+
+    def test_rows_of_the_copy_are_not_used_before_they_are_known(self):
+        self.selection.restore(self.read(a=5, b=6), 1.0)
+        self.assertEqual([], self.select(self.read(a=5, b=6), 1.1))
+        self.selection.learn({"g": [make_member("a")]})
+        self.assertEqual(["a"], self.select(self.read(a=5, b=6), 1.2))
+        self.assertEqual(["a", "b"], self.select(self.read(a=5, b=7), 1.3))
+
+    def test_what_is_known_before_the_first_read_counts_over_a_copy(self):
+        self.selection.learn({"g": [make_member("a")]})
+        self.assertEqual(["a"], self.select(self.read(a=5, b=6), 1.0))
+
+    def test_store_without_eras_is_believed(self):
+        self.selection.learn({"g": [make_member("a")]})
+        self.assertEqual(["a", "b"], self.select(self.read(0, a=5, b=6), 1.0))
--- a/tests/net/hosted/test_state_sync.py
+++ b/tests/net/hosted/test_state_sync.py
@@ -10,7 +10,7 @@
 
 from pomelograde.core import configuration, membership, placement, takeovers
 from pomelograde.net import events, peer_messages, peers
-from pomelograde.net.hosted import state_sync
+from pomelograde.net.hosted import restored_start, state_sync
 from pomelograde.platform import source
 
 MEMBERS = {"g": [placement.Member(name="m", data_centre="x", host="h", port=1)]}
@@ -29,6 +29,10 @@
         pass
 
     rows_era = 0
+    era = 0
+    era_since = float("-inf")
+    settled_era = None
+    rows = {}
 
     def __init__(self):
         self.calls = []
@@ -92,7 +96,9 @@
     )
 
 
-class StateSyncTests(testtools.TestCase):
+class SyncTestCase(testtools.TestCase):
+    """An instance that has asked the store for the configuration and the members."""
+
     def setUp(self):
         super().setUp()
         self.clock = task.Clock()
@@ -116,6 +122,14 @@
         self.sync = state_sync.StateSync(context, self.source, freshness)
         defer.ensureDeferred(self.sync.start())
 
+    def fetch(self, members=None, instances=None):
+        """Read the lists; each is an answer or an exception."""
+        defer.ensureDeferred(self.sync._fetch_members_and_instances())
+        self.source.calls[-1].callback(members)
+        self.source.calls[-1].callback(instances)
+
+
+class StateSyncTests(SyncTestCase):
     def test_start_without_the_store_uses_the_state_of_another_instance(self):
         self.source.register = self.source.call
         for call in self.source.calls[:2]:
@@ -130,7 +144,7 @@
         reply.callback(attrs.evolve(answer, document="5"))
         self.assertEqual(5, self.sync.configuration.version)
         reads = len(self.source.calls)
-        self.clock.advance(state_sync.STARTUP_RETRY_INTERVAL_S)
+        self.clock.advance(restored_start.RETRY_INTERVAL_S)
         self.assertEqual(reads + 1, len(self.source.calls))
         self.source.calls[-1].callback(self.own)
         self.source.calls[-1].callback(([self.own, other], []))
@@ -471,12 +485,6 @@
         """Return an exception of each kind with which a read may fail."""
         return OverflowError(), self.source.StoreUnavailableError("status 503")
 
-    def fetch(self, members=None, instances=None):
-        """Read the lists; each is an answer or an exception."""
-        defer.ensureDeferred(self.sync._fetch_members_and_instances())
-        self.source.calls[-1].callback(members)
-        self.source.calls[-1].callback(instances)
-
     def read_members(self, at):
         return source.MemberRows(MEMBERS, {"m": 1}, 0, at)
 
@@ -528,7 +536,7 @@
         configuration_call.errback(OverflowError())
         members_call.callback(self.read_members(100.0))
         self.assertEqual(MEMBERS, self.sync.fleet.members)
-        self.clock.advance(state_sync.STARTUP_RETRY_INTERVAL_S)
+        self.clock.advance(restored_start.RETRY_INTERVAL_S)
         self.source.register = self.source.call
         configuration_call, members_call = self.source.calls[2:]
         document = source.ConfigurationDocument("7", 7, 9, 100.2)
@@ -536,7 +544,7 @@
         members_call.callback(self.read_members(100.2))
         self.source.calls[-1].errback(OverflowError())
         self.assertEqual(7, self.sync.configuration.version)
-        self.clock.advance(state_sync.STARTUP_RETRY_INTERVAL_S)
+        self.clock.advance(restored_start.RETRY_INTERVAL_S)
         self.source.calls[-1].callback(self.own)
         self.source.calls[-1].callback(([self.own], []))
         self.assertTrue(self.sync.loop.running)
--- a/tests/net/hosted/test_store_restore.py
+++ b/tests/net/hosted/test_store_restore.py
@@ -84,6 +84,19 @@
     def fences(self):
         return [fence for _, _, fence in self.fleet.show_promotions()]
 
+    def restart_over_return(self, numbers=(0,)):
+        """Kill instances, restore the store, and start them again meanwhile."""
+        started = []
+        self.fleet.set_store_faults(refuse=True)
+        for number in numbers:
+            old = self.fleet.instances[number]
+            old.child.kill()
+            old.child.wait()
+            started.append(len(self.fleet.instances))
+            self.fleet.start_instance(10 + number)
+        self.fleet.restore_store()
+        return started
+
     def make_primary_leave(self):
         """Let the primary leave, and return it once it has been replaced."""
         old = self.fleet.find_primary()
@@ -163,6 +176,37 @@
         self.assertTrue(refuses)
         self.assertFalse(self.serves(number, host.OTHER_KEY))
 
+    def test_instance_that_starts_over_the_return_uses_no_withdrawn_key(self):
+        # Review 15: it used the key of the copy until another one told it of more.
+        self.fleet.keep_store_copy()
+        self.write_manifest(self.make_manifest(withdraw=True))
+        self.assert_in_force(withdrawn=[host.OTHER_KEY])
+        (number,) = self.restart_over_return()
+        end = time.monotonic() + 4.0
+        is_served = False
+        while time.monotonic() < end:
+            self.assertFalse(self.serves(number, host.OTHER_KEY))
+            is_served = is_served or self.serves(number, host.KEY)
+        self.assertTrue(is_served)
+
+    def test_instances_that_all_start_over_the_return_wait_for_the_operator(self):
+        self.fleet.keep_store_copy()
+        self.write_manifest(self.make_manifest(withdraw=True))
+        self.assert_in_force(withdrawn=[host.OTHER_KEY])
+        started = self.restart_over_return(range(3))
+        end = time.monotonic() + 5.0
+        while time.monotonic() < end:
+            for number in started:
+                self.assertFalse(self.serves(number, host.OTHER_KEY))
+        self.write_manifest(self.make_manifest(withdraw=True))
+
+        def all_serve():
+            return all(self.serves(number, host.KEY) for number in started)
+
+        self.assertTrue(test_fleet.wait_until(all_serve, 5.0))
+        for number in started:
+            self.assertFalse(self.serves(number, host.OTHER_KEY))
+
     def test_two_returns_in_a_row(self):
         self.fleet.keep_store_copy()
         for number in range(2):
@@ -248,6 +292,21 @@
         self.assertEqual(1, len(self.fences()))
         self.assertEqual([], self.find_refusing(host.KEY))
 
+    def test_instance_that_starts_over_the_return_uses_no_replaced_primary(self):
+        # Reviews 13 and 14: it used the copy's primary until it was told of another.
+        self.fleet.keep_store_copy()
+        old = self.make_primary_leave()
+        time.sleep(1.0)
+        (number,) = self.restart_over_return()
+        serves = test_fleet.wait_until(lambda: self.serves(number, host.KEY), 5.0)
+        self.assertTrue(serves)
+        time.sleep(1.0)
+        named = [
+            record["primary"] for record in self.find_records("PRIMARY_CHANGED", number)
+        ]
+        self.assertNotIn(old, named)
+        self.assertIn(self.fleet.find_primary(), named)
+
     def test_primary_that_was_promoted_since_the_copy_stays_in_use(self):
         self.fleet.keep_store_copy()
         self.make_primary_leave()
--- a/tests/platform/test_source.py
+++ b/tests/platform/test_source.py
@@ -308,6 +308,57 @@
         self.assertEqual([], self.written)
 
 
+class SettledEraTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = FakeStoreClient()
+        self.client.era = 3
+        self.client.rows = store.ReadResult([], store.make_revision(3, 30), 5.0)
+        self.client.commit = self.commit
+        self.source = source.PlatformSource(self.client)
+        self.written = []
+        self.is_refused = False
+
+    async def commit(self, table, conditions, writes):
+        self.written.append((conditions, writes))
+        return None if self.is_refused else store.make_revision(3, 31)
+
+    def test_what_is_recorded_is_read_again(self):
+        run(self.source.fetch_instances())
+        self.assertIsNone(self.source.settled_era)
+        self.assertTrue(run(self.source.record_settled_era()))
+        self.assertEqual(3, self.source.settled_era)
+        ((conditions, writes),) = self.written
+        self.assertEqual({"era/settled": 0}, conditions)
+        rows = [store.Row(key, value, 31) for key, value in writes.items()]
+        self.client.rows = store.ReadResult(rows, store.make_revision(4, 31), 6.0)
+        self.client.era = 4
+        self.assertEqual(([], []), run(self.source.fetch_instances()))
+        self.assertEqual(3, self.source.settled_era)
+        run(self.source.record_settled_era())
+        self.assertEqual({"era/settled": 31}, self.written[-1][0])
+
+    def test_refused_record_says_nothing(self):
+        run(self.source.fetch_instances())
+        self.is_refused = True
+        self.assertFalse(run(self.source.record_settled_era()))
+        self.assertIsNone(self.source.settled_era)
+
+    def test_nothing_is_recorded_for_an_era_that_was_not_read(self):
+        run(self.source.fetch_instances())
+        self.client.era = 4
+        self.assertFalse(run(self.source.record_settled_era()))
+        self.assertEqual([], self.written)
+
+    def test_invalid_row_is_replaced(self):
+        rows = [store.Row("era/settled", b"[]", 7)]
+        self.client.rows = store.ReadResult(rows, store.make_revision(3, 30), 5.0)
+        run(self.source.fetch_instances())
+        self.assertIsNone(self.source.settled_era)
+        run(self.source.record_settled_era())
+        self.assertEqual({"era/settled": 7}, self.written[-1][0])
+
+
 class EvacuationTests(testtools.TestCase):
     def read(self, client, *rows, revision=30):
         client.rows = store.ReadResult(list(rows), revision, 5.0)
