Tell a replaced primary without a row to step down

Cause: a takeover tells the primary of the present rows, and this one's row had lapsed, which is why it was replaced. Now each member without a row whose last row named it a primary is told, over a connection of its own if need be. STEPDOWN with a higher term makes it a replica.

Tests: test_old_primary_without_a_row_steps_down (2 != None) and test_old_primary_without_a_row_that_does_not_answer_is_left fail on the former takeovers.py, with and without synchronous replicas, and pass now. The third, for a data centre that an evacuation has closed, passes on both: nothing was sent before either. All of tests/net/hosted/test_takeovers.py pass.

--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -597,10 +597,39 @@
         return recorded
 
     def _step_down(self, group, old_primary, term, connections):
-        """Tell the old primary, if it is reached, that a term has begun."""
-        is_closed = group.is_closed(old_primary, self.context.now())
-        if old_primary in connections and not is_closed:
-            connections[old_primary].step_down(term, _ignore)
+        """Tell former primaries, if they are reached, that a term has begun.
+
+        Notes
+        -----
+        One whose row has lapsed may go on until it reaches its successor.
+        """
+        now = self.context.now()
+        lapsed = {
+            found.name: found
+            for found in group.find_lapsed()
+            if found.role is placement.Role.PRIMARY
+        }
+        for name in {old_primary, *lapsed} - {None}:
+            if group.is_closed(name, now):
+                continue
+            if name in connections:
+                connections[name].step_down(term, _ignore)
+            elif name in lapsed:
+                stepping = self._step_down_lapsed(group, lapsed[name], term)
+                defer.ensureDeferred(stepping).addErrback(self._on_step_down_fault)
+
+    async def _step_down_lapsed(self, group, member, term):
+        """Tell a primary without a row over a new connection that a term has begun."""
+        connection = await self.try_open(group, member)
+        if connection is None:
+            self._log_step(group.name, "not told to step down", member=member.name)
+            return
+        connection.step_down(term, _ignore)
+        # The call must reach the member before the connection is aborted.
+        self.context.reactor.callLater(MEMBER_TIMEOUT_S, connection.close)
+
+    def _on_step_down_fault(self, reason):
+        timers.log_fault(self.context.log, self._step_down_lapsed, reason)
 
     async def _confirm_promotion(self, group, promotion, connections):
         """Wait until a promoted member leads.
--- a/tests/net/hosted/test_takeovers.py
+++ b/tests/net/hosted/test_takeovers.py
@@ -708,6 +708,51 @@
         self.clock.advance(1.0)
         self.assertEqual(6, old.step_down_term)
 
+    def lapse_primary(self):
+        primary = placement.Member("a", "x", role=placement.Role.PRIMARY)
+        self.members["a"].is_primary = True
+        replicas = [placement.Member(name, "x") for name in "bc"]
+        self.group.update([primary, *replicas], 0.0)
+        self.group.update(replicas, 1.0)
+        recorded = [
+            takeovers.RecordedMember(name, "x", "127.0.0.1", 1) for name in "abc"
+        ]
+        self.recorded = takeovers.make_replica_set("g", "a", recorded)
+
+    def test_old_primary_without_a_row_steps_down(self):
+        # Review 13: it was cut off from the store and its replicas, and went on.
+        self.lapse_primary()
+        closed = []
+        self.members["a"].close = lambda: closed.append(self.clock.seconds())
+        self.assertEqual("c", self.run_takeover())
+        self.assertEqual(2, self.members["a"].step_down_term)
+        self.clock.advance(hosted_takeovers.MEMBER_TIMEOUT_S)
+        self.assertEqual(1, len(closed))
+
+    def test_old_primary_without_a_row_that_does_not_answer_is_left(self):
+        logged = []
+        self.task.context.log.write = lambda event, **fields: logged.append(fields)
+        self.lapse_primary()
+        open_connection = self.task.proxy.open_connection
+
+        async def refuse(reactor, service, member, account, host):
+            if member.name == "a":
+                raise pools.UpstreamOpenError("no answer in time")
+            return await open_connection(reactor, service, member, account, host)
+
+        self.task.proxy.open_connection = refuse
+        self.assertEqual("c", self.run_takeover())
+        self.assertIsNone(self.members["a"].step_down_term)
+        steps = [fields.get("step") for fields in logged]
+        self.assertIn("not told to step down", steps)
+
+    def test_old_primary_without_a_row_is_not_called_in_a_closed_data_centre(self):
+        self.lapse_primary()
+        self.group.lapsed["a"][0].data_centre = "y"
+        self.group.set_evacuations({"y": -1.0})
+        self.assertEqual("c", self.run_takeover())
+        self.assertIsNone(self.members["a"].step_down_term)
+
     def promote_in_steps(self):
         """Let promotions take 0.3 s; returns the list of opened connections."""
         opened = []
