Send a statement once its member has taken its session settings

Cause: a setting was sent in front of the next statement, in one write. A member runs each line by itself, so the statement behind a refused setting ran with what the connection had before, and closing the connection at the answer came too late.

A statement whose settings differ from those of its connection now waits for the member's answers to the settings, and to a reset in front of them. If one is refused, the connection is closed, and the statement counts as not sent: it is sent again, a write as well, and a relayed one is refused as not run in place of in doubt. Nothing of the caller is under way before its settings are in effect. It costs a round trip when a connection goes to a session with other settings.

Tests: six of SettingsTests in tests/platform/test_upstreams.py, test_write_that_was_not_sent_is_sent_again and test_statement_that_was_not_sent_to_the_member_is_no_lost_one fail on the commit before and pass now.

--- a/pomelograde/core/statements/_session.py
+++ b/pomelograde/core/statements/_session.py
@@ -284,7 +284,11 @@
         restartable = transaction is None or not transaction.has_run
         commits = in_flight.commits
         # A write inside a transaction is rolled back with the connection.
-        repeatable = not in_flight.writes or (transaction is not None and not commits)
+        repeatable = (
+            not was_sent
+            or not in_flight.writes
+            or (transaction is not None and not commits)
+        )
         if restartable and repeatable and self._may_retry(now):
             if not path_failed:
                 in_flight.tried.add(in_flight.member)
--- a/pomelograde/net/hosted/proxy.py
+++ b/pomelograde/net/hosted/proxy.py
@@ -466,6 +466,7 @@
                 timer.cancel()
 
         connection.on_lost = on_lost
+        connection.withdraw()
         if in_transaction:
             connection.roll_back(done)
         elif connection.response_handlers:
--- a/pomelograde/net/hosted/relay.py
+++ b/pomelograde/net/hosted/relay.py
@@ -956,7 +956,7 @@
             account=message.account,
             step=message.step,
             in_transaction=bool(message.transaction),
-            is_sent=self.connection is not None,
+            is_sent=self.connection is not None and self.connection.is_sent,
             s=round(now - self.started_at, 3),
         )
         if self.waiter is not None:
@@ -1118,8 +1118,12 @@
         self.relay.open_transactions.pop(self.message.transaction, None)
         if self.relay.proxy.health is not None and outstanding:
             self.relay.proxy.health.record_relayed(self.message, None, self.connection)
-        if not self.done.called:
+        if self.done.called:
+            return
+        if self.connection.is_sent or self.message.transaction:
             self.done.callback(None)
+        else:
+            self.on_refused(retries.Failure(_KIND.UPSTREAM_UNREACHABLE))
 
 
 def _ignore_answer(answer):
--- a/pomelograde/net/hosted/sessions.py
+++ b/pomelograde/net/hosted/sessions.py
@@ -311,7 +311,7 @@
         self.perform(
             self.core.on_connection_lost(
                 self.context.now(),
-                was_sent=not is_remote or connection.is_sent,
+                was_sent=connection.is_sent,
                 path_failed=is_remote and connection.is_path_lost,
             )
         )
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -1,6 +1,7 @@
 """Connections to upstream members."""
 
 import collections
+import functools
 
 from twisted.internet import defer, endpoints, protocol
 from twisted.internet import error as net_error
@@ -55,6 +56,10 @@
         `on_handled(connection)` afterwards.
     is_counted : bool
         Whether it is included in the member's count of outstanding statements.
+    pending : callable or None
+        Sends the statement that waits until the session settings are in effect.
+    is_sent : bool
+        Whether the last statement was sent.
     """
 
     is_remote = False
@@ -80,6 +85,8 @@
         self.sent_at = 0.0
         self.observer = None
         self.start_error = None
+        self.pending = None
+        self.is_sent = True
         self._reset_answer()
 
     def connectionMade(self):  # noqa: N802
@@ -112,11 +119,8 @@
         `after` is the position that the member's log must have reached, or None.
         `settings` holds the session settings to run with, by name.
         """
-        lines = self._apply_settings(settings)
-        lines.append(_line_protocol.encode_begin(read_only, after))
-        self._send(lines, done)
-        if self.observer is not None:
-            self.observer.on_sent(self, None)
+        lines = [_line_protocol.encode_begin(read_only, after)]
+        self._send_prepared(self._apply_settings(settings), lines, done, None)
 
     def execute(self, statement, prepared, after, settings, done):
         """Run a caller's statement; `done` is called with the Answer.
@@ -124,23 +128,22 @@
         `after` is the position that the member's log must have reached, or None.
         `settings` holds the session settings to run with, by name.
         """
-        lines = self._apply_settings(settings)
+        preparation = self._apply_settings(settings)
+        lines = []
         name = None
         if prepared is not None:
             name = self.prepared.get(prepared)
             if name is None:
                 if len(self.prepared) >= MAX_PREPARED_STATEMENTS:
-                    lines.append(_line_protocol.RESET)
+                    preparation.append(_line_protocol.RESET)
                     self.settings = {}
                     self.prepared.clear()
-                    lines.extend(self._apply_settings(settings))
+                    preparation.extend(self._apply_settings(settings))
                 name = self.prepared[prepared] = b"p%d" % len(self.prepared)
                 lines.append(_line_protocol.encode_prepare(name, prepared))
         lines.append(_line_protocol.encode_statement(statement, name, after))
-        self._send(lines, done)
-        if self.observer is not None:
-            writes = prepared is not None and prepared.writes
-            self.observer.on_sent(self, (statement.operation, writes))
+        writes = prepared is not None and prepared.writes
+        self._send_prepared(preparation, lines, done, (statement.operation, writes))
 
     def roll_back(self, done):
         """Roll back the open transaction; `done` is called with the Answer."""
@@ -202,6 +205,40 @@
         self.settings = settings
         return lines
 
+    def withdraw(self):
+        """Don't send the statement that waits for the session settings."""
+        if self.pending is not None:
+            self.pending = None
+            self.settings = None
+
+    def _send_prepared(self, preparation, lines, done, kind):
+        """Send a statement once the lines that prepare it have succeeded.
+
+        Notes
+        -----
+        A member runs the statement behind a setting that it has refused, with the
+        values of the session before.
+        """
+        if not preparation:
+            self._send_statement(lines, done, kind)
+            return
+        self.is_sent = False
+        self.pending = functools.partial(self._send_statement, lines, done, kind)
+        self._send(preparation, self._on_settings_answer)
+
+    def _send_statement(self, lines, done, kind):
+        self.is_sent = True
+        self._send(lines, done)
+        if self.observer is not None:
+            self.observer.on_sent(self, kind)
+
+    def _on_settings_answer(self, answer):
+        """Send the pending statement, or close the connection."""
+        self._on_internal_answer(answer)
+        pending, self.pending = self.pending, None
+        if pending is not None and not self.is_lost:
+            pending()
+
     def _send(self, lines, done):
         """Send lines, of which the answer to the last one is passed to `done`."""
         self.sent_at = self.clock()
@@ -264,7 +301,8 @@
 
     def _handle_answer(self, handler, answer):
         observer = self.observer
-        if observer is None or self.response_handlers:
+        is_internal = handler == self._on_settings_answer
+        if observer is None or self.response_handlers or is_internal:
             handler(answer)
             return
         observer.on_answer(self, answer)
@@ -282,8 +320,9 @@
         if self.is_lost:
             return
         self.is_lost = True
-        outstanding = bool(self.response_handlers)
+        outstanding = bool(self.response_handlers) or self.pending is not None
         self.response_handlers.clear()
+        self.pending = None
         on_closed, self.on_closed = self.on_closed, None
         on_lost, self.on_lost = self.on_lost, None
         if not self.is_ready and not self.ready.called:
--- a/tests/core/statements/test_session.py
+++ b/tests/core/statements/test_session.py
@@ -211,6 +211,13 @@
         actions = self.session.on_connection_lost(NOW)
         self.assertEqual([KIND.UPSTREAM_LOST], self.kinds(actions))
 
+    def test_write_that_was_not_sent_is_sent_again(self):
+        # The member had refused a session setting in front of it.
+        self.connect(self.start(OP.WRITE))
+        self.session.on_connection_lost(NOW, was_sent=False)
+        member, _ = self.connect(self.session.on_timer(NOW + 0.03), NOW + 0.03)
+        self.assertEqual("p", member)
+
     def test_write_without_an_answer_is_in_doubt_at_its_deadline(self):
         self.connect(self.start(OP.WRITE))
         actions = self.session.expire(NOW + 0.9, 3.0)
--- a/tests/net/hosted/test_relayed_transactions.py
+++ b/tests/net/hosted/test_relayed_transactions.py
@@ -25,6 +25,7 @@
 
     service = "g"
     is_remote = is_lost = is_closed = False
+    is_sent = True
     on_lost = None
     sent_at = 0.0
 
@@ -235,6 +236,19 @@
         self.assertIsNone(answer.result)
         self.assertFalse(self.owner.relay.is_busy)
 
+    def test_statement_that_was_not_sent_to_the_member_is_no_lost_one(self):
+        # The member had refused a session setting in front of it.
+        for is_sent in (True, False):
+            answer = self.execute(0)
+            self.upstream.is_sent = is_sent
+            self.upstream.on_lost(True)
+            refusal = answer.result.refusal if answer.result else None
+            self.assertEqual(None if is_sent else "upstream_unreachable", refusal)
+        number = self.owner.begin("red", connect(ENTRY))
+        answer = self.execute(number)
+        self.upstream.on_lost(True)
+        self.assertIsNone(answer.result)
+
     def test_transaction_that_is_not_continued_frees_its_connection(self):
         self.owner.begin("red", connect(ENTRY))
         self.assertFalse(self.sweep(4.0))
--- a/tests/net/hosted/test_sessions.py
+++ b/tests/net/hosted/test_sessions.py
@@ -43,6 +43,7 @@
     is_remote = is_lost = is_counted = is_closed = False
     on_lost = None
     sent_at = 0.0
+    is_sent = True
 
     def __init__(self, role):
         self.role = role
@@ -57,6 +58,9 @@
         self.sent.append(statement.text.decode())
         self.response_handlers.append(done)
 
+    def withdraw(self):
+        pass
+
     def roll_back(self, done):
         self.sent.append("ROLLBACK")
         done(statements.Answer())
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -1,4 +1,6 @@
-"""Tests of connections to members that answer what no member should."""
+"""Tests of connections to members, also to some that answer what no member should."""
+
+import types
 
 import hypothesis
 import testtools
@@ -132,3 +134,121 @@
         connection.dataReceived(b"\r\n".join([*data, b""]))
         connection.close()
         self.assertTrue(connection.ready.called)
+
+
+class SettingsTests(testtools.TestCase):
+    """Session settings that a statement runs with; the test answers as the member."""
+
+    def setUp(self):
+        super().setUp()
+        self.connect()
+
+    def connect(self):
+        self.connection = upstreams.UpstreamConnection("g", "p", "desk", lambda: 0.0)
+        self.connection.makeConnection(Transport())
+        self.receive(b"COMPLETE -", b"READY I 1.0")
+        self.answers = []
+        self.losses = []
+        self.connection.on_lost = self.losses.append
+        self.sent()
+
+    def receive(self, *lines):
+        self.connection.dataReceived(b"".join(line + b"\r\n" for line in lines))
+
+    def succeed(self):
+        self.receive(b"COMPLETE -", b"READY I 1.0")
+
+    def refuse(self):
+        self.receive(b"ERROR FAILED", b"READY I 1.0")
+
+    def sent(self):
+        """Return the lines that were sent since the last call."""
+        lines = self.connection.transport.value().decode().splitlines()
+        self.connection.transport.clear()
+        return [line.split(" ", 2)[2] for line in lines]
+
+    def execute(self, prepared=None, **settings):
+        settings = {name.encode(): value for name, value in settings.items()}
+        statement = statements.Statement(
+            b"id", statements.Operation.WRITE, b"WRITE k 1", value=b"1"
+        )
+        self.connection.execute(
+            statement, prepared, None, settings, self.answers.append
+        )
+
+    def test_statement_is_sent_once_its_settings_are_in_effect(self):
+        self.execute(x=b"1", y=b"2")
+        self.assertEqual(["SET x 1", "SET y 2"], self.sent())
+        self.succeed()
+        self.assertEqual([], self.sent())
+        self.assertFalse(self.connection.is_sent)
+        self.succeed()
+        self.assertEqual(["WRITE k 1"], self.sent())
+        self.assertTrue(self.connection.is_sent)
+        self.succeed()
+        self.assertEqual(1, len(self.answers))
+        self.execute(x=b"1", y=b"2")
+        self.assertEqual(["WRITE k 1"], self.sent())
+
+    def test_statement_does_not_run_behind_a_setting_that_is_refused(self):
+        # It ran with the values of another session (review 12).
+        for refused in (0, 1):
+            self.connect()
+            self.execute(x=b"1", y=b"2")
+            for _ in range(refused):
+                self.succeed()
+            self.sent()
+            self.refuse()
+            self.assertEqual([], self.sent())
+            self.assertEqual([], self.answers)
+            self.assertEqual([True], self.losses)
+            self.assertFalse(self.connection.is_sent)
+
+    def test_statement_does_not_run_behind_a_reset_that_is_refused(self):
+        self.execute(x=b"1")
+        self.succeed()
+        self.succeed()
+        self.sent()
+        self.execute(y=b"2")
+        self.assertEqual(["DISCARD", "SET y 2"], self.sent())
+        self.refuse()
+        self.assertEqual([], self.sent())
+        self.assertEqual([True], self.losses)
+
+    def test_transaction_begins_once_its_settings_are_in_effect(self):
+        self.connection.begin(False, None, {b"x": b"1"}, self.answers.append)
+        self.assertEqual(["SET x 1"], self.sent())
+        self.succeed()
+        self.assertEqual(["BEGIN"], self.sent())
+
+    def test_full_table_of_prepared_statements_is_emptied_first(self):
+        count = upstreams.MAX_PREPARED_STATEMENTS
+        for number in range(count):
+            prepared = statements.Prepared(b"q%d" % number, True)
+            self.connection.prepared[prepared] = b"p%d" % number
+        self.execute(statements.Prepared(b"q", True))
+        self.assertEqual(["DISCARD"], self.sent())
+        self.succeed()
+        self.assertEqual(2, len(self.sent()))
+
+    def test_statement_that_nobody_waits_for_is_not_sent(self):
+        self.execute(x=b"1")
+        self.sent()
+        self.connection.withdraw()
+        self.succeed()
+        self.assertEqual([], self.sent())
+        self.execute(x=b"1")
+        self.assertEqual(["DISCARD", "SET x 1"], self.sent())
+
+    def test_observer_is_told_of_the_statement_alone(self):
+        calls = []
+        self.connection.observer = types.SimpleNamespace(
+            on_sent=lambda connection, kind: calls.append("sent"),
+            on_answer=lambda connection, answer: calls.append("answer"),
+            on_handled=lambda connection: calls.append("handled"),
+        )
+        self.execute(x=b"1")
+        self.succeed()
+        self.assertEqual(["sent"], calls)
+        self.succeed()
+        self.assertEqual(["sent", "answer", "handled"], calls)
