--- a/tests/net/hosted/test_proxy.py
+++ b/tests/net/hosted/test_proxy.py
@@ -34,6 +34,9 @@
         self.role = role
         self.is_closed = False
 
+    def withdraw(self):
+        pass
+
     def close(self):
         self.is_closed = True
 
