Record the first settled era before the first instance registers

An instance that started within 0.5 s of the first one of a new fleet took the store's rows for those of an older copy. If it was the reader, rows that nobody writes again were gone after 2.5 s, for all instances. Running members write theirs again, so callers saw nothing.

Only the reader recorded that the store lacks nothing, in its regular loop, 0.5 s after its start, so instances that started in between found a registration without that row. Evidence: STATE_SETTLED of such an instance names another one in place of `store`.

An instance that finds no row at all now records the era and only then registers. Whoever finds its registration finds that row too; an instance that starts at the same moment, and is refused the row, reads the store again. The era in which an instance was the first one need not be kept any more.

--- a/pomelograde/net/hosted/restored_start.py
+++ b/pomelograde/net/hosted/restored_start.py
@@ -37,8 +37,6 @@
     ----------
     is_settled : bool
         Whether this instance knows what the store may have lacked at its start.
-    founded_era : int or None
-        Era in which no instance had been registered before this one.
     asked_since : float or None
         When other instances were first asked; None if they weren't.
     retry_interval_s : float
@@ -50,7 +48,6 @@
         self.sync = sync
         self.stale_after_s = stale_after_s
         self.is_settled = False
-        self.founded_era = None
         self.asked_since = None
         self.retry_interval_s = RETRY_INTERVAL_S
 
@@ -73,8 +70,9 @@
         if instances is None:
             return False
         if not source.rows:
-            self.founded_era = source.rows_era
-            self._finish("first instance")
+            # Whoever finds the registration of this instance finds this row as well.
+            if await self.sync.record_settled_era():
+                self._finish("first instance")
         elif source.settled_era == source.rows_era:
             self._finish("store")
         else:
@@ -91,8 +89,7 @@
 
     def knows_store_is_complete(self):
         """Return whether the store lacks nothing that this instance knows of."""
-        is_founded = self.founded_era == self.sync.source.rows_era
-        return self.is_settled and (is_founded or self.is_rewritten())
+        return self.is_settled and self.is_rewritten()
 
     async def _ask(self, instances):
         """Ask some instances at once for all that they know."""
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -536,24 +536,30 @@
         if rows.is_err() or listed.is_err():
             return
         if self.is_reader(self.context.now()):
-            self._record_settled_era()
+            self._record_settled_era_if_complete()
         if self.is_offer_due and not self._is_stale():
             delay_s = OFFER_SPREAD_S * self.context.random.random()
             self.context.reactor.callLater(delay_s, self._offer_state)
 
-    def _record_settled_era(self):
-        """Record that the store lacks nothing, for processes that start later."""
+    def _record_settled_era_if_complete(self):
         is_known = self.source.settled_era == self.source.rows_era
         is_outdated = self.stored_version < self.configuration.version
         if is_known or is_outdated or self.lost_takeovers or self.source.era == 0:
             return
         if self.restored_start.knows_store_is_complete():
-            recording = defer.ensureDeferred(self.source.record_settled_era())
-            recording.addErrback(self._on_write_failed)
+            defer.ensureDeferred(self.record_settled_era())
 
-    def _on_write_failed(self, reason):
-        reason.trap(self.source.StoreUnavailableError)
-        self._set_store_available(False, str(reason.value))
+    async def record_settled_era(self):
+        """Record that the store lacks nothing, for processes that start later.
+
+        Returns
+        -------
+        bool
+            Whether the store has taken it.
+        """
+        recorded = await self._attempt(self.source.record_settled_era)
+        self._record_outcomes(recorded)
+        return recorded.is_ok() and recorded.ok_value
 
     def _offer_state(self):
         """Tell the other instances that this one has recent state again.
--- a/tests/net/hosted/test_restored_start.py
+++ b/tests/net/hosted/test_restored_start.py
@@ -187,9 +187,13 @@
         self.source.rows = {}
         self.others = []
         self.read()
+        self.assertEqual([2], self.source.recorded)
+        self.assertFalse(self.is_settled())
+        self.source.calls[-1].callback(True)
         self.register()
         self.assertTrue(self.sync.loop.running)
         self.source.rows = {"own": 2}
+        self.source.settled_era = 2
         self.fetch(self.rows, ([self.own], []))
         self.assertEqual([2], self.source.recorded)
         self.source.era = self.source.rows_era = 3
@@ -197,6 +201,19 @@
         self.fetch(self.read_rows(), ([self.own], []))
         self.assertEqual([2], self.source.recorded)
 
+    def test_instance_that_starts_together_with_the_first_one_reads_again(self):
+        self.source.rows = {}
+        self.read()
+        self.source.calls[-1].callback(False)
+        self.assertFalse(self.is_settled())
+        self.source.rows = {"era/settled": 2}
+        self.source.settled_era = 2
+        self.wait()
+        self.read()
+        self.register()
+        self.assertTrue(self.sync.loop.running)
+        self.assertEqual([], self.peers.requests)
+
     def test_reader_records_that_nothing_is_lacking_any_more(self):
         self.others = [test_state_sync.make_instance("p")]  # "own" reads the store
         self.read()
