Compare a replica set only after a change of its service

The reader built and compared the record of each service with synchronous replicas twice a second, whether anything had changed or not.

A service whose record held its members and no others is left out until its members, its primary or the stored record are others. What is recorded and when stays the same; the tests of the task pass, with one more.

--- a/pomelograde/net/hosted/replica_sets.py
+++ b/pomelograde/net/hosted/replica_sets.py
@@ -37,6 +37,9 @@
         Services whose missing members are being asked.
     checked_at : dict of str to float
         When that was begun last.
+    complete : dict of str to tuple of (dict, str or None, ReplicaSet)
+        Members, primary and stored record of each service at the last check, if
+        the record held these members and no others.
     """
 
     def __init__(self, context, sync, proxy, takeover_task):
@@ -47,6 +50,7 @@
         self.absent_since = {}
         self.checking = set()
         self.checked_at = {}
+        self.complete = {}
         self.loop = None
 
     def start(self):
@@ -71,20 +75,31 @@
         for service, group in self.proxy.groups.items():
             if not self.takeover_task.count_synchronous(service):
                 continue
+            stored = self.sync.source.replica_sets.get(service)
+            if self._is_complete(group, stored):
+                continue
             recorded = self.sync.find_replica_set(service)
             updated = takeovers.update_replica_set(
                 recorded or takeovers.ReplicaSet(service),
                 [_make_recorded(member) for member in group.members.values()],
                 group.primary,
             )
-            stored = self.sync.source.replica_sets.get(service)
-            if updated.members and not updated.has_same_content(stored):
+            is_stored = updated.has_same_content(stored)
+            if updated.members and not is_stored:
                 changed.append(updated)
+            if is_stored and updated.names == group.members.keys():
+                self.complete[service] = (group.members, group.primary, stored)
             faults.run(self.context, self._check_missing, group, updated, now)
         if not changed:
             return None
         return defer.ensureDeferred(self._write_all(changed))
 
+    def _is_complete(self, group, stored):
+        """Return whether nothing has changed since the record was complete."""
+        members, primary, record = self.complete.get(group.name, (None, None, None))
+        is_same = members is group.members and record is stored
+        return is_same and primary == group.primary
+
     async def _write_all(self, changed):
         limit = self.sync.source.MAX_REPLICA_SETS
         for start in range(0, len(changed), limit):
--- a/tests/net/hosted/test_replica_sets.py
+++ b/tests/net/hosted/test_replica_sets.py
@@ -141,6 +141,20 @@
         self.assertEqual(["a", "b", "p"], self.names())
         self.assertEqual("p", self.source.replica_sets["g"].primary)
 
+    def test_complete_record_is_compared_again_only_after_a_change(self):
+        self.advance(2.0)
+        compared = []
+        find = self.task.sync.find_replica_set
+        self.task.sync.find_replica_set = lambda service: (
+            compared.append(service) or find(service)
+        )
+        self.advance(5.0)
+        self.assertEqual([], compared)
+        self.register("pabc")
+        self.advance(0.5)
+        self.assertEqual(["g"], compared)
+        self.assertEqual(["a", "b", "c", "p"], self.names())
+
     def test_service_without_synchronous_replicas_is_not_recorded(self):
         self.synchronous = {}
         self.advance(5.0)
