--- a/pomelograde/core/membership/__init__.py
+++ b/pomelograde/core/membership/__init__.py
@@ -11,7 +11,6 @@
 INSTANCE_LIMITS = _reachability.INSTANCE_LIMITS
 MAX_IN_ANSWER = _reachability.MAX_IN_ANSWER
 MAX_IN_NEWS = _reachability.MAX_IN_NEWS
-MAX_PORT = _instances.MAX_PORT
 MEMBER_LIMITS = _reachability.MEMBER_LIMITS
 PROBE_TIMEOUT_S = _detector.PROBE_TIMEOUT_S
 REPEAT_S = _reachability.REPEAT_S
@@ -35,13 +34,14 @@
 State = _instances.State
 choose_paths = _reachability.choose_paths
 find_fault = _instances.find_fault
+is_ip_address = _instances.is_ip_address
+is_port = _instances.is_port
 rendezvous = _instances.rendezvous
 
 __all__ = [
     "INSTANCE_LIMITS",
     "MAX_IN_ANSWER",
     "MAX_IN_NEWS",
-    "MAX_PORT",
     "MEMBER_LIMITS",
     "PROBE_TIMEOUT_S",
     "REPEAT_S",
@@ -64,5 +64,7 @@
     "State",
     "choose_paths",
     "find_fault",
+    "is_ip_address",
+    "is_port",
     "rendezvous",
 ]
--- a/pomelograde/core/membership/_instances.py
+++ b/pomelograde/core/membership/_instances.py
@@ -62,17 +62,22 @@
             return f"has no printable {field}"
     if not instance.name or not instance.data_centre:
         return "has no name or no data centre"
-    if not _is_ip_address(instance.host):
+    if not is_ip_address(instance.host):
         return "has a host that is no IP address"
-    port = instance.peer_port
-    if type(port) is not int or not 0 < port <= MAX_PORT:
+    if not is_port(instance.peer_port):
         return f"has a peer port that is not from 1 to {MAX_PORT}"
     if type(instance.leaving) is not bool:
         return "does not say whether it leaves"
     return None
 
 
-def _is_ip_address(host):
+def is_port(port):
+    """Return whether a value of any type is a TCP port."""
+    return type(port) is int and 0 < port <= MAX_PORT
+
+
+def is_ip_address(host):
+    """Return whether a value of any type is the text of an IP address."""
     if not isinstance(host, str) or not host.isprintable():
         return False
     try:
--- a/pomelograde/core/placement/_group.py
+++ b/pomelograde/core/placement/_group.py
@@ -338,8 +338,13 @@
         """Return whether nothing more may be sent to a member, not even probes."""
         if not self.evacuated:
             return False
-        found = [member for member in self.find_all() if member.name == name]
-        return bool(found) and self.is_data_centre_closed(found[0].data_centre, now)
+        member = self.members.get(name)
+        if member is None and name in self.lapsed:
+            member, _ = self.lapsed[name]
+        member = member or self.recorded.get(name)
+        return member is not None and self.is_data_centre_closed(
+            member.data_centre, now
+        )
 
     def is_data_centre_closed(self, data_centre, now):
         """Return whether an evacuation allows nothing more in a data centre."""
--- a/pomelograde/core/placement/_restored.py
+++ b/pomelograde/core/placement/_restored.py
@@ -37,6 +37,11 @@
     restored_versions: dict = attrs.field(factory=dict)
     known: dict = attrs.field(factory=dict)
 
+    @property
+    def rewrite_s(self):
+        """Time within which running members write their rows again, in seconds."""
+        return max(REWRITE_TIMEOUT_S, REWRITE_HEARTBEATS * self.heartbeat_s)
+
     def select(self, rows, current, now):
         """Return the members to use.
 
@@ -96,8 +101,7 @@
         if rows.versions[member.name] != self.restored_versions.get(member.name):
             return member
         known = self.known.get((member.name, member.started_ms))
-        timeout_s = max(REWRITE_TIMEOUT_S, REWRITE_HEARTBEATS * self.heartbeat_s)
-        if known is None or now - self.since > timeout_s:
+        if known is None or now - self.since > self.rewrite_s:
             return None
         leaving = member.leaving or known.leaving
         return attrs.evolve(member, role=known.role, leaving=leaving)
--- a/pomelograde/net/hosted/replica_sets.py
+++ b/pomelograde/net/hosted/replica_sets.py
@@ -4,6 +4,7 @@
 
 from pomelograde.core import takeovers
 from pomelograde.net import events, faults, timers
+from pomelograde.net.hosted import state_sync
 
 CHECK_INTERVAL_S = 0.5  # as often as the reader reads the members
 MAX_CHECKS = 8  # of services with members to remove, at once
@@ -66,9 +67,8 @@
 
     def _check(self):
         now = self.context.now()
-        may_act = self.sync.is_reader(now) and self.sync.is_registered
-        has_lease = now < self.sync.freshness.primary_lease_until()
-        if not may_act or not has_lease or self.proxy.is_stopping:
+        may_act = state_sync.may_act_for_fleet(self.sync, now)
+        if not may_act or self.proxy.is_stopping:
             self.absent_since.clear()
             return None
         changed = []
--- a/pomelograde/net/hosted/restored_start.py
+++ b/pomelograde/net/hosted/restored_start.py
@@ -11,10 +11,9 @@
 from pomelograde.core import configuration
 from pomelograde.net import events
 
-# The operator and all others have written their rows again this long after the
-# store's return, and the reader those of takeovers.
+# The operator has written its rows again this long after the store's return, and the
+# reader those of takeovers. Members may take longer.
 REWRITE_TIMEOUT_S = 7.0
-REWRITE_HEARTBEATS = 2.5  # the same for members with a long heartbeat interval
 MAX_ASKED = 8  # instances in one round
 RETRY_INTERVAL_S = 0.3
 MANY_INSTANCES = 20
@@ -83,8 +82,7 @@
 
     def is_rewritten(self):
         """Return whether all has been written again that the store had lost."""
-        heartbeat_s = self.context.settings.member_heartbeat_s
-        rewrite_s = max(REWRITE_TIMEOUT_S, REWRITE_HEARTBEATS * heartbeat_s)
+        rewrite_s = max(REWRITE_TIMEOUT_S, self.sync.restored_members.rewrite_s)
         return self.context.now() - self.sync.source.era_since >= rewrite_s
 
     def knows_store_is_complete(self):
--- a/pomelograde/net/hosted/state_sync.py
+++ b/pomelograde/net/hosted/state_sync.py
@@ -1084,6 +1084,20 @@
         return done
 
 
+def may_act_for_fleet(sync, now):
+    """Return whether an instance may do what one of them does for all.
+
+    Parameters
+    ----------
+    sync : StateSync
+        The instance's copy of the store's state.
+    now : float
+        Monotonic seconds.
+    """
+    has_lease = now < sync.freshness.primary_lease_until()
+    return sync.is_reader(now) and sync.is_registered and has_lease
+
+
 def _age_ms(at, now):
     return UNKNOWN_AGE_MS if at == float("-inf") else int((now - at) * 1000.0) + 1
 
--- a/pomelograde/net/hosted/takeovers.py
+++ b/pomelograde/net/hosted/takeovers.py
@@ -6,8 +6,6 @@
 have expired, and promotes the replica that has received the most of the log.
 """
 
-import ipaddress
-
 import attrs
 from twisted.internet import defer, task
 from twisted.python import failure
@@ -118,13 +116,11 @@
 
     def _check(self):
         now = self.context.now()
-        freshness = self.sync.freshness
         if now - self.checked_at > CHECK_GAP_S:
             self.checking_since = now
         self.checked_at = now
-        may_act = self.sync.is_reader(now) and self.sync.is_registered
-        has_lease = now < freshness.primary_lease_until()
-        if not may_act or not has_lease or self.proxy.is_stopping:
+        may_act = state_sync.may_act_for_fleet(self.sync, now)
+        if not may_act or self.proxy.is_stopping:
             self.absent_since.clear()
             return
         for service, group in self.proxy.groups.items():
@@ -539,15 +535,8 @@
         )
         chosen = takeovers.choose_successor(candidates, requirement)
         if chosen is None:
-            self._log_step(
-                group.name,
-                "none chosen",
-                fence=takeover.fence,
-                candidates=sorted(found.name for found in candidates),
-                members=sorted(group.members),
-                recorded=sorted(group.recorded),
-                replicas=requirement.replica_count,
-                synchronous=requirement.synchronous_replicas,
+            self._log_candidates(
+                group, "none chosen", candidates, requirement, fence=takeover.fence
             )
             return takeover, None
         self._log_step(
@@ -957,16 +946,21 @@
         )
         if takeovers.choose_successor(candidates, requirement) is not None:
             return True
+        self._log_candidates(group, "replicas missing", candidates, requirement)
+        return False
+
+    def _log_candidates(self, group, step, candidates, requirement, **fields):
+        """Log a step at which none of the Candidates meets a LogRequirement."""
         self._log_step(
             group.name,
-            "replicas missing",
+            step,
             candidates=sorted(found.name for found in candidates),
             members=sorted(group.members),
             recorded=sorted(group.recorded),
             replicas=requirement.replica_count,
             synchronous=requirement.synchronous_replicas,
+            **fields,
         )
-        return False
 
     def _make_candidates(self, group, states, old_primary):
         """Return Candidates for the members that have answered with a status.
@@ -1100,19 +1094,13 @@
                 and name in group.members
                 and not group.members[name].leaving
             }
-            until = self.context.now() + CATCH_UP_TIMEOUT_S
-            while self.context.now() < until:
-                states = await self.request_statuses(replicas, "ask_status")
-                holding = [found for found in states.values() if found[2] >= target]
-                if len(holding) >= count:
-                    return True
-                await self._sleep(POLL_INTERVAL_S)
-            return False
+            states = await self._wait_until_caught_up(replicas, {}, target, count)
+            return _count_holding(states, target) >= count
         finally:
             close_all(opened)
 
-    async def _wait_until_caught_up(self, replicas, states, target):
-        """Wait until a replica has received the log up to a position.
+    async def _wait_until_caught_up(self, replicas, states, target, count=1):
+        """Wait until so many replicas have received the log up to a position.
 
         Returns
         -------
@@ -1122,7 +1110,7 @@
         until = self.context.now() + CATCH_UP_TIMEOUT_S
         while self.context.now() < until:
             states = await self.request_statuses(replicas, "ask_status")
-            if any(position >= target for _, _, position in states.values()):
+            if _count_holding(states, target) >= count:
                 break
             await self._sleep(POLL_INTERVAL_S)
         return states
@@ -1434,6 +1422,11 @@
     }
 
 
+def _count_holding(states, target):
+    """Return how many members have received the log up to a position."""
+    return sum(position >= target for _, _, position in states.values())
+
+
 def _find_leaders(group, states):
     """Return the members without a row that have answered as primaries."""
     return {
@@ -1460,11 +1453,8 @@
 
 def _read_member(message):
     """Return the Member that a WitnessRequest describes; None if it doesn't."""
-    if not 0 < message.port <= membership.MAX_PORT:
-        return None
-    try:
-        ipaddress.ip_address(message.host)
-    except ValueError:
+    has_host = membership.is_ip_address(message.host)
+    if not has_host or not membership.is_port(message.port):
         return None
     return placement.Member(
         message.member, message.data_centre, host=message.host, port=message.port
--- a/pomelograde/platform/_json.py
+++ b/pomelograde/platform/_json.py
@@ -37,9 +37,7 @@
     if type(text) is not str:
         raise ValueError(f"expected a text, got {describe(text)}")
     _check_depth(text)
-    value = _DECODER.decode(text)
-    if type(value) is not dict:
-        raise ValueError(f"expected an object, got {describe(value)}")
+    value = require_object(_DECODER.decode(text))
     if "\\u" in text:
         json.dumps(value, ensure_ascii=False).encode()  # fails for single surrogates
     return value
@@ -91,6 +89,20 @@
     return value
 
 
+def require_list(value):
+    """Return a list; raises ValueError for any other value."""
+    if type(value) is not list:
+        raise ValueError(f"expected a list, got {describe(value)}")
+    return value
+
+
+def require_object(value):
+    """Return an object; raises ValueError for any other value."""
+    if type(value) is not dict:
+        raise ValueError(f"expected an object, got {describe(value)}")
+    return value
+
+
 def require_boolean(value):
     """Return a value that must be true or false; raises ValueError."""
     if type(value) is not bool:
--- a/pomelograde/platform/manifest.py
+++ b/pomelograde/platform/manifest.py
@@ -91,7 +91,7 @@
 def _decode_list(fields, name, parse, faults):
     """Return the entries of a list that could be decoded; adds to `faults`."""
     path = f"$.{name}"
-    values = _decode(fields, name, path, _require_list, faults)
+    values = _decode(fields, name, path, _json.require_list, faults)
     entries = []
     for index in range(len(values or ())):
         entry_path = f"{path}[{index}]"
@@ -124,29 +124,17 @@
     return review.Finding(review.Severity.ERROR, path, reason)
 
 
-def _require_list(value):
-    if type(value) is not list:
-        raise ValueError(f"expected a list, got {_json.describe(value)}")
-    return value
-
-
-def _require_object(value):
-    if type(value) is not dict:
-        raise ValueError(f"expected an object, got {_json.describe(value)}")
-    return value
-
-
 def _parse_version(value):
     return _json.require_integer(value, MAX_VERSION)
 
 
 def _parse_idle_time(limits):
-    return _read_time({"txIdleMs": 3000, **_require_object(limits)}, "txIdleMs")
+    return _read_time({"txIdleMs": 3000, **_json.require_object(limits)}, "txIdleMs")
 
 
 def _parse_service(service):
     defaults = {"syncReplicas": 0, "coldStartS": 0, "coldPerS": 0}
-    fields = {**defaults, **_require_object(service)}
+    fields = {**defaults, **_json.require_object(service)}
     return configuration.DatabaseService(
         _json.read(fields, "name", _json.require_text),
         _json.read(fields, "maxConns", _json.require_integer, MAX_COUNT),
@@ -158,7 +146,7 @@
 
 def _parse_route(route):
     defaults = {"priority": 0, "anonymous": False, "allowedRegions": []}
-    fields = {**defaults, **_require_object(route)}
+    fields = {**defaults, **_json.require_object(route)}
     return statements.Route(
         # The platform calls the database name "host".
         database=_json.read(fields, "host", _json.require_text),
@@ -183,7 +171,7 @@
 
 
 def _parse_account(tenant):
-    fields = {"allowedRegions": [], **_require_object(tenant)}
+    fields = {"allowedRegions": [], **_json.require_object(tenant)}
     return configuration.ClientAccount(
         name=_json.read(fields, "name", _json.require_text),
         keys=_json.read(fields, "apiKeys", _parse_texts),
@@ -194,7 +182,7 @@
 
 
 def _parse_texts(values):
-    return frozenset(_json.require_text(value) for value in _require_list(values))
+    return frozenset(_json.require_text(value) for value in _json.require_list(values))
 
 
 def _read_time(fields, name):
--- a/pomelograde/platform/source.py
+++ b/pomelograde/platform/source.py
@@ -339,11 +339,28 @@
         if not with_fence:
             del fields["fence"]  # the revision that this row gets
         value = json.dumps(fields).encode()
-        revision = await self.store_client.commit(
-            INSTANCES_TABLE, {key: expected}, {key: value}
-        )
+        return await self._replace_rows({key: expected}, {key: value})
+
+    async def _replace_rows(self, expected, values):
+        """Replace rows of the instances' table, all of them or none.
+
+        Parameters
+        ----------
+        expected : dict of str to int
+            Version that each row must have; 0 if it must not exist.
+        values : dict of str to bytes
+            New content of each row.
+
+        Returns
+        -------
+        int or None
+            Revision of the new rows; None if one has changed meanwhile.
+        """
+        revision = await self.store_client.commit(INSTANCES_TABLE, expected, values)
         if revision is not None:
-            self.rows[key] = store.Row(key, value, store.version_of(revision))
+            version = store.version_of(revision)
+            for key, value in values.items():
+                self.rows[key] = store.Row(key, value, version)
         return revision
 
     async def record_replica_sets(self, replica_sets):
@@ -372,11 +389,9 @@
             values[key] = _encode_replica_set(found, self.era)
         if None in expected.values():
             return None
-        revision = await self.store_client.commit(INSTANCES_TABLE, expected, values)
+        revision = await self._replace_rows(expected, values)
         if revision is None:
             return None
-        for key, value in values.items():
-            self.rows[key] = store.Row(key, value, store.version_of(revision))
         written = [attrs.evolve(found, row_version=revision) for found in replica_sets]
         self.replica_sets.update((found.service, found) for found in written)
         return written
@@ -394,19 +409,17 @@
         StoreUnavailableError
             If the store does not confirm the change.
         """
-        row = self.rows.get(SETTLED_ERA_KEY)
-        expected = {SETTLED_ERA_KEY: 0 if row is None else row.version}
         era = self.rows_era
         if self.era != era:
             return False
+        row = self.rows.get(SETTLED_ERA_KEY)
+        expected = 0 if row is None else row.version
         value = json.dumps({"era": era}).encode()
-        revision = await self.store_client.commit(
-            INSTANCES_TABLE, expected, {SETTLED_ERA_KEY: value}
+        revision = await self._replace_rows(
+            {SETTLED_ERA_KEY: expected}, {SETTLED_ERA_KEY: value}
         )
         if revision is None:
             return False
-        version = store.version_of(revision)
-        self.rows[SETTLED_ERA_KEY] = store.Row(SETTLED_ERA_KEY, value, version)
         self.settled_era = era
         return True
 
@@ -596,22 +609,19 @@
     era = _json.read(fields, "era", _json.require_integer, store.MAX_ERA)
     return takeovers.make_replica_set(
         _json.require_name(row.key.removeprefix(REPLICA_SET_PREFIX)),
-        _json.read(fields, "primary", _require_printable),
+        _json.read(fields, "primary", _require_optional_name),
         _json.read(fields, "members", _decode_recorded_members),
         store.make_revision(era, row.version),
     )
 
 
 def _decode_recorded_members(items):
-    if type(items) is not list:
-        raise ValueError(f"expected a list, got {_json.describe(items)}")
-    return [_decode_recorded_member(item) for item in items]
+    return [_decode_recorded_member(item) for item in _json.require_list(items)]
 
 
 def _decode_recorded_member(fields):
     read = _json.read
-    if type(fields) is not dict:
-        raise ValueError(f"expected an object, got {_json.describe(fields)}")
+    _json.require_object(fields)
     host, port = read(fields, "address", settings.parse_address)
     return takeovers.RecordedMember(
         name=read(fields, "name", _json.require_token),
@@ -636,7 +646,7 @@
     return json.dumps(fields).encode()
 
 
-def _require_printable(value):
+def _require_optional_name(value):
     return "" if value == "" else _json.require_name(value)
 
 
--- a/pomelograde/platform/store.py
+++ b/pomelograde/platform/store.py
@@ -381,8 +381,7 @@
     """
     key, version = "", 0
     try:
-        if type(fields) is not dict:
-            raise ValueError(f"expected an object, got {_json.describe(fields)}")
+        _json.require_object(fields)
         key = _json.read(fields, "key", _require_encodable)
         version = _json.read(fields, "ver", _json.require_integer, VERSION_MASK)
         if fields.get("tombstone"):
--- a/pomelograde/platform/upstreams.py
+++ b/pomelograde/platform/upstreams.py
@@ -301,8 +301,8 @@
 
     def _handle_answer(self, handler, answer):
         observer = self.observer
-        is_internal = handler == self._on_settings_answer
-        if observer is None or self.response_handlers or is_internal:
+        is_internal = self.response_handlers or self.pending is not None
+        if observer is None or is_internal:
             handler(answer)
             return
         observer.on_answer(self, answer)
--- a/tests/net/hosted/test_restored_start.py
+++ b/tests/net/hosted/test_restored_start.py
@@ -168,7 +168,7 @@
         self.assertEqual({"new": ROLE.PRIMARY}, self.members())
 
     def test_slow_heartbeats_are_waited_for(self):
-        self.sync.context.settings.member_heartbeat_s = 4.0
+        self.sync.restored_members.heartbeat_s = 4.0
         self.assertFalse(self.sync.restored_start.is_rewritten())
         self.clock.advance(9.9)
         self.assertFalse(self.sync.restored_start.is_rewritten())
